--- /dev/null
+++ b/apps/tanagerlanding.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/basics/include/tanagerlanding/basics/Units.h
@@ -0,0 +1,48 @@
+/// \file
+/// Strong types for quantities.
+#ifndef TANAGERLANDING_BASICS_UNITS_H
+#define TANAGERLANDING_BASICS_UNITS_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace tanagerlanding {
+
+using Milliseconds = std::chrono::milliseconds;
+
+/// A point on the process's own monotonic clock. Never compared between
+/// processes.
+struct Instant {
+  Milliseconds SinceStart{0};
+
+  Instant operator+(Milliseconds Delta) const {
+    return Instant{this->SinceStart + Delta};
+  }
+  Milliseconds operator-(Instant Other) const {
+    return this->SinceStart - Other.SinceStart;
+  }
+  bool operator<(Instant Other) const {
+    return this->SinceStart < Other.SinceStart;
+  }
+  bool operator<=(Instant Other) const { return !(Other < *this); }
+};
+
+/// A number of model tokens.
+struct TokenCount {
+  std::uint64_t Value = 0;
+
+  TokenCount operator+(TokenCount Other) const {
+    return TokenCount{this->Value + Other.Value};
+  }
+  /// Returns the difference, or zero where Other is larger.
+  TokenCount minusSaturated(TokenCount Other) const {
+    return TokenCount{this->Value > Other.Value ? this->Value - Other.Value
+                                                : 0};
+  }
+  bool operator<(TokenCount Other) const { return this->Value < Other.Value; }
+  bool operator==(TokenCount Other) const { return this->Value == Other.Value; }
+};
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/ctl/src/Placeholder.cpp
@@ -0,0 +1,1 @@
+namespace tanagerlanding {}
--- /dev/null
+++ b/packages/daemon/include/tanagerlanding/daemon/EntryProcess.h
@@ -0,0 +1,96 @@
+/// \file
+/// The entry role.
+#ifndef TANAGERLANDING_DAEMON_ENTRYPROCESS_H
+#define TANAGERLANDING_DAEMON_ENTRYPROCESS_H
+
+#include "tanagerlanding/decision.h"
+#include "tanagerlanding/gateway.h"
+#include "tanagerlanding/journal.h"
+#include "tanagerlanding/platform.h"
+#include "tanagerlanding/runtime.h"
+#include "tanagerlanding/settings.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace tanagerlanding {
+
+/// Serves callers, owns shards, and keeps journal segments where its settings
+/// name a data folder.
+///
+/// Make one, call run(); it returns after SIGTERM once nothing is under way.
+class EntryProcess : private ConnectionHub::Listener,
+                     private HttpGateway::Listener {
+public:
+  explicit EntryProcess(const NodeSettings &Settings);
+  ~EntryProcess() override;
+  EntryProcess(const EntryProcess &) = delete;
+  EntryProcess &operator=(const EntryProcess &) = delete;
+
+  /// Serves until the process is asked to stop. Fails where an address or the
+  /// data folder can't be had.
+  Result<void, SystemError> run();
+
+private:
+  class EffectPerformer;
+
+  // Connections.
+  void onOpened(ConnectionId Id) override;
+  void onMessage(ConnectionId Id, Message Body) override;
+  void onClosed(ConnectionId Id) override;
+  void greet(ConnectionId Id, const Hello &Greeting);
+  void handleOffer(const ConfigOffer &Offer);
+  void sendTo(const HostId &Host, Message Body);
+  void dialHosts();
+  Hello ownGreeting() const;
+
+  // Callers, on the gateway's threads.
+  void onCall(RequestId Request, Call Asked) override;
+  void onCallerVanished(RequestId Request) override;
+  std::string metricsText() override;
+  std::string statusText() override;
+  bool isReady() override;
+
+  // Decisions.
+  void apply(const EntryEvent &Event);
+  void applyHolder(const HolderEvent &Event);
+  bool takeHolderMessage(const HostId &Host, const Message &Body);
+  void performHolder(const HolderEffect &Effect);
+
+  // The platform.
+  void pollPlatform();
+  void takePlatformValues(const std::vector<KeyValue> &Values);
+  void writeShardEntry(const WriteShardEntry &Effect);
+
+  // Start and stop.
+  Result<void, SystemError> openJournal();
+  void publishStatus();
+  void finishWhenFlushed();
+
+  const NodeSettings Settings;
+  EventLoop Loop;
+  TimerService Timers;
+  ConnectionHub Hub;
+  Metrics Measured;
+  TraceWriter Traces;
+  KeyValueClient Platform;
+  HttpGateway Gateway;
+  EntryState State;
+  std::unique_ptr<JournalFolder> Folder;
+  std::unique_ptr<JournalWriter> Writer;
+  std::optional<HolderState> Holder;
+  std::map<HostId, ConnectionId> Links;
+  std::map<ConnectionId, HostId> Hosts;
+  std::map<RequestId, std::pair<std::string, Instant>> Arrivals;
+  bool IsPolling = false;
+  std::mutex StatusLock;
+  std::string Status;
+  bool Ready = false;
+};
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -0,0 +1,474 @@
+#include "tanagerlanding/daemon/EntryProcess.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanagerlanding {
+
+namespace {
+
+constexpr Milliseconds TickInterval{10};
+constexpr Milliseconds PollInterval{500};
+constexpr Milliseconds StatusInterval{200};
+constexpr Milliseconds FlushLimit{2000};
+constexpr Milliseconds FlushPause{50};
+
+RoutingPolicy policyNamed(const std::string &Name) {
+  if (Name == "round_robin")
+    return RoundRobin{};
+  if (Name == "least_requests")
+    return LeastRequests{};
+  if (Name == "prefix_affinity")
+    return PrefixAffinity{};
+  return LeastExpectedFinish{};
+}
+
+EntryOptions optionsFrom(const NodeSettings &Settings) {
+  EntryOptions Options;
+  Options.withShardCount(Settings.ShardCount)
+      .withPrefixHold(Settings.PrefixHold)
+      .withProgramIdleLimit(Settings.ProgramIdleLimit)
+      .withPolicy(policyNamed(Settings.RoutingPolicyName));
+  Options.DrainLimit = Settings.DrainLimit;
+  return Options;
+}
+
+const char *nameOf(ShardPhase Phase) {
+  switch (Phase) {
+  case ShardPhase::Claiming:
+    return "claiming";
+  case ShardPhase::Sealing:
+    return "sealing";
+  case ShardPhase::Copying:
+    return "copying";
+  case ShardPhase::Confirming:
+    return "confirming";
+  case ShardPhase::Serving:
+    return "serving";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+/// Performs the effects of the entry's reducer, one overload for each.
+class EntryProcess::EffectPerformer {
+public:
+  explicit EffectPerformer(EntryProcess &Process) : Process(Process) {}
+
+  void operator()(const SendHost &Effect) {
+    this->Process.sendTo(Effect.Host, Effect.Body);
+  }
+
+  void operator()(const AnswerCaller &Effect) {
+    this->recordArrivalSpan(Effect.Request);
+    this->Process.Gateway.answer(Effect.Request, Effect.Answer);
+  }
+
+  void operator()(const StreamToCaller &Effect) {
+    this->Process.Gateway.stream(Effect.Request, Effect.Bytes);
+  }
+
+  void operator()(const WriteShardEntry &Effect) {
+    this->Process.writeShardEntry(Effect);
+  }
+
+  void operator()(const LogLine &Effect) {
+    logEvent(Effect.Event, Effect.Fields);
+  }
+
+  void operator()(const CountMetric &Effect) {
+    this->Process.Measured.count(Effect.Name, Effect.Cause);
+  }
+
+  void operator()(const RecordSpan &Effect) {
+    this->Process.Measured.observe(
+        "owner_call_ms", static_cast<double>(Effect.Duration.count()));
+    this->Process.Traces.write(Effect.TraceParent, Effect.Name, Effect.Duration,
+                               Effect.Attributes);
+  }
+
+  void operator()(const ExitEntry &) { this->Process.finishWhenFlushed(); }
+
+private:
+  void recordArrivalSpan(RequestId Request) {
+    const auto Found = this->Process.Arrivals.find(Request);
+    if (Found == this->Process.Arrivals.end())
+      return;
+    const auto &[TraceParent, Since] = Found->second;
+    const Milliseconds Took = this->Process.Loop.now() - Since;
+    this->Process.Measured.observe("request_ms",
+                                   static_cast<double>(Took.count()));
+    this->Process.Traces.write(TraceParent, "entry.request", Took, {});
+    this->Process.Arrivals.erase(Found);
+  }
+
+  EntryProcess &Process;
+};
+
+EntryProcess::EntryProcess(const NodeSettings &Settings)
+    : Settings(Settings), Timers(Loop), Hub(Loop, *this),
+      Traces(Settings.TraceFile, Settings.Host.Value),
+      Platform(Loop, Settings.PlatformUrl),
+      Gateway(HttpGateway::Options()
+                  .withAddress(Settings.Http.Address)
+                  .withPort(Settings.Http.Port)
+                  .withThreads(Settings.HttpThreads)
+                  .withMaxRequestBytes(Settings.MaxRequestBytes),
+              *this) {
+  this->State.Options = optionsFrom(Settings);
+  this->State.Self = Settings.Host;
+  this->State.Instance = InstanceId(makeUniqueId());
+  this->State.Random.seed(makeSeed());
+}
+
+EntryProcess::~EntryProcess() = default;
+
+Result<void, SystemError> EntryProcess::run() {
+  if (auto Opened = this->openJournal(); !Opened)
+    return Opened.error();
+  if (auto Listening = this->Hub.listen(this->Settings.Listen.Address,
+                                        this->Settings.Listen.Port);
+      !Listening)
+    return Listening.error();
+  if (auto Serving = this->Gateway.start(); !Serving)
+    return Serving.error();
+
+  this->apply(EntryTimePassed{this->Loop.now()});
+  this->apply(InventoryObserved{this->Settings.Initial});
+  this->dialHosts();
+  this->pollPlatform();
+  this->Timers.subscribe(
+      TickInterval, [this](Instant Now) { this->apply(EntryTimePassed{Now}); });
+  this->Timers.subscribe(PollInterval,
+                         [this](Instant) { this->pollPlatform(); });
+  this->Timers.subscribe(StatusInterval,
+                         [this](Instant) { this->publishStatus(); });
+  this->Loop.onTermination([this] { this->apply(EntryStopAsked{}); });
+  logEvent("entry_started",
+           {{"host", this->Settings.Host.Value},
+            {"http_port", std::to_string(this->Gateway.port())},
+            {"instance", this->State.Instance.Value}});
+  this->Loop.run();
+  this->Gateway.stop();
+  logEvent("entry_stopped", {{"host", this->Settings.Host.Value}});
+  return success();
+}
+
+Result<void, SystemError> EntryProcess::openJournal() {
+  if (this->Settings.DataFolder.empty())
+    return success();
+  this->Folder = std::make_unique<JournalFolder>(this->Settings.DataFolder);
+  auto Opened = this->Folder->open();
+  if (!Opened)
+    return Opened.error();
+  this->Holder = Opened.value();
+  this->State.Holder = this->Holder->Self;
+  this->Writer = std::make_unique<JournalWriter>(
+      *this->Folder,
+      [this](HolderEvent Event) {
+        this->Loop.post(
+            [this, Event = std::move(Event)] { this->applyHolder(Event); });
+      },
+      [this](HostId Host, Message Body) {
+        this->Loop.post([this, Host = std::move(Host), Body = std::move(Body)] {
+          this->performHolder(SendFromHolder{Host, Body});
+        });
+      });
+  return success();
+}
+
+Hello EntryProcess::ownGreeting() const {
+  return Hello{this->State.Self, this->State.Instance, this->State.Holder,
+               this->State.Accepted.Version};
+}
+
+void EntryProcess::onOpened(ConnectionId Id) {
+  this->Hub.send(Id, this->ownGreeting());
+}
+
+void EntryProcess::onMessage(ConnectionId Id, Message Body) {
+  if (const auto *Greeting = std::get_if<Hello>(&Body)) {
+    this->greet(Id, *Greeting);
+    return;
+  }
+  const auto Known = this->Hosts.find(Id);
+  if (Known == this->Hosts.end()) {
+    logEvent("message_before_hello",
+             {{"connection", std::to_string(Id.Value)}});
+    this->Hub.close(Id);
+    return;
+  }
+  const HostId Host = Known->second;
+  if (const auto *Offer = std::get_if<ConfigOffer>(&Body)) {
+    this->handleOffer(*Offer);
+    return;
+  }
+  if (!this->takeHolderMessage(Host, Body))
+    this->apply(PeerSaid{Host, std::move(Body)});
+}
+
+void EntryProcess::greet(ConnectionId Id, const Hello &Greeting) {
+  const auto Former = this->Links.find(Greeting.Host);
+  if (Former != this->Links.end() && Former->second != Id) {
+    const ConnectionId Old = Former->second;
+    this->Hub.close(Old);
+  }
+  this->Links[Greeting.Host] = Id;
+  this->Hosts[Id] = Greeting.Host;
+  this->apply(PeerConnected{Greeting});
+}
+
+void EntryProcess::onClosed(ConnectionId Id) {
+  const auto Known = this->Hosts.find(Id);
+  if (Known == this->Hosts.end())
+    return;
+  const HostId Host = Known->second;
+  this->Hosts.erase(Known);
+  const auto Link = this->Links.find(Host);
+  if (Link == this->Links.end() || Link->second != Id)
+    return;
+  this->Links.erase(Link);
+  this->apply(PeerDisconnected{Host});
+}
+
+void EntryProcess::handleOffer(const ConfigOffer &Offer) {
+  if (!(this->State.Accepted.Version < Offer.Version))
+    return;
+  CheckedInventory Read = parseInventory(Offer.Document, "offered");
+  if (!Read) {
+    logEvent("configuration_invalid",
+             {{"version", std::to_string(Offer.Version.Value)}});
+    return;
+  }
+  Inventory Accepted = std::move(Read.value());
+  Accepted.Version = Offer.Version;
+  this->apply(InventoryObserved{std::move(Accepted)});
+  this->dialHosts();
+}
+
+void EntryProcess::dialHosts() {
+  for (const auto &[Name, Host] : this->State.Accepted.Hosts) {
+    const bool IsEntry = Host.Role == HostRole::Entry;
+    // Of two entries, the one with the lower name makes the connection.
+    if (Name == this->State.Self || (IsEntry && Name < this->State.Self))
+      continue;
+    this->Hub.keepConnected(Host.Address, Host.Port);
+  }
+}
+
+void EntryProcess::sendTo(const HostId &Host, Message Body) {
+  if (Host == this->State.Self) {
+    this->takeHolderMessage(Host, Body);
+    return;
+  }
+  const auto Link = this->Links.find(Host);
+  if (Link != this->Links.end())
+    this->Hub.send(Link->second, Body);
+}
+
+bool EntryProcess::takeHolderMessage(const HostId &Host, const Message &Body) {
+  HolderAsked Event;
+  Event.Peer = Host;
+  if (const auto *Append = std::get_if<AppendRecords>(&Body))
+    Event.Asked = *Append;
+  else if (const auto *Seal = std::get_if<SealLog>(&Body))
+    Event.Asked = *Seal;
+  else if (const auto *Release = std::get_if<ReleaseLog>(&Body))
+    Event.Asked = *Release;
+  else
+    return false;
+  this->applyHolder(Event);
+  return true;
+}
+
+void EntryProcess::apply(const EntryEvent &Event) {
+  EffectPerformer Perform(*this);
+  for (const EntryEffect &Effect : reduce(this->State, Event))
+    std::visit(Perform, Effect);
+}
+
+void EntryProcess::applyHolder(const HolderEvent &Event) {
+  if (!this->Holder)
+    return;
+  if (std::holds_alternative<DataFolderFailed>(Event))
+    logEvent("data_folder_failed", {{"folder", this->Settings.DataFolder}});
+  for (const HolderEffect &Effect : reduce(*this->Holder, Event))
+    this->performHolder(Effect);
+}
+
+void EntryProcess::performHolder(const HolderEffect &Effect) {
+  const auto *Send = std::get_if<SendFromHolder>(&Effect);
+  if (!Send) {
+    this->Writer->submit(Effect);
+    return;
+  }
+  if (Send->Peer != this->State.Self) {
+    this->sendTo(Send->Peer, Send->Body);
+    return;
+  }
+  this->Loop.post([this, Body = Send->Body] {
+    this->apply(PeerSaid{this->State.Self, Body});
+  });
+}
+
+void EntryProcess::onCall(RequestId Request, Call Asked) {
+  this->Loop.post([this, Request, Asked = std::move(Asked)]() mutable {
+    // A call without a key can't be repeated: it gets one of its own.
+    if (Asked.Key.Value.empty())
+      Asked.Key = CallKey("unkeyed:" + this->State.Instance.Value + ":" +
+                          std::to_string(Request.Value));
+    this->Arrivals[Request] = {Asked.TraceParent, this->Loop.now()};
+    this->apply(CallArrived{Request, std::move(Asked)});
+  });
+}
+
+void EntryProcess::onCallerVanished(RequestId Request) {
+  this->Loop.post([this, Request] {
+    this->Arrivals.erase(Request);
+    this->Measured.count("callers_vanished_total", "closed");
+    this->apply(CallerVanished{Request});
+  });
+}
+
+std::string EntryProcess::metricsText() { return this->Measured.render(); }
+
+std::string EntryProcess::statusText() {
+  const std::lock_guard<std::mutex> Guard(this->StatusLock);
+  return this->Status;
+}
+
+bool EntryProcess::isReady() {
+  const std::lock_guard<std::mutex> Guard(this->StatusLock);
+  return this->Ready;
+}
+
+void EntryProcess::publishStatus() {
+  using Json = nlohmann::json;
+  Json Shards = Json::array();
+  std::size_t Unserved = 0;
+  for (std::uint32_t Number = 0; Number < this->State.Options.ShardCount;
+       ++Number) {
+    const auto Row = this->State.Table.find(ShardId(Number));
+    const bool IsServed = Row != this->State.Table.end() &&
+                          Row->second.Entry.Serving &&
+                          isOwnerLive(this->State, Row->second.Entry);
+    if (!IsServed)
+      ++Unserved;
+    if (Row == this->State.Table.end())
+      continue;
+    Json Item = {{"shard", Number},
+                 {"owner", Row->second.Entry.Owner.Value},
+                 {"epoch", Row->second.Entry.OwnerEpoch.Value},
+                 {"serving", IsServed}};
+    const auto Owned = this->State.Owned.find(ShardId(Number));
+    if (Owned != this->State.Owned.end()) {
+      Item["phase"] = nameOf(Owned->second.Phase);
+      Item["programs"] = Owned->second.Ledger.size();
+    }
+    Shards.push_back(Item);
+  }
+  Json Hosts = Json::array();
+  for (const auto &[Name, Host] : this->State.Accepted.Hosts) {
+    Json Item = {{"host", Name.Value}, {"zone", Host.Zone.Value}};
+    const auto Peer = this->State.Peers.find(Name);
+    const bool IsPeer = Peer != this->State.Peers.end();
+    const bool IsSelf = Name == this->State.Self;
+    Item["connected"] = IsSelf || (IsPeer && Peer->second.Connected);
+    Item["version"] = IsSelf   ? this->State.Accepted.Version.Value
+                      : IsPeer ? Peer->second.Version.Value
+                               : 0;
+    const auto Target = this->State.Targets.find(Name);
+    if (Target != this->State.Targets.end()) {
+      Item["healthy"] = Target->second.Healthy;
+      Item["leaving"] = Target->second.Leaving;
+      Item["running"] = Target->second.Running;
+      Item["queued"] = Target->second.Queued;
+    }
+    Hosts.push_back(Item);
+  }
+  const Json Whole = {{"host", this->State.Self.Value},
+                      {"version", this->State.Accepted.Version.Value},
+                      {"draining", this->State.Draining},
+                      {"unserved_shards", Unserved},
+                      {"requests", this->State.Requests.size()},
+                      {"platform_calls", this->Platform.callCount()},
+                      {"sent_bytes", this->Hub.sentBytes()},
+                      {"shards", Shards},
+                      {"hosts", Hosts}};
+  this->Measured.set("platform_calls",
+                     static_cast<double>(this->Platform.callCount()));
+  this->Measured.set("control_sent_bytes",
+                     static_cast<double>(this->Hub.sentBytes()));
+  const std::lock_guard<std::mutex> Guard(this->StatusLock);
+  this->Status = Whole.dump(2);
+  this->Ready = !this->State.Draining && Unserved == 0;
+}
+
+void EntryProcess::pollPlatform() {
+  if (this->IsPolling)
+    return;
+  this->IsPolling = true;
+  this->Platform.readPrefix(this->Settings.PlatformPrefix, [this](auto Read) {
+    this->IsPolling = false;
+    if (Read)
+      this->takePlatformValues(Read.value());
+    else
+      this->Measured.count("platform_errors_total", "read");
+  });
+}
+
+void EntryProcess::takePlatformValues(const std::vector<KeyValue> &Values) {
+  TableObserved Table;
+  Table.IsWhole = true;
+  for (const KeyValue &Each : Values) {
+    if (const auto Id = shardOfKey(this->Settings.PlatformPrefix, Each.Key)) {
+      if (const auto Entry = decodeShardEntry(Each.Value))
+        Table.Rows.emplace_back(*Id,
+                                VersionedShardEntry{*Entry, Each.ModRevision});
+      continue;
+    }
+    if (Each.Key != configurationKey(this->Settings.PlatformPrefix))
+      continue;
+    if (const auto Stored = decodeConfiguration(Each.Value))
+      this->handleOffer(ConfigOffer{Stored->Version, Stored->Document});
+  }
+  this->apply(Table);
+}
+
+void EntryProcess::writeShardEntry(const WriteShardEntry &Effect) {
+  const ShardId Id = Effect.Shard;
+  const ShardEntry Entry = Effect.Entry;
+  this->Platform.writeIfUnchanged(
+      shardKey(this->Settings.PlatformPrefix, Id), encodeShardEntry(Entry),
+      Effect.Expected, [this, Id, Entry](auto Answer) {
+        if (!Answer) {
+          // Whether it took effect shows at the next poll.
+          this->Measured.count("platform_errors_total", "write");
+          return;
+        }
+        TableObserved Table;
+        if (Answer.value().Succeeded) {
+          Table.Rows.emplace_back(
+              Id, VersionedShardEntry{Entry, Answer.value().At});
+        } else if (const auto &Present = Answer.value().Present) {
+          if (const auto Row = decodeShardEntry(Present->Value))
+            Table.Rows.emplace_back(
+                Id, VersionedShardEntry{*Row, Present->ModRevision});
+        }
+        this->apply(Table);
+      });
+}
+
+void EntryProcess::finishWhenFlushed() {
+  if (this->Gateway.unsentCount() > 0) {
+    auto Timer =
+        std::make_shared<boost::asio::steady_timer>(this->Loop.context());
+    Timer->expires_after(FlushPause);
+    Timer->async_wait(
+        [this, Timer](const auto &) { this->finishWhenFlushed(); });
+    return;
+  }
+  this->Hub.flush(FlushLimit, [this] { this->Loop.stop(); });
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/Draining.cpp
@@ -0,0 +1,101 @@
+#include "Draining.h"
+
+#include "Ownership.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+bool isLineIdle(const AgentLine &Line) {
+  return !Line.Active && Line.Queue.empty();
+}
+
+bool isShardIdle(const OwnedShard &Shard) {
+  if (!Shard.Pending.empty())
+    return false;
+  for (const auto &[Program, Runtime] : Shard.Programs) {
+    const auto &Lines = Runtime.Lines;
+    if (!std::all_of(Lines.begin(), Lines.end(),
+                     [](const auto &Item) { return isLineIdle(Item.second); }))
+      return false;
+  }
+  return true;
+}
+
+bool isIdle(const EntryState &State) {
+  return State.Requests.empty() &&
+         std::all_of(State.Owned.begin(), State.Owned.end(),
+                     [](const auto &Item) { return isShardIdle(Item.second); });
+}
+
+bool ownsAnything(const EntryState &State) {
+  return std::any_of(State.Table.begin(), State.Table.end(),
+                     [&](const auto &Item) {
+                       const ShardEntry &Entry = Item.second.Entry;
+                       return Entry.Owner == State.Self &&
+                              Entry.OwnerInstance == State.Instance;
+                     });
+}
+
+bool hasHeirs(const EntryState &State) {
+  return std::any_of(State.Peers.begin(), State.Peers.end(),
+                     [&](const auto &Item) {
+                       const PeerView &Peer = Item.second;
+                       const auto Spec = State.Accepted.Hosts.find(Item.first);
+                       return Peer.Connected && !Peer.Leaving &&
+                              Spec != State.Accepted.Hosts.end() &&
+                              Spec->second.Role == HostRole::Entry;
+                     });
+}
+
+void sendLeaving(EntryContext &Context) {
+  Context.State.LeavingSent = true;
+  Context.State.DrainSince = Context.now();
+  for (const auto &[Host, Peer] : Context.State.Peers) {
+    if (Peer.Connected)
+      Context.send(Host, LeavingNotice{});
+  }
+}
+
+} // namespace
+
+void handleStopAsked(EntryContext &Context) {
+  if (Context.State.Draining)
+    return;
+  Context.State.Draining = true;
+  Context.State.DrainSince = Context.now();
+  Context.log("drain_started", {});
+  superviseDraining(Context);
+}
+
+void superviseDraining(EntryContext &Context) {
+  EntryState &State = Context.State;
+  if (!State.Draining || State.ExitAsked)
+    return;
+  const bool IsOverdue =
+      Context.now() - State.DrainSince >= State.Options.DrainLimit;
+  if (!State.LeavingSent) {
+    if (!isIdle(State) && !IsOverdue)
+      return;
+    if (IsOverdue)
+      Context.log("drain_overdue",
+                  {{"requests", std::to_string(State.Requests.size())}});
+    sendLeaving(Context);
+    return;
+  }
+  if (ownsAnything(State) && hasHeirs(State) && !IsOverdue)
+    return;
+  State.ExitAsked = true;
+  Context.log("drain_finished", {});
+  Context.Effects.push_back(ExitEntry{});
+}
+
+void handleLeaving(EntryContext &Context, const HostId &Host) {
+  Context.State.Peers[Host].Leaving = true;
+  Context.log("peer_leaving", {{"host", Host.Value}});
+  superviseShards(Context);
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/Membership.cpp
@@ -0,0 +1,153 @@
+#include "Membership.h"
+
+#include "CallAdmission.h"
+#include "CallAttempts.h"
+#include "Ownership.h"
+#include "Quarantine.h"
+#include "tanagerlanding/decision/SidecarReducer.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+bool isTargetHost(const EntryState &State, const HostId &Host) {
+  const auto Spec = State.Accepted.Hosts.find(Host);
+  return Spec != State.Accepted.Hosts.end() &&
+         Spec->second.Role == HostRole::Target;
+}
+
+bool isEntryHost(const EntryState &State, const HostId &Host) {
+  const auto Spec = State.Accepted.Hosts.find(Host);
+  return Spec != State.Accepted.Hosts.end() &&
+         Spec->second.Role == HostRole::Entry;
+}
+
+void indexTargets(EntryState &State) {
+  State.TargetsByService.clear();
+  for (const auto &[Name, Host] : State.Accepted.Hosts) {
+    if (Host.Role == HostRole::Target && State.Accepted.isAllowed(Host))
+      State.TargetsByService[Host.Service].push_back(Name);
+  }
+}
+
+} // namespace
+
+void sendKeptPrefixes(EntryContext &Context, const HostId &Host) {
+  KeepPrefixes Kept;
+  for (const auto &[Id, Shard] : Context.State.Owned) {
+    for (const auto &[Program, Runtime] : Shard.Programs) {
+      const auto Ledger = Shard.Ledger.find(Program);
+      if (Ledger == Shard.Ledger.end())
+        continue;
+      for (const auto &[Agent, Line] : Runtime.Lines) {
+        const auto History = Ledger->second.Agents.find(Agent);
+        if (!Line.PrefixReleased && History != Ledger->second.Agents.end() &&
+            History->second.LastTarget == Host)
+          Kept.Prefixes.push_back(prefixName(Program, Agent));
+      }
+    }
+  }
+  Context.send(Host, std::move(Kept));
+}
+
+void sendKeptPrefixesToAll(EntryContext &Context) {
+  for (const auto &[Host, Peer] : Context.State.Peers) {
+    if (Peer.Connected && isTargetHost(Context.State, Host))
+      sendKeptPrefixes(Context, Host);
+  }
+}
+
+bool isEntryLive(const EntryState &State, const HostId &Host) {
+  const auto Found = State.Peers.find(Host);
+  if (Found == State.Peers.end() || !isEntryHost(State, Host))
+    return false;
+  const PeerView &Peer = Found->second;
+  return Peer.Connected && !Peer.Leaving &&
+         State.Now < Peer.LastHeard + State.Options.DeadAfter;
+}
+
+void handlePeerConnected(EntryContext &Context, const PeerConnected &Event) {
+  const Hello &Greeting = Event.Greeting;
+  PeerView &Peer = Context.State.Peers[Greeting.Host];
+  const bool IsNewInstance = Peer.Instance != Greeting.Instance;
+  Peer.Connected = true;
+  Peer.Instance = Greeting.Instance;
+  Peer.Holder = Greeting.Holder;
+  Peer.Version = Greeting.Version;
+  Peer.LastHeard = Context.now();
+  if (IsNewInstance)
+    Peer.Leaving = false;
+  Context.log("peer_connected", {{"host", Greeting.Host.Value},
+                                 {"instance", Greeting.Instance.Value}});
+  if (isEntryHost(Context.State, Greeting.Host)) {
+    sendSuspicions(Context, Greeting.Host);
+    if (Greeting.Holder)
+      greetHolder(Context, Greeting.Host, *Greeting.Holder);
+    return;
+  }
+  sendKeptPrefixes(Context, Greeting.Host);
+  resolveAttemptsAt(Context, Greeting.Host, Greeting.Instance);
+}
+
+void handlePeerDisconnected(EntryContext &Context,
+                            const PeerDisconnected &Event) {
+  PeerView &Peer = Context.State.Peers[Event.Host];
+  Peer.Connected = false;
+  Peer.DownSince = Context.now();
+  Context.log("peer_disconnected", {{"host", Event.Host.Value}});
+  if (isEntryHost(Context.State, Event.Host)) {
+    failForwarded(Context, Event.Host);
+    return;
+  }
+  Context.State.Targets[Event.Host].Healthy = false;
+  suspendAttemptsAt(Context, Event.Host);
+}
+
+void sendHeartbeats(EntryContext &Context) {
+  EntryState &State = Context.State;
+  if (State.Now < State.LastHeartbeat + State.Options.HeartbeatInterval)
+    return;
+  State.LastHeartbeat = State.Now;
+  for (const auto &[Host, Peer] : State.Peers) {
+    if (Peer.Connected)
+      Context.send(Host, Heartbeat{State.Accepted.Version});
+  }
+}
+
+void handleInventory(EntryContext &Context, const InventoryObserved &Event) {
+  Inventory &Present = Context.State.Accepted;
+  if (!(Present.Version < Event.Accepted.Version) && !Present.Hosts.empty())
+    return;
+  Present = Event.Accepted;
+  indexTargets(Context.State);
+  Context.log("configuration_in_force",
+              {{"version", std::to_string(Present.Version.Value)}});
+  for (const auto &[Host, Peer] : Context.State.Peers) {
+    if (Peer.Connected && Peer.Version < Present.Version)
+      Context.send(Host, ConfigOffer{Present.Version, Present.Document});
+  }
+}
+
+void handleHeartbeat(EntryContext &Context, const HostId &Host,
+                     const Heartbeat &Beat) {
+  Context.State.Peers[Host].Version = Beat.Version;
+  const Inventory &Present = Context.State.Accepted;
+  if (Beat.Version < Present.Version)
+    Context.send(Host, ConfigOffer{Present.Version, Present.Document});
+}
+
+void handleLoad(EntryContext &Context, const HostId &Host,
+                const LoadReport &Report) {
+  TargetView &Target = Context.State.Targets[Host];
+  Target.Running = Report.Running;
+  Target.Queued = Report.Queued;
+  Target.Capacity = std::max<std::uint32_t>(1, Report.Capacity);
+  Target.Healthy = Report.Healthy;
+  Target.Leaving = Report.Leaving;
+  Target.SentSinceReport = 0;
+  handleHeartbeat(Context, Host, Heartbeat{Report.Version});
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/SidecarReducer.cpp
@@ -0,0 +1,490 @@
+#include "tanagerlanding/decision/SidecarReducer.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace tanagerlanding {
+
+std::string prefixName(const ProgramId &Program, const AgentId &Agent) {
+  return Program.Value + "/" + Agent.Value;
+}
+
+namespace {
+
+/// Handles the events of a sidecar, one overload for each.
+class SidecarHandler {
+public:
+  SidecarHandler(SidecarState &State, std::vector<SidecarEffect> &Effects)
+      : State(State), Effects(Effects) {}
+
+  void operator()(const SidecarTimePassed &Event) {
+    this->State.Now = Event.Now;
+    this->dropExpired();
+    this->cancelOrphans();
+    this->releaseExpiredPrefixes();
+    this->refuseLate();
+    this->startNext();
+    this->reportIfDue();
+    this->exitIfDone();
+  }
+
+  void operator()(const OwnerConnected &Event) {
+    this->State.Owners[Event.Connection] = Event.Greeting.Host;
+    this->send(Event.Connection, this->report());
+  }
+
+  void operator()(const OwnerDisconnected &Event) {
+    this->State.Owners.erase(Event.Connection);
+    for (auto &[Id, Attempt] : this->State.Attempts) {
+      if (Attempt.Owner == Event.Connection)
+        Attempt.OrphanedAt = this->State.Now;
+    }
+    for (auto &[Name, Prefix] : this->State.Prefixes) {
+      if (Prefix.Owner == Event.Connection)
+        Prefix.ExpiresAt = this->State.Now + this->State.Options.PrefixLease;
+    }
+  }
+
+  void operator()(const OwnerSaid &Event) {
+    std::visit([&](const auto &Body) { this->handle(Event.Connection, Body); },
+               Event.Body);
+  }
+
+  void operator()(const TargetChunk &Event) {
+    SidecarAttempt *Attempt = this->find(Event.Attempt);
+    if (Attempt && !Attempt->OrphanedAt)
+      this->send(Attempt->Owner, AttemptChunk{Event.Attempt, Event.Bytes});
+  }
+
+  void operator()(const TargetAnswered &Event) {
+    this->finish(AttemptFinished{Event.Attempt, Execution::Ran, Event.Answer,
+                                 Event.Generated, Event.HistoryMessage, false});
+  }
+
+  void operator()(const TargetUnreached &Event) {
+    const SidecarAttempt *Attempt = this->find(Event.Attempt);
+    if (!Attempt)
+      return;
+    this->State.Healthy = false;
+    this->probe();
+    this->refuse(Attempt->Owner, Event.Attempt, CallError::TargetFailed);
+    this->State.Attempts.erase(Event.Attempt);
+    this->startNext();
+  }
+
+  void operator()(const TargetBroke &Event) {
+    SidecarAttempt *Attempt = this->find(Event.Attempt);
+    if (!Attempt)
+      return;
+    if (Attempt->Cancelled) {
+      this->finishUnknown(Event.Attempt, false);
+      return;
+    }
+    Attempt->Broken = true;
+    this->probe();
+  }
+
+  void operator()(const TargetProbed &Event) {
+    this->State.ProbeRunning = false;
+    const bool Changed = this->State.Healthy != Event.Alive;
+    this->State.Healthy = Event.Alive;
+    this->settleBroken(!Event.Alive);
+    if (Event.Alive)
+      this->adoptPrefixes(Event.HeldPrefixes);
+    if (Changed)
+      this->reportToAll();
+    this->startNext();
+  }
+
+  void operator()(const SidecarStopAsked &) {
+    if (this->State.Leaving)
+      return;
+    this->State.Leaving = true;
+    this->refuseQueued(CallError::Draining);
+    this->reportToAll();
+    this->exitIfDone();
+  }
+
+private:
+  void handle(ConnectionId Connection, const DispatchAttempt &Work) {
+    const CallError Reason = this->reasonToRefuse(Work);
+    if (Reason != CallError::None) {
+      this->refuse(Connection, Work.Attempt, Reason);
+      return;
+    }
+    this->State.Fences[Work.Attempt.Shard] = Work.Attempt.OwnerEpoch;
+    SidecarAttempt Attempt;
+    Attempt.Work = Work;
+    Attempt.Owner = Connection;
+    Attempt.Arrived = this->State.Now;
+    Attempt.Deadline = this->State.Now + Work.Deadline;
+    this->State.Attempts.emplace(Work.Attempt, Attempt);
+    this->startNext();
+  }
+
+  CallError reasonToRefuse(const DispatchAttempt &Work) const {
+    const AttemptId &Id = Work.Attempt;
+    const auto Fence = this->State.Fences.find(Id.Shard);
+    if (Fence != this->State.Fences.end() && Id.OwnerEpoch < Fence->second)
+      return CallError::NotOwner;
+    if (this->State.Refused.count(Id) > 0)
+      return CallError::NotOwner;
+    if (this->State.Attempts.count(Id) > 0 ||
+        this->State.Outcomes.count(Id) > 0)
+      return CallError::KeyReused;
+    if (this->State.Leaving)
+      return CallError::Draining;
+    if (!this->State.Healthy)
+      return CallError::TargetFailed;
+    if (this->queuedCount() >= this->State.Options.QueueLimit)
+      return CallError::QueueFull;
+    return CallError::None;
+  }
+
+  void handle(ConnectionId Connection, const QueryAttempt &Asked) {
+    Epoch &Fence = this->State.Fences[Asked.Attempt.Shard];
+    if (Fence < Asked.AskingEpoch)
+      Fence = Asked.AskingEpoch;
+
+    const auto Kept = this->State.Outcomes.find(Asked.Attempt);
+    if (Kept != this->State.Outcomes.end()) {
+      this->send(Connection, Kept->second.Outcome);
+      return;
+    }
+    SidecarAttempt *Attempt = this->find(Asked.Attempt);
+    if (Attempt && Attempt->Running) {
+      Attempt->Owner = Connection;
+      Attempt->OrphanedAt.reset();
+      this->send(Connection, AttemptRunning{Asked.Attempt});
+      return;
+    }
+    if (Attempt)
+      this->State.Attempts.erase(Asked.Attempt);
+    if (this->mayHaveDropped(Asked.Attempt)) {
+      AttemptFinished Unknown;
+      Unknown.Attempt = Asked.Attempt;
+      this->send(Connection, Unknown);
+      return;
+    }
+    // A dispatch of this attempt may still be on its way and must not run.
+    this->State.Refused[Asked.Attempt] =
+        this->State.Now + this->State.Options.OutcomeRetention;
+    this->refuse(Connection, Asked.Attempt, CallError::OwnerLost);
+  }
+
+  bool mayHaveDropped(const AttemptId &Id) const {
+    const auto Dropped = this->State.DroppedOutcomes.find(Id.Shard);
+    return Dropped != this->State.DroppedOutcomes.end() &&
+           !(Dropped->second < Id.OwnerEpoch);
+  }
+
+  void handle(ConnectionId, const ForgetAttempt &Asked) {
+    this->State.Outcomes.erase(Asked.Attempt);
+    this->exitIfDone();
+  }
+
+  void handle(ConnectionId Connection, const CancelAttempt &Asked) {
+    SidecarAttempt *Attempt = this->find(Asked.Attempt);
+    if (!Attempt)
+      return;
+    if (!Attempt->Running) {
+      this->State.Attempts.erase(Asked.Attempt);
+      this->refuse(Connection, Asked.Attempt, CallError::DeadlinePassed);
+      return;
+    }
+    this->cancel(Asked.Attempt, *Attempt);
+  }
+
+  void handle(ConnectionId Connection, const KeepPrefixes &Asked) {
+    for (const std::string &Name : Asked.Prefixes) {
+      HeldPrefix &Prefix = this->State.Prefixes[Name];
+      Prefix.Owner = Connection;
+      Prefix.ExpiresAt.reset();
+    }
+  }
+
+  void handle(ConnectionId, const ReleasePrefixes &Asked) {
+    for (const std::string &Name : Asked.Prefixes)
+      this->State.Prefixes.erase(Name);
+    this->Effects.push_back(ReleaseTargetPrefixes{Asked.Prefixes});
+  }
+
+  void handle(ConnectionId Connection, const Heartbeat &Beat) {
+    if (Beat.Version < this->State.Version)
+      this->send(Connection,
+                 ConfigOffer{this->State.Version, this->State.Document});
+  }
+
+  void handle(ConnectionId, const ConfigOffer &Offer) {
+    if (!(this->State.Version < Offer.Version))
+      return;
+    this->State.Version = Offer.Version;
+    this->State.Document = Offer.Document;
+    this->reportToAll();
+  }
+
+  /// Messages that are not for a sidecar change nothing.
+  template <typename Other> void handle(ConnectionId, const Other &) {}
+
+  void startNext() {
+    while (this->State.Healthy) {
+      SidecarAttempt *Next = this->chooseNext();
+      if (!Next)
+        return;
+      Next->Running = true;
+      if (Next->Work.Kind == CallKind::Chat)
+        this->holdPrefix(*Next);
+      this->Effects.push_back(CallTarget{Next->Work});
+    }
+  }
+
+  /// Returns the waiting attempt that may start now, or null.
+  SidecarAttempt *chooseNext() {
+    std::uint32_t Running = 0;
+    bool IsolatedRuns = false;
+    SidecarAttempt *Best = nullptr;
+    for (auto &[Id, Attempt] : this->State.Attempts) {
+      if (Attempt.Running) {
+        ++Running;
+        IsolatedRuns = IsolatedRuns || Attempt.Work.Isolated;
+      } else if (!Best || this->rank(Attempt) < this->rank(*Best)) {
+        Best = &Attempt;
+      }
+    }
+    if (!Best || IsolatedRuns || Running >= this->State.Options.Capacity)
+      return nullptr;
+    if (Best->Work.Isolated && Running > 0)
+      return nullptr;
+    return Best;
+  }
+
+  /// The least attained service goes first; waiting lowers the rank, so that
+  /// none starves. The arrival breaks ties.
+  std::tuple<double, Milliseconds> rank(const SidecarAttempt &Attempt) const {
+    const SidecarOptions &Options = this->State.Options;
+    const Milliseconds Waited = this->State.Now - Attempt.Arrived;
+    const double Aged = static_cast<double>(Waited.count()) /
+                        static_cast<double>(Options.AgingStep.count()) *
+                        static_cast<double>(Options.AgingTokens.Value);
+    const double Attained = static_cast<double>(Attempt.Work.Attained.Value);
+    return {Attained - Aged, Attempt.Arrived.SinceStart};
+  }
+
+  void holdPrefix(const SidecarAttempt &Attempt) {
+    const std::string Name =
+        prefixName(Attempt.Work.Program, Attempt.Work.Agent);
+    this->State.Prefixes[Name] = HeldPrefix{Attempt.Owner, std::nullopt};
+  }
+
+  /// Prefixes that the target holds and nobody here knows get one lease.
+  void adoptPrefixes(const std::vector<std::string> &Held) {
+    for (const std::string &Name : Held) {
+      if (this->State.Prefixes.count(Name) > 0)
+        continue;
+      const Instant Until = this->State.Now + this->State.Options.PrefixLease;
+      this->State.Prefixes[Name] = HeldPrefix{ConnectionId(), Until};
+    }
+  }
+
+  void releaseExpiredPrefixes() {
+    std::vector<std::string> Expired;
+    for (auto Item = this->State.Prefixes.begin();
+         Item != this->State.Prefixes.end();) {
+      const std::optional<Instant> &Until = Item->second.ExpiresAt;
+      if (!Until || this->State.Now < *Until) {
+        ++Item;
+        continue;
+      }
+      Expired.push_back(Item->first);
+      Item = this->State.Prefixes.erase(Item);
+    }
+    if (!Expired.empty())
+      this->Effects.push_back(ReleaseTargetPrefixes{Expired});
+  }
+
+  void finish(const AttemptFinished &Outcome) {
+    const SidecarAttempt *Attempt = this->find(Outcome.Attempt);
+    if (!Attempt)
+      return;
+    this->State.Outcomes[Outcome.Attempt] = KeptOutcome{
+        Outcome, this->State.Now + this->State.Options.OutcomeRetention};
+    if (!Attempt->OrphanedAt)
+      this->send(Attempt->Owner, Outcome);
+    this->State.Attempts.erase(Outcome.Attempt);
+    this->startNext();
+    this->exitIfDone();
+  }
+
+  void finishUnknown(const AttemptId &Id, bool TargetCrashed) {
+    AttemptFinished Outcome;
+    Outcome.Attempt = Id;
+    Outcome.Ran = Execution::Unknown;
+    Outcome.TargetCrashed = TargetCrashed;
+    this->finish(Outcome);
+  }
+
+  /// A crashed target takes all that it ran with it.
+  void settleBroken(bool TargetCrashed) {
+    std::vector<AttemptId> Over;
+    for (const auto &[Id, Attempt] : this->State.Attempts) {
+      if (Attempt.Broken)
+        Over.push_back(Id);
+    }
+    for (const AttemptId &Id : Over)
+      this->finishUnknown(Id, TargetCrashed);
+    if (TargetCrashed)
+      this->refuseQueued(CallError::TargetFailed);
+  }
+
+  void refuseQueued(CallError Reason) {
+    std::vector<std::pair<ConnectionId, AttemptId>> Waiting;
+    for (const auto &[Id, Attempt] : this->State.Attempts) {
+      if (!Attempt.Running)
+        Waiting.emplace_back(Attempt.Owner, Id);
+    }
+    for (const auto &[Owner, Id] : Waiting) {
+      this->State.Attempts.erase(Id);
+      this->refuse(Owner, Id, Reason);
+    }
+  }
+
+  /// Attempts whose time is up: waiting ones are refused, and running ones
+  /// are stopped where running them again does no harm.
+  void refuseLate() {
+    std::vector<std::pair<ConnectionId, AttemptId>> Late;
+    for (auto &[Id, Attempt] : this->State.Attempts) {
+      if (this->State.Now < Attempt.Deadline)
+        continue;
+      if (!Attempt.Running)
+        Late.emplace_back(Attempt.Owner, Id);
+      else if (Attempt.Work.Idempotent)
+        this->cancel(Id, Attempt);
+    }
+    for (const auto &[Owner, Id] : Late) {
+      this->State.Attempts.erase(Id);
+      this->refuse(Owner, Id, CallError::DeadlinePassed);
+    }
+  }
+
+  void cancelOrphans() {
+    std::vector<AttemptId> Waiting;
+    for (auto &[Id, Attempt] : this->State.Attempts) {
+      if (!Attempt.OrphanedAt)
+        continue;
+      const Instant Until =
+          *Attempt.OrphanedAt + this->State.Options.OrphanLimit;
+      if (this->State.Now < Until)
+        continue;
+      if (!Attempt.Running)
+        Waiting.push_back(Id);
+      else if (Attempt.Work.Idempotent)
+        this->cancel(Id, Attempt);
+    }
+    for (const AttemptId &Id : Waiting) {
+      this->State.Attempts.erase(Id);
+      this->refuse(ConnectionId(), Id, CallError::OwnerLost);
+    }
+  }
+
+  void cancel(const AttemptId &Id, SidecarAttempt &Attempt) {
+    if (Attempt.Cancelled)
+      return;
+    Attempt.Cancelled = true;
+    this->Effects.push_back(CancelTargetCall{Id});
+  }
+
+  void dropExpired() {
+    for (auto Item = this->State.Outcomes.begin();
+         Item != this->State.Outcomes.end();) {
+      if (!(Item->second.Until < this->State.Now)) {
+        ++Item;
+        continue;
+      }
+      Epoch &Dropped = this->State.DroppedOutcomes[Item->first.Shard];
+      Dropped = std::max(Dropped, Item->first.OwnerEpoch);
+      Item = this->State.Outcomes.erase(Item);
+    }
+    for (auto Item = this->State.Refused.begin();
+         Item != this->State.Refused.end();) {
+      const bool IsExpired = Item->second < this->State.Now;
+      Item = IsExpired ? this->State.Refused.erase(Item) : std::next(Item);
+    }
+  }
+
+  void refuse(ConnectionId Connection, const AttemptId &Id, CallError Reason) {
+    this->send(Connection, AttemptRefused{Id, Reason, Milliseconds(0)});
+  }
+
+  void probe() {
+    if (this->State.ProbeRunning)
+      return;
+    this->State.ProbeRunning = true;
+    this->Effects.push_back(ProbeTarget{});
+  }
+
+  LoadReport report() const {
+    LoadReport Report;
+    for (const auto &[Id, Attempt] : this->State.Attempts)
+      ++(Attempt.Running ? Report.Running : Report.Queued);
+    Report.Capacity = this->State.Options.Capacity;
+    Report.Healthy = this->State.Healthy;
+    Report.Leaving = this->State.Leaving;
+    Report.Version = this->State.Version;
+    return Report;
+  }
+
+  void reportToAll() {
+    this->State.LastReport = this->State.Now;
+    const LoadReport Report = this->report();
+    for (const auto &[Connection, Host] : this->State.Owners)
+      this->send(Connection, Report);
+  }
+
+  void reportIfDue() {
+    if (this->State.Now <
+        this->State.LastReport + this->State.Options.ReportInterval)
+      return;
+    this->reportToAll();
+    this->probe();
+  }
+
+  void exitIfDone() {
+    const bool IsDone =
+        this->State.Leaving && this->State.Attempts.empty() &&
+        (this->State.Outcomes.empty() || this->State.Owners.empty());
+    if (!IsDone || this->State.ExitAsked)
+      return;
+    this->State.ExitAsked = true;
+    this->Effects.push_back(ExitSidecar{});
+  }
+
+  std::uint32_t queuedCount() const {
+    return static_cast<std::uint32_t>(
+        std::count_if(this->State.Attempts.begin(), this->State.Attempts.end(),
+                      [](const auto &Item) { return !Item.second.Running; }));
+  }
+
+  SidecarAttempt *find(const AttemptId &Id) {
+    const auto Found = this->State.Attempts.find(Id);
+    return Found == this->State.Attempts.end() ? nullptr : &Found->second;
+  }
+
+  void send(ConnectionId Connection, Message Body) {
+    if (this->State.Owners.count(Connection) > 0)
+      this->Effects.push_back(SendOwner{Connection, std::move(Body)});
+  }
+
+  SidecarState &State;
+  std::vector<SidecarEffect> &Effects;
+};
+
+} // namespace
+
+std::vector<SidecarEffect> reduce(SidecarState &State,
+                                  const SidecarEvent &Event) {
+  std::vector<SidecarEffect> Effects;
+  std::visit(SidecarHandler(State, Effects), Event);
+  return Effects;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/engine/src/HttpClient.cpp
@@ -0,0 +1,206 @@
+#include "tanagerlanding/engine/HttpClient.h"
+
+#include <curl/curl.h>
+
+namespace tanagerlanding {
+
+namespace {
+
+constexpr int PollMillis = 500;
+
+/// Returns how a transfer with this result ended.
+HttpOutcome::Kind kindOf(CURLcode Code) {
+  switch (Code) {
+  case CURLE_OK:
+    return HttpOutcome::Kind::Answered;
+  case CURLE_COULDNT_CONNECT:
+  case CURLE_COULDNT_RESOLVE_HOST:
+  case CURLE_URL_MALFORMAT:
+  case CURLE_UNSUPPORTED_PROTOCOL:
+    return HttpOutcome::Kind::NeverSent;
+  default:
+    return HttpOutcome::Kind::Broken;
+  }
+}
+
+void startCurlOnce() {
+  static const CURLcode Started = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(Started);
+}
+
+} // namespace
+
+/// A request under way.
+struct HttpClient::Transfer {
+  Handle Id = 0;
+  HttpClient *Owner = nullptr;
+  HttpRequest Request;
+  PieceCallback OnPiece;
+  DoneCallback OnDone;
+  std::string Body;
+  curl_slist *Headers = nullptr;
+
+  Transfer() = default;
+  Transfer(const Transfer &) = delete;
+  Transfer &operator=(const Transfer &) = delete;
+  ~Transfer() { curl_slist_free_all(this->Headers); }
+};
+
+HttpClient::HttpClient(EventLoop &Loop) : Loop(Loop) {
+  startCurlOnce();
+  this->Multi = curl_multi_init();
+  this->Worker = std::thread([this] { this->work(); });
+}
+
+HttpClient::~HttpClient() {
+  this->IsStopping = true;
+  curl_multi_wakeup(this->Multi);
+  this->Worker.join();
+  for (const auto &[Easy, Each] : this->Running) {
+    curl_multi_remove_handle(this->Multi, Easy);
+    curl_easy_cleanup(Easy);
+  }
+  curl_multi_cleanup(this->Multi);
+}
+
+HttpClient::Handle HttpClient::start(HttpRequest Request, PieceCallback OnPiece,
+                                     DoneCallback OnDone) {
+  auto Fresh = std::make_unique<Transfer>();
+  Fresh->Owner = this;
+  Fresh->Request = std::move(Request);
+  Fresh->OnPiece = std::move(OnPiece);
+  Fresh->OnDone = std::move(OnDone);
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const Handle Id = this->NextHandle++;
+  Fresh->Id = Id;
+  this->Queued.push_back(std::move(Fresh));
+  curl_multi_wakeup(this->Multi);
+  return Id;
+}
+
+void HttpClient::cancel(Handle Request) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Cancelled.push_back(Request);
+  curl_multi_wakeup(this->Multi);
+}
+
+void HttpClient::work() {
+  while (!this->IsStopping) {
+    this->startQueued();
+    this->cancelQueued();
+    int StillRunning = 0;
+    curl_multi_perform(this->Multi, &StillRunning);
+    this->collectDone();
+    curl_multi_poll(this->Multi, nullptr, 0, PollMillis, nullptr);
+  }
+}
+
+void HttpClient::startQueued() {
+  std::vector<std::unique_ptr<Transfer>> Fresh;
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    Fresh.swap(this->Queued);
+  }
+  for (auto &Each : Fresh)
+    this->startTransfer(std::move(Each));
+}
+
+void HttpClient::startTransfer(std::unique_ptr<Transfer> Fresh) {
+  CURL *Easy = curl_easy_init();
+  const HttpRequest &Request = Fresh->Request;
+  curl_easy_setopt(Easy, CURLOPT_URL, Request.Url.c_str());
+  curl_easy_setopt(Easy, CURLOPT_CUSTOMREQUEST, Request.Method.c_str());
+  curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(Easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(Request.Timeout.count()));
+  curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(Request.ConnectTimeout.count()));
+  if (!Request.MayReuseConnection) {
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (!Request.Body.empty()) {
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Request.Body.data());
+    curl_easy_setopt(Easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(Request.Body.size()));
+  }
+  if (Request.Method == "HEAD")
+    curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
+  // Without this, libcurl waits for a "100 Continue" before larger bodies.
+  Fresh->Headers = curl_slist_append(Fresh->Headers, "Expect:");
+  for (const std::string &Header : Request.Headers)
+    Fresh->Headers = curl_slist_append(Fresh->Headers, Header.c_str());
+  curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, Fresh->Headers);
+  curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &HttpClient::onBody);
+  curl_easy_setopt(Easy, CURLOPT_WRITEDATA, Fresh.get());
+  this->Running[Easy] = std::move(Fresh);
+  curl_multi_add_handle(this->Multi, Easy);
+}
+
+void HttpClient::cancelQueued() {
+  std::vector<Handle> Unwanted;
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    Unwanted.swap(this->Cancelled);
+  }
+  for (const Handle Id : Unwanted) {
+    for (const auto &[Easy, Each] : this->Running) {
+      if (Each->Id != Id)
+        continue;
+      this->finish(Easy, CURLE_ABORTED_BY_CALLBACK);
+      break;
+    }
+  }
+}
+
+void HttpClient::collectDone() {
+  int Left = 0;
+  while (const CURLMsg *Notice = curl_multi_info_read(this->Multi, &Left)) {
+    if (Notice->msg == CURLMSG_DONE)
+      this->finish(Notice->easy_handle, Notice->data.result);
+  }
+}
+
+void HttpClient::finish(void *Easy, int Code) {
+  const auto Found = this->Running.find(Easy);
+  std::unique_ptr<Transfer> Done = std::move(Found->second);
+  this->Running.erase(Found);
+
+  HttpOutcome Outcome;
+  Outcome.Ended = kindOf(static_cast<CURLcode>(Code));
+  // A connection that timed out before it was made sent nothing either.
+  curl_off_t ConnectMicros = 0;
+  curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &ConnectMicros);
+  if (Code == CURLE_OPERATION_TIMEDOUT && ConnectMicros == 0)
+    Outcome.Ended = HttpOutcome::Kind::NeverSent;
+  long Status = 0;
+  curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
+  Outcome.Status = static_cast<std::uint16_t>(Status);
+  const char *ContentType = nullptr;
+  curl_easy_getinfo(Easy, CURLINFO_CONTENT_TYPE, &ContentType);
+  if (ContentType)
+    Outcome.ContentType = ContentType;
+  Outcome.Body = std::move(Done->Body);
+
+  curl_multi_remove_handle(this->Multi, Easy);
+  curl_easy_cleanup(Easy);
+  this->Loop.post([OnDone = std::move(Done->OnDone),
+                   Outcome = std::move(Outcome)] { OnDone(Outcome); });
+}
+
+std::size_t HttpClient::onBody(char *Bytes, std::size_t Size, std::size_t Count,
+                               void *Owner) {
+  auto *Each = static_cast<Transfer *>(Owner);
+  std::string Piece(Bytes, Size * Count);
+  if (!Each->OnPiece) {
+    Each->Body += Piece;
+    return Size * Count;
+  }
+  Each->Owner->Loop.post(
+      [OnPiece = Each->OnPiece, Piece = std::move(Piece)] { OnPiece(Piece); });
+  return Size * Count;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/engine/src/TargetClient.cpp
@@ -0,0 +1,161 @@
+#include "tanagerlanding/engine/TargetClient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanagerlanding {
+
+namespace {
+
+constexpr Milliseconds ProbeTimeout{500};
+/// A non-idempotent call is not cut off at its deadline: its caller is told
+/// that it still runs, and its outcome is wanted all the same.
+constexpr Milliseconds LongestRun{600000};
+constexpr std::uint16_t StatusOk = 200;
+
+std::vector<std::string> heldPrefixes(const std::string &Body) {
+  std::vector<std::string> Held;
+  const auto Object = nlohmann::json::parse(Body, nullptr, false);
+  if (!Object.is_object() || !Object.contains("held_prefixes"))
+    return Held;
+  for (const auto &Each : Object["held_prefixes"]) {
+    if (Each.is_string())
+      Held.push_back(Each.get<std::string>());
+  }
+  return Held;
+}
+
+} // namespace
+
+TargetClient::TargetClient(EventLoop &Loop, std::string Url,
+                           ServiceName Service, TargetKind Kind, EventSink Sink)
+    : Client(Loop), Url(std::move(Url)), Service(std::move(Service)),
+      Kind(Kind), Sink(std::move(Sink)) {}
+
+void TargetClient::call(const DispatchAttempt &Work) {
+  Running &Entry = this->Calls[Work.Attempt];
+  HttpClient::PieceCallback OnPiece;
+  const bool IsStreamed = Work.Kind == CallKind::Chat && Work.Stream;
+  if (IsStreamed) {
+    Entry.Stream = std::make_unique<ChatStream>();
+    OnPiece = [this, Id = Work.Attempt](const std::string &Piece) {
+      this->handlePiece(Id, Piece);
+    };
+  }
+  HttpRequest Request = Work.Kind == CallKind::Chat
+                            ? this->chatRequest(Work)
+                            : this->serviceRequest(Work);
+  Entry.Handle = this->Client.start(std::move(Request), std::move(OnPiece),
+                                    [this, Work](const HttpOutcome &Outcome) {
+                                      this->handleDone(Work, Outcome);
+                                    });
+}
+
+void TargetClient::cancel(const AttemptId &Attempt) {
+  const auto Found = this->Calls.find(Attempt);
+  if (Found != this->Calls.end())
+    this->Client.cancel(Found->second.Handle);
+}
+
+void TargetClient::probe() {
+  HttpRequest Request;
+  Request.Url = this->Url + "/health";
+  Request.Timeout = ProbeTimeout;
+  Request.MayReuseConnection = false;
+  this->Client.start(Request, {}, [this](const HttpOutcome &Outcome) {
+    const bool IsAlive = Outcome.Ended == HttpOutcome::Kind::Answered &&
+                         Outcome.Status == StatusOk;
+    this->Sink(TargetProbed{IsAlive, heldPrefixes(Outcome.Body)});
+  });
+}
+
+void TargetClient::releasePrefixes(const std::vector<std::string> &Prefixes) {
+  if (this->Kind != TargetKind::Engine)
+    return;
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Url = this->Url + "/cache/release";
+  Request.Body = nlohmann::json({{"prefixes", Prefixes}}).dump();
+  Request.withHeader("Content-Type: application/json");
+  // A lost order is made up for: the next probe shows what is still held.
+  this->Client.start(Request, {}, [](const HttpOutcome &) {});
+}
+
+HttpRequest TargetClient::chatRequest(const DispatchAttempt &Work) const {
+  ChatRequest Chat;
+  Chat.Model = this->Service.Value;
+  Chat.Messages = Work.Body;
+  Chat.MaxTokens = Work.MaxTokens;
+  Chat.Stream = Work.Stream;
+  Chat.PrefixName = prefixName(Work.Program, Work.Agent);
+  HttpRequest Request;
+  Request.Method = "POST";
+  Request.Url = this->Url + "/v1/chat/completions";
+  Request.Body = makeChatBody(Chat);
+  Request.Timeout = Work.Deadline;
+  Request.withHeader("Content-Type: application/json");
+  if (!Work.TraceParent.empty())
+    Request.withHeader("traceparent: " + Work.TraceParent);
+  return Request;
+}
+
+HttpRequest TargetClient::serviceRequest(const DispatchAttempt &Work) const {
+  HttpRequest Request;
+  Request.Method = Work.Method;
+  Request.Url = this->Url + Work.Path;
+  Request.Body = Work.Body;
+  Request.Timeout = Work.Idempotent ? Work.Deadline : LongestRun;
+  Request.MayReuseConnection = Work.Idempotent;
+  Request.withHeader("Content-Type: application/json");
+  if (!Work.TraceParent.empty())
+    Request.withHeader("traceparent: " + Work.TraceParent);
+  return Request;
+}
+
+void TargetClient::handlePiece(const AttemptId &Attempt,
+                               const std::string &Piece) {
+  const auto Found = this->Calls.find(Attempt);
+  if (Found == this->Calls.end())
+    return;
+  std::string Events = Found->second.Stream->feed(Piece);
+  if (!Events.empty())
+    this->Sink(TargetChunk{Attempt, std::move(Events)});
+}
+
+void TargetClient::handleDone(const DispatchAttempt &Work,
+                              const HttpOutcome &Outcome) {
+  const auto Found = this->Calls.find(Work.Attempt);
+  if (Found == this->Calls.end())
+    return;
+  const std::unique_ptr<ChatStream> Stream = std::move(Found->second.Stream);
+  this->Calls.erase(Found);
+  this->Sink(this->eventFor(Work, Stream.get(), Outcome));
+}
+
+SidecarEvent TargetClient::eventFor(const DispatchAttempt &Work,
+                                    const ChatStream *Stream,
+                                    const HttpOutcome &Outcome) const {
+  if (Outcome.Ended == HttpOutcome::Kind::NeverSent)
+    return TargetUnreached{Work.Attempt};
+  if (Outcome.Ended == HttpOutcome::Kind::Broken)
+    return TargetBroke{Work.Attempt};
+
+  TargetAnswered Answered;
+  Answered.Attempt = Work.Attempt;
+  Answered.Answer =
+      TargetAnswer{Outcome.Status, Outcome.ContentType, Outcome.Body};
+  if (Work.Kind != CallKind::Chat || Outcome.Status != StatusOk)
+    return Answered;
+
+  if (Stream && !Stream->isWhole())
+    return TargetBroke{Work.Attempt};
+  const std::optional<ChatAnswer> Chat =
+      Stream ? Stream->answer() : readChatAnswer(Outcome.Body);
+  if (!Chat)
+    return TargetBroke{Work.Attempt};
+  Answered.Answer = TargetAnswer{StatusOk, "application/json", Chat->Body};
+  Answered.Generated = Chat->Generated;
+  Answered.HistoryMessage = Chat->Message;
+  return Answered;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/gateway/include/tanagerlanding/gateway.h
@@ -0,0 +1,10 @@
+/// \file
+/// Package gateway: the HTTP interface for callers, on Pistache. Needs
+/// packages engine (chat protocol) and runtime.
+#ifndef TANAGERLANDING_GATEWAY_H
+#define TANAGERLANDING_GATEWAY_H
+
+#include "tanagerlanding/gateway/CallRequest.h"
+#include "tanagerlanding/gateway/HttpGateway.h"
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/GatewayHandler.cpp
@@ -0,0 +1,256 @@
+#include "GatewayHandler.h"
+
+#include "tanagerlanding/engine/ChatProtocol.h"
+#include "tanagerlanding/gateway/CallRequest.h"
+#include "tanagerlanding/runtime/TraceWriter.h"
+
+#include <pistache/peer.h>
+
+namespace tanagerlanding {
+
+namespace {
+
+namespace Http = Pistache::Http;
+
+constexpr std::chrono::hours RearmAfter{1};
+constexpr const char *JsonType = "application/json";
+constexpr const char *TextType = "text/plain";
+constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint16_t StatusUnavailable = 503;
+constexpr const char *StreamEnd = "data: [DONE]\n\n";
+constexpr std::int64_t MillisPerSecond = 1000;
+
+/// The Retry-After header; the library sends only headers that have a type.
+class RetryAfterHeader : public Http::Header::Header {
+public:
+  NAME("Retry-After")
+
+  explicit RetryAfterHeader(std::int64_t Seconds = 0) : Seconds(Seconds) {}
+
+  void parse(const std::string &) override {}
+  void write(std::ostream &Out) const override { Out << this->Seconds; }
+
+private:
+  std::int64_t Seconds;
+};
+
+IncomingRequest incoming(const Http::Request &Request) {
+  IncomingRequest Incoming;
+  Incoming.Method = Http::methodString(Request.method());
+  Incoming.Path = Request.resource();
+  Incoming.Query = Request.query().as_str();
+  Incoming.Body = Request.body();
+  Incoming.Header =
+      [&Request](const std::string &Name) -> std::optional<std::string> {
+    const auto Raw = Request.headers().tryGetRaw(Name);
+    if (!Raw)
+      return std::nullopt;
+    return Raw->value();
+  };
+  return Incoming;
+}
+
+} // namespace
+
+RequestId GatewayShared::admit(const std::shared_ptr<Mailbox> &Owner) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const RequestId Request(this->NextRequest++);
+  this->Owners[Request] = Owner;
+  return Request;
+}
+
+void GatewayShared::release(RequestId Request) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Owners.erase(Request);
+}
+
+void GatewayShared::deliver(RequestId Request, Delivery Item) {
+  std::shared_ptr<Mailbox> Owner;
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    const auto Found = this->Owners.find(Request);
+    if (Found == this->Owners.end())
+      return;
+    Owner = Found->second;
+  }
+  Owner->post(std::move(Item));
+}
+
+GatewayHandler::GatewayHandler(std::shared_ptr<GatewayShared> Shared)
+    : Shared(std::move(Shared)), Box(std::make_shared<Mailbox>()) {}
+
+GatewayHandler::GatewayHandler(const GatewayHandler &Other)
+    : Http::Handler(Other), Shared(Other.Shared),
+      Box(std::make_shared<Mailbox>()) {}
+
+void GatewayHandler::onRequest(const Http::Request &Request,
+                               Http::ResponseWriter Response) {
+  this->arm();
+  if (this->answerLocally(Request, Response))
+    return;
+  Result<Call, CallFailure> Read = readCall(incoming(Request));
+  if (!Read) {
+    this->sendWhole(Response, Read.error());
+    return;
+  }
+  Call Asked = std::move(Read.value());
+  if (!isTraceParent(Asked.TraceParent))
+    Asked.TraceParent = makeTraceParent();
+  const auto Peer = Response.getPeer();
+  if (!Peer)
+    return;
+  const RequestId Id = this->Shared->admit(this->Box);
+  ++this->Shared->Unsent;
+  this->Callers.emplace(
+      Id, Waiting{std::move(Response), nullptr, Peer->getID(), Asked.Stream});
+  this->Shared->Heard.onCall(Id, std::move(Asked));
+}
+
+void GatewayHandler::onDisconnection(
+    const std::shared_ptr<Pistache::Tcp::Peer> &Peer) {
+  for (auto Item = this->Callers.begin(); Item != this->Callers.end();) {
+    if (Item->second.PeerId != Peer->getID()) {
+      ++Item;
+      continue;
+    }
+    const RequestId Gone = Item->first;
+    Item = this->Callers.erase(Item);
+    --this->Shared->Unsent;
+    this->Shared->release(Gone);
+    this->Shared->Heard.onCallerVanished(Gone);
+  }
+  Pistache::Tcp::Handler::onDisconnection(Peer);
+}
+
+void GatewayHandler::arm() {
+  if (this->IsArmed)
+    return;
+  this->IsArmed = true;
+  Pistache::Async::Promise<std::uint64_t> Woken(
+      [this](Pistache::Async::Deferred<std::uint64_t> Deferred) {
+        this->transport()->armTimer(this->Box->nextDescriptor(), RearmAfter,
+                                    std::move(Deferred));
+      });
+  Woken.then([this](std::uint64_t) { this->handleWake(); },
+             Pistache::Async::IgnoreException);
+  // Arming sets the timer anew and may have overwritten a wake.
+  this->Box->wakeIfFull();
+}
+
+void GatewayHandler::handleWake() {
+  this->IsArmed = false;
+  for (const Delivery &Item : this->Box->take())
+    std::visit([this](const auto &Each) { this->deliver(Each); }, Item);
+  this->arm();
+}
+
+void GatewayHandler::deliver(const FinalAnswer &Item) {
+  const auto Found = this->Callers.find(Item.Request);
+  if (Found == this->Callers.end())
+    return;
+  Waiting &Caller = Found->second;
+  this->Shared->release(Item.Request);
+  const bool IsAnswer = std::holds_alternative<TargetAnswer>(Item.Answer);
+  const bool IsGood =
+      IsAnswer && std::get<TargetAnswer>(Item.Answer).Status == StatusOk;
+  if (Caller.WantsStream && IsGood && !Caller.Open) {
+    // A repeat of a call that is over: its pieces come all at once.
+    const std::string Events =
+        toStreamEvents(std::get<TargetAnswer>(Item.Answer).Body);
+    this->openStream(Caller);
+    Caller.Open->write(Events);
+  }
+  if (Caller.Open)
+    this->endStream(Caller, Item.Answer);
+  else
+    this->sendWhole(Caller.Response, Item.Answer);
+  --this->Shared->Unsent;
+  this->Callers.erase(Found);
+}
+
+void GatewayHandler::deliver(const AnswerPiece &Item) {
+  const auto Found = this->Callers.find(Item.Request);
+  if (Found == this->Callers.end() || !Found->second.WantsStream)
+    return;
+  Waiting &Caller = Found->second;
+  this->openStream(Caller);
+  Caller.Open->write(Item.Events);
+}
+
+void GatewayHandler::openStream(Waiting &Caller) {
+  if (Caller.Open)
+    return;
+  Caller.Response.setMime(
+      Http::Mime::MediaType::fromString("text/event-stream"));
+  Caller.Open = std::make_unique<OpenStream>(Caller.Response);
+}
+
+void GatewayHandler::endStream(Waiting &Caller, const CallAnswer &Answer) {
+  std::string Last;
+  if (const auto *Failure = std::get_if<CallFailure>(&Answer))
+    Last = "event: error\ndata: " + failureBody(*Failure) + "\n\n";
+  else
+    Last = StreamEnd;
+  Caller.Open->write(Last);
+  Caller.Open->Stream.ends();
+}
+
+void GatewayHandler::OpenStream::write(const std::string &Text) {
+  this->Stream.write(Text.data(), static_cast<std::streamsize>(Text.size()));
+  this->Stream.flush();
+}
+
+void GatewayHandler::sendWhole(Http::ResponseWriter &Response,
+                               const CallAnswer &Answer) {
+  if (const auto *Given = std::get_if<TargetAnswer>(&Answer)) {
+    this->send(Response, Given->Status, Given->Body, Given->ContentType);
+    return;
+  }
+  const CallFailure &Failure = std::get<CallFailure>(Answer);
+  if (Failure.RetryAfter.count() > 0) {
+    const std::int64_t Seconds =
+        (Failure.RetryAfter.count() + MillisPerSecond - 1) / MillisPerSecond;
+    Response.headers().add<RetryAfterHeader>(Seconds);
+  }
+  this->send(Response, statusOf(Failure), failureBody(Failure), JsonType);
+}
+
+void GatewayHandler::send(Http::ResponseWriter &Response, std::uint16_t Status,
+                          const std::string &Body,
+                          const std::string &ContentType) {
+  Http::Mime::MediaType Type;
+  try {
+    Type = Http::Mime::MediaType::fromString(ContentType.empty() ? TextType
+                                                                 : ContentType);
+  } catch (const Http::HttpError &) {
+    Type = Http::Mime::MediaType::fromString("application/octet-stream");
+  }
+  ++this->Shared->Unsent;
+  const auto Settle = [Shared = this->Shared] { --Shared->Unsent; };
+  Response.send(static_cast<Http::Code>(Status), Body, Type)
+      .then([Settle](ssize_t) { Settle(); },
+            [Settle](std::exception_ptr) { Settle(); });
+}
+
+bool GatewayHandler::answerLocally(const Http::Request &Request,
+                                   Http::ResponseWriter &Response) {
+  if (Request.method() != Http::Method::Get)
+    return false;
+  const std::string &Path = Request.resource();
+  HttpGateway::Listener &Heard = this->Shared->Heard;
+  if (Path == "/healthz")
+    this->send(Response, StatusOk, "alive\n", TextType);
+  else if (Path == "/readyz" && Heard.isReady())
+    this->send(Response, StatusOk, "ready\n", TextType);
+  else if (Path == "/readyz")
+    this->send(Response, StatusUnavailable, "not ready\n", TextType);
+  else if (Path == "/metrics")
+    this->send(Response, StatusOk, Heard.metricsText(), TextType);
+  else if (Path == "/v1/status")
+    this->send(Response, StatusOk, Heard.statusText(), JsonType);
+  else
+    return false;
+  return true;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/gateway/src/HttpGateway.cpp
@@ -0,0 +1,86 @@
+#include "tanagerlanding/gateway/HttpGateway.h"
+
+#include "GatewayHandler.h"
+
+#include <pistache/endpoint.h>
+
+#include <cerrno>
+#include <csignal>
+
+namespace tanagerlanding {
+
+namespace {
+
+namespace Http = Pistache::Http;
+
+constexpr std::size_t MaxResponseBytes = 256 * 1024 * 1024;
+constexpr std::chrono::seconds RequestTimeout{30};
+constexpr std::chrono::seconds KeepAliveTimeout{300};
+
+} // namespace
+
+/// The library's server and what its threads share.
+struct HttpGateway::Server {
+  Server(const HttpGateway::Options &Limits, Listener &Heard)
+      : Limits(Limits), Shared(std::make_shared<GatewayShared>(Heard)),
+        Endpoint(Pistache::Address(Limits.Address, Limits.Port)) {}
+
+  const HttpGateway::Options Limits;
+  std::shared_ptr<GatewayShared> Shared;
+  Http::Endpoint Endpoint;
+  bool IsStopped = false;
+};
+
+HttpGateway::HttpGateway(const Options &Limits, Listener &Heard)
+    : Running(std::make_unique<Server>(Limits, Heard)) {}
+
+HttpGateway::~HttpGateway() { this->stop(); }
+
+Result<void, SystemError> HttpGateway::start() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const Options &Limits = this->Running->Limits;
+  try {
+    this->Running->Endpoint.init(Http::Endpoint::options()
+                                     .threads(static_cast<int>(Limits.Threads))
+                                     .flags(Pistache::Tcp::Options::ReuseAddr |
+                                            Pistache::Tcp::Options::NoDelay)
+                                     .maxRequestSize(Limits.MaxRequestBytes)
+                                     .maxResponseSize(MaxResponseBytes)
+                                     .headerTimeout(RequestTimeout)
+                                     .bodyTimeout(RequestTimeout)
+                                     .keepaliveTimeout(KeepAliveTimeout));
+    this->Running->Endpoint.setHandler(
+        Http::make_handler<GatewayHandler>(this->Running->Shared));
+    this->Running->Endpoint.serveThreaded();
+  } catch (const std::runtime_error &) {
+    return SystemError{"serve HTTP on " + Limits.Address + ":" +
+                           std::to_string(Limits.Port),
+                       errno};
+  }
+  return success();
+}
+
+std::uint16_t HttpGateway::port() const {
+  return this->Running->Endpoint.getPort();
+}
+
+void HttpGateway::answer(RequestId Request, const CallAnswer &Answer) {
+  this->Running->Shared->deliver(Request, FinalAnswer{Request, Answer});
+}
+
+void HttpGateway::stream(RequestId Request, const std::string &Events) {
+  this->Running->Shared->deliver(Request, AnswerPiece{Request, Events});
+}
+
+std::size_t HttpGateway::unsentCount() const {
+  return this->Running->Shared->Unsent;
+}
+
+void HttpGateway::stop() {
+  if (this->Running->IsStopped)
+    return;
+  this->Running->IsStopped = true;
+  this->Running->Endpoint.shutdown();
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/gateway/src/Mailbox.cpp
@@ -0,0 +1,55 @@
+#include "Mailbox.h"
+
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+namespace tanagerlanding {
+
+namespace {
+
+void closeIfOpen(int Descriptor) {
+  if (Descriptor >= 0)
+    ::close(Descriptor);
+}
+
+} // namespace
+
+Mailbox::~Mailbox() {
+  closeIfOpen(this->Current);
+  closeIfOpen(this->Retired);
+}
+
+int Mailbox::nextDescriptor() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  closeIfOpen(this->Retired);
+  this->Retired = this->Current;
+  this->Current = ::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  return this->Current;
+}
+
+void Mailbox::post(Delivery Item) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Items.push_back(std::move(Item));
+  this->wake();
+}
+
+std::deque<Delivery> Mailbox::take() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  std::deque<Delivery> Taken;
+  Taken.swap(this->Items);
+  return Taken;
+}
+
+void Mailbox::wakeIfFull() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  if (!this->Items.empty())
+    this->wake();
+}
+
+void Mailbox::wake() {
+  itimerspec Soon{};
+  Soon.it_value.tv_nsec = 1;
+  ::timerfd_settime(this->Current, 0, &Soon, nullptr);
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/journal/src/JournalWriter.cpp
@@ -0,0 +1,106 @@
+#include "tanagerlanding/journal/JournalWriter.h"
+
+namespace tanagerlanding {
+
+/// Performs the effects of one group.
+class JournalWriter::Performer {
+public:
+  explicit Performer(JournalWriter &Writer) : Writer(Writer) {}
+
+  void operator()(const PersistBatch &Effect) {
+    this->check(this->Writer.Folder.appendBatch(Effect.Batch));
+    this->Persisted.push_back(BatchPersisted{Effect.Peer, Effect.Notice});
+  }
+
+  void operator()(const PersistFenceAndSend &Effect) {
+    this->check(this->Writer.Folder.appendFence(Effect.Asked.Shard,
+                                                Effect.Asked.NewEpoch));
+    this->Seals.push_back(Effect);
+  }
+
+  void operator()(const DropEpochs &Effect) {
+    this->Writer.Folder.dropEpochs(Effect.Shard, Effect.Below);
+  }
+
+  void operator()(const SendFromHolder &) {}
+
+  /// Makes the group durable and reports it; reports a failure instead where
+  /// any step failed.
+  void finish() {
+    this->check(this->Writer.Folder.sync());
+    if (this->HasFailed) {
+      this->Writer.Events(DataFolderFailed{});
+      return;
+    }
+    for (const BatchPersisted &Each : this->Persisted)
+      this->Writer.Events(Each);
+    for (const PersistFenceAndSend &Each : this->Seals)
+      this->sendSealed(Each);
+  }
+
+private:
+  void check(const Result<void, SystemError> &Step) {
+    this->HasFailed = this->HasFailed || !Step;
+  }
+
+  void sendSealed(const PersistFenceAndSend &Effect) {
+    LogSealed Answer = Effect.Head;
+    auto Records = this->Writer.Folder.readEpoch(Effect.Asked.Shard,
+                                                 Effect.Asked.SourceEpoch);
+    if (Records)
+      Answer.Records = std::move(Records.value());
+    else
+      Answer.Known = false;
+    this->Writer.Messages(Effect.Peer, std::move(Answer));
+  }
+
+  JournalWriter &Writer;
+  bool HasFailed = false;
+  std::vector<BatchPersisted> Persisted;
+  std::vector<PersistFenceAndSend> Seals;
+};
+
+JournalWriter::JournalWriter(JournalFolder &Folder, EventSink Events,
+                             MessageSink Messages)
+    : Folder(Folder), Events(std::move(Events)), Messages(std::move(Messages)),
+      Worker([this] { this->work(); }) {}
+
+JournalWriter::~JournalWriter() {
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->IsStopping = true;
+  }
+  this->HasWork.notify_one();
+  this->Worker.join();
+}
+
+void JournalWriter::submit(HolderEffect Effect) {
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->Queued.push_back(std::move(Effect));
+  }
+  this->HasWork.notify_one();
+}
+
+std::vector<HolderEffect> JournalWriter::takeQueued() {
+  std::unique_lock<std::mutex> Guard(this->Lock);
+  this->HasWork.wait(
+      Guard, [this] { return this->IsStopping || !this->Queued.empty(); });
+  std::vector<HolderEffect> Taken;
+  Taken.swap(this->Queued);
+  return Taken;
+}
+
+void JournalWriter::work() {
+  for (;;) {
+    const std::vector<HolderEffect> Group = this->takeQueued();
+    if (Group.empty())
+      return;
+    Performer Perform(*this);
+    for (const HolderEffect &Effect : Group)
+      std::visit(Perform, Effect);
+    Perform.finish();
+  }
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/runtime/include/tanagerlanding/runtime/Metrics.h
@@ -0,0 +1,55 @@
+/// \file
+/// Counters and histograms.
+#ifndef TANAGERLANDING_RUNTIME_METRICS_H
+#define TANAGERLANDING_RUNTIME_METRICS_H
+
+#include <boost/histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace tanagerlanding {
+
+/// Keeps the metrics of one process; any thread may use it.
+class Metrics {
+public:
+  Metrics() = default;
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  /// Adds to the counter with this name and cause.
+  void count(const std::string &Name, const std::string &Cause,
+             std::uint64_t Amount = 1);
+
+  /// Sets the gauge with this name.
+  void set(const std::string &Name, double Value);
+
+  /// Adds a duration in milliseconds to the histogram with this name.
+  void observe(const std::string &Name, double Millis);
+
+  /// Returns all metrics in the Prometheus text format.
+  std::string render() const;
+
+private:
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
+  using Histogram = decltype(boost::histogram::make_histogram(Axis()));
+  struct Distribution {
+    Histogram Buckets;
+    double Sum = 0;
+    std::uint64_t Count = 0;
+  };
+
+  mutable std::mutex Lock;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> Counters;
+  std::map<std::string, double> Gauges;
+  std::map<std::string, Distribution> Distributions;
+};
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/settings/include/tanagerlanding/settings/NodeSettings.h
@@ -0,0 +1,56 @@
+/// \file
+/// The settings of one process.
+#ifndef TANAGERLANDING_SETTINGS_NODESETTINGS_H
+#define TANAGERLANDING_SETTINGS_NODESETTINGS_H
+
+#include "tanagerlanding/settings/InventoryDocument.h"
+
+#include <string>
+#include <vector>
+
+namespace tanagerlanding {
+
+/// An IP number and a port.
+struct ListenAddress {
+  std::string Address;
+  std::uint16_t Port = 0;
+};
+
+/// What the settings file of a process says.
+struct NodeSettings {
+  HostId Host;
+  /// Where this process listens for our own processes.
+  ListenAddress Listen;
+  /// Entry: where callers come in.
+  ListenAddress Http;
+  std::uint32_t HttpThreads = 2;
+  std::uint32_t MaxRequestBytes = 8 * 1024 * 1024;
+  /// Entry: URL of the key-value service, and the prefix of our keys.
+  std::string PlatformUrl;
+  std::string PlatformPrefix;
+  /// Entry: folder for journal segments; empty if none are kept.
+  std::string DataFolder;
+  /// Sidecar: URL of its target.
+  std::string TargetUrl;
+  /// File for spans; empty if none are kept.
+  std::string TraceFile;
+  std::uint32_t ShardCount = 16;
+  Milliseconds PrefixHold{10000};
+  Milliseconds PrefixLease{5000};
+  Milliseconds ProgramIdleLimit{600000};
+  Milliseconds DrainLimit{30000};
+  /// round_robin, least_requests, prefix_affinity or least_expected_finish.
+  std::string RoutingPolicyName = "least_expected_finish";
+  /// The inventory to start with.
+  Inventory Initial;
+};
+
+/// Settings, or every fault that was found.
+using CheckedSettings = Result<NodeSettings, std::vector<SettingsFault>>;
+
+/// Reads a settings file and the inventory file that it names.
+CheckedSettings readNodeSettings(const std::string &Path);
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/settings/src/DocumentReader.cpp
@@ -0,0 +1,143 @@
+#include "DocumentReader.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace tanagerlanding {
+
+std::optional<nlohmann::json> parseDocument(const std::string &Text,
+                                            FaultList &Faults) {
+  try {
+    return nlohmann::json::parse(Text, nullptr, /*allow_exceptions=*/true,
+                                 /*ignore_comments=*/true);
+  } catch (const nlohmann::json::parse_error &Error) {
+    Faults.add("byte " + std::to_string(Error.byte), "well-formed JSON");
+    return std::nullopt;
+  }
+}
+
+std::optional<std::string> readFile(const std::string &Path,
+                                    FaultList &Faults) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File) {
+    Faults.add(Path, "a file that can be read");
+    return std::nullopt;
+  }
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+ObjectReader::ObjectReader(const nlohmann::json &Value, std::string Path,
+                           FaultList &Faults)
+    : Value(Value), Path(std::move(Path)), Faults(Faults) {
+  if (!Value.is_object())
+    Faults.add(this->Path.empty() ? "/" : this->Path, "an object");
+}
+
+std::string ObjectReader::pathOf(const std::string &Field) const {
+  return this->Path + "/" + Field;
+}
+
+const nlohmann::json *ObjectReader::find(const char *Field) {
+  this->Asked.insert(Field);
+  if (!this->Value.is_object())
+    return nullptr;
+  const auto Found = this->Value.find(Field);
+  return Found == this->Value.end() ? nullptr : &*Found;
+}
+
+std::string ObjectReader::requireText(const char *Field) {
+  const nlohmann::json *Found = this->find(Field);
+  if (Found && Found->is_string() && !Found->get<std::string>().empty())
+    return Found->get<std::string>();
+  this->Faults.add(this->pathOf(Field), "a text that is not empty");
+  return std::string();
+}
+
+std::string ObjectReader::text(const char *Field, const std::string &Default) {
+  const nlohmann::json *Found = this->find(Field);
+  if (!Found)
+    return Default;
+  if (Found->is_string())
+    return Found->get<std::string>();
+  this->Faults.add(this->pathOf(Field), "a text");
+  return Default;
+}
+
+std::int64_t ObjectReader::requireInteger(const char *Field, std::int64_t Least,
+                                          std::int64_t Most) {
+  if (!this->find(Field)) {
+    this->Faults.add(this->pathOf(Field), "a whole number from " +
+                                              std::to_string(Least) + " to " +
+                                              std::to_string(Most));
+    return Least;
+  }
+  return this->integer(Field, Least, Most, Least);
+}
+
+std::int64_t ObjectReader::integer(const char *Field, std::int64_t Least,
+                                   std::int64_t Most, std::int64_t Default) {
+  const nlohmann::json *Found = this->find(Field);
+  if (!Found)
+    return Default;
+  if (Found->is_number_integer()) {
+    const auto Number = Found->get<std::int64_t>();
+    if (Number >= Least && Number <= Most)
+      return Number;
+  }
+  this->Faults.add(this->pathOf(Field), "a whole number from " +
+                                            std::to_string(Least) + " to " +
+                                            std::to_string(Most));
+  return Default;
+}
+
+bool ObjectReader::boolean(const char *Field, bool Default) {
+  const nlohmann::json *Found = this->find(Field);
+  if (!Found)
+    return Default;
+  if (Found->is_boolean())
+    return Found->get<bool>();
+  this->Faults.add(this->pathOf(Field), "true or false");
+  return Default;
+}
+
+std::string ObjectReader::choice(const char *Field,
+                                 const std::vector<std::string> &Choices) {
+  const std::string Chosen = this->text(Field, Choices.front());
+  if (std::find(Choices.begin(), Choices.end(), Chosen) != Choices.end())
+    return Chosen;
+  std::string Expected = "one of";
+  for (const std::string &Each : Choices)
+    Expected += " " + Each;
+  this->Faults.add(this->pathOf(Field), Expected);
+  return Choices.front();
+}
+
+const nlohmann::json *ObjectReader::object(const char *Field) {
+  const nlohmann::json *Found = this->find(Field);
+  if (!Found || Found->is_object())
+    return Found;
+  this->Faults.add(this->pathOf(Field), "an object");
+  return nullptr;
+}
+
+const nlohmann::json *ObjectReader::array(const char *Field) {
+  const nlohmann::json *Found = this->find(Field);
+  if (!Found || Found->is_array())
+    return Found;
+  this->Faults.add(this->pathOf(Field), "an array");
+  return nullptr;
+}
+
+void ObjectReader::finish() {
+  if (!this->Value.is_object())
+    return;
+  for (const auto &[Field, Ignored] : this->Value.items()) {
+    if (this->Asked.count(Field) == 0)
+      this->Faults.add(this->pathOf(Field), "no such field");
+  }
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/settings/src/NodeSettings.cpp
@@ -0,0 +1,163 @@
+#include "tanagerlanding/settings/NodeSettings.h"
+
+#include "DocumentReader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <filesystem>
+
+namespace tanagerlanding {
+
+namespace {
+
+constexpr std::int64_t MostPort = 65535;
+constexpr std::int64_t MostMillis = 86400000;
+
+/// Checks one settings document.
+class SettingsChecker {
+public:
+  SettingsChecker(FaultList &Faults, const std::string &File)
+      : Faults(Faults), File(File) {}
+
+  NodeSettings check(const nlohmann::json &Document) {
+    ObjectReader Reader(Document, "", this->Faults);
+    this->Found.Host = HostId(Reader.requireText("host"));
+    this->Found.Listen = this->address(Reader, "listen");
+    this->Found.TraceFile = Reader.text("trace_file", "");
+    this->readInventoryFile(Reader);
+    this->readLimits(Reader);
+    if (this->isTarget())
+      this->readTarget(Reader);
+    else
+      this->readEntry(Reader);
+    Reader.finish();
+    this->checkHost();
+    return std::move(this->Found);
+  }
+
+private:
+  ListenAddress address(ObjectReader &Reader, const char *Field) {
+    ListenAddress Read;
+    const nlohmann::json *Value = Reader.object(Field);
+    if (!Value) {
+      this->Faults.add(Reader.pathOf(Field), "an address and a port");
+      return Read;
+    }
+    ObjectReader Inner(*Value, Reader.pathOf(Field), this->Faults);
+    Read.Address = Inner.requireText("address");
+    Read.Port =
+        static_cast<std::uint16_t>(Inner.requireInteger("port", 0, MostPort));
+    Inner.finish();
+    boost::system::error_code Error;
+    boost::asio::ip::make_address(Read.Address, Error);
+    if (Error && !Read.Address.empty())
+      this->Faults.add(Inner.pathOf("address"), "an IP number");
+    return Read;
+  }
+
+  void readInventoryFile(ObjectReader &Reader) {
+    const std::string Name = Reader.requireText("inventory");
+    if (Name.empty())
+      return;
+    const auto Folder = std::filesystem::path(this->File).parent_path();
+    CheckedInventory Read = readInventory((Folder / Name).string());
+    if (Read) {
+      this->Found.Initial = Read.value();
+      return;
+    }
+    for (const SettingsFault &Fault : Read.error())
+      this->Faults.Faults.push_back(Fault);
+  }
+
+  bool isTarget() const {
+    const auto Host = this->Found.Initial.Hosts.find(this->Found.Host);
+    return Host != this->Found.Initial.Hosts.end() &&
+           Host->second.Role == HostRole::Target;
+  }
+
+  Milliseconds millis(ObjectReader &Reader, const char *Field,
+                      Milliseconds Default) {
+    return Milliseconds(Reader.integer(Field, 1, MostMillis, Default.count()));
+  }
+
+  void readLimits(ObjectReader &Reader) {
+    NodeSettings &Into = this->Found;
+    Into.PrefixHold = this->millis(Reader, "prefix_hold_ms", Into.PrefixHold);
+    Into.PrefixLease =
+        this->millis(Reader, "prefix_lease_ms", Into.PrefixLease);
+    Into.ProgramIdleLimit =
+        this->millis(Reader, "program_idle_ms", Into.ProgramIdleLimit);
+    Into.DrainLimit = this->millis(Reader, "drain_limit_ms", Into.DrainLimit);
+  }
+
+  void readTarget(ObjectReader &Reader) {
+    this->Found.TargetUrl = Reader.requireText("target_url");
+  }
+
+  void readEntry(ObjectReader &Reader) {
+    NodeSettings &Into = this->Found;
+    Into.Http = this->address(Reader, "http");
+    Into.HttpThreads = static_cast<std::uint32_t>(
+        Reader.integer("http_threads", 1, 64, Into.HttpThreads));
+    Into.MaxRequestBytes = static_cast<std::uint32_t>(Reader.integer(
+        "max_request_bytes", 1024, 1 << 30, Into.MaxRequestBytes));
+    Into.ShardCount = static_cast<std::uint32_t>(
+        Reader.integer("shards", 1, 65536, Into.ShardCount));
+    Into.DataFolder = Reader.text("data_folder", "");
+    Into.RoutingPolicyName =
+        Reader.choice("routing", {"least_expected_finish", "round_robin",
+                                  "least_requests", "prefix_affinity"});
+    this->readPlatform(Reader);
+    const bool Clashes = Into.Http.Port != 0 &&
+                         Into.Http.Port == Into.Listen.Port &&
+                         Into.Http.Address == Into.Listen.Address;
+    if (Clashes)
+      this->Faults.add("/http/port", "an address other than that of /listen");
+  }
+
+  void readPlatform(ObjectReader &Reader) {
+    const nlohmann::json *Value = Reader.object("platform");
+    if (!Value) {
+      this->Faults.add("/platform", "the key-value service's url and prefix");
+      return;
+    }
+    ObjectReader Inner(*Value, "/platform", this->Faults);
+    this->Found.PlatformUrl = Inner.requireText("url");
+    this->Found.PlatformPrefix = Inner.requireText("prefix");
+    Inner.finish();
+  }
+
+  void checkHost() {
+    const auto &Hosts = this->Found.Initial.Hosts;
+    const auto Host = Hosts.find(this->Found.Host);
+    if (!this->Found.Host.Value.empty() && !Hosts.empty() &&
+        Host == Hosts.end())
+      this->Faults.add("/host", "a host of the inventory");
+    if (Host != Hosts.end() && Host->second.HasDataFolder &&
+        this->Found.DataFolder.empty())
+      this->Faults.add("/data_folder",
+                       "a folder, as the inventory says this host has one");
+  }
+
+  FaultList &Faults;
+  const std::string File;
+  NodeSettings Found;
+};
+
+} // namespace
+
+CheckedSettings readNodeSettings(const std::string &Path) {
+  FaultList Faults{Path, {}};
+  const auto Text = readFile(Path, Faults);
+  if (!Text)
+    return Faults.Faults;
+  const auto Json = parseDocument(*Text, Faults);
+  if (!Json)
+    return Faults.Faults;
+  NodeSettings Found = SettingsChecker(Faults, Path).check(*Json);
+  if (!Faults.Faults.empty())
+    return Faults.Faults;
+  return Found;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/wire/include/tanagerlanding/wire.h
@@ -0,0 +1,11 @@
+/// \file
+/// Package wire: encoding of messages and journal records with FlatBuffers,
+/// and frames with a length in front. Needs package decision for the types.
+#ifndef TANAGERLANDING_WIRE_H
+#define TANAGERLANDING_WIRE_H
+
+#include "tanagerlanding/wire/FrameReader.h"
+#include "tanagerlanding/wire/MessageCodec.h"
+#include "tanagerlanding/wire/RecordCodec.h"
+
+#endif
--- /dev/null
+++ b/packages/wire/src/Conversions.h
@@ -0,0 +1,28 @@
+/// \file
+/// Conversions between the decision package's types and generated tables.
+#ifndef TANAGERLANDING_WIRE_CONVERSIONS_H
+#define TANAGERLANDING_WIRE_CONVERSIONS_H
+
+#include "messages_generated.h"
+#include "tanagerlanding/decision/Messages.h"
+
+#include <memory>
+
+namespace tanagerlanding {
+
+std::unique_ptr<wire::AttemptT> toWire(const AttemptId &Id);
+AttemptId fromWire(const std::unique_ptr<wire::AttemptT> &Id);
+
+std::unique_ptr<wire::CallContentT> toWire(const Call &Asked);
+Call fromWire(const std::unique_ptr<wire::CallContentT> &Asked);
+
+std::unique_ptr<wire::AnswerT> toWire(const CallAnswer &Answer);
+CallAnswer fromWire(const std::unique_ptr<wire::AnswerT> &Answer);
+
+std::unique_ptr<wire::RecordT> toWire(const Record &Content);
+/// Returns false where the record's type is unknown.
+bool fromWire(const wire::RecordT &Content, Record &Into);
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/tests/standins/keyvalue.cpp
@@ -0,0 +1,131 @@
+/// \file
+/// Stands in for the platform's key-value service: range and txn of the etcd
+/// v3 JSON gateway, with outages on order.
+///
+/// POST /control {"mode": "ok"|"down"|"slow"|"lose_answers"} changes how it
+/// behaves: down refuses all calls, slow answers after a second, and
+/// lose_answers carries writes out but answers with an error. GET /control
+/// tells the calls counted so far.
+#include "StandinServer.h"
+#include "tanagerlanding/platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::standin;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int ServerThreads = 8;
+constexpr std::chrono::seconds SlowPause{1};
+
+/// The service's state.
+class Store {
+public:
+  Json range(const Json &Asked) {
+    const std::string Key = *decodeBase64(Asked.value("key", ""));
+    const std::string End = *decodeBase64(Asked.value("range_end", ""));
+    Json Found = Json::array();
+    for (const auto &[Name, Item] : this->Items) {
+      const bool IsWanted =
+          End.empty() ? Name == Key : Name >= Key && Name < End;
+      if (IsWanted)
+        Found.push_back({{"key", encodeBase64(Name)},
+                         {"value", encodeBase64(Item.first)},
+                         {"mod_revision", std::to_string(Item.second)}});
+    }
+    return {{"header", this->header()}, {"kvs", Found}};
+  }
+
+  Json txn(const Json &Asked) {
+    bool Holds = true;
+    for (const Json &Each : Asked.value("compare", Json::array())) {
+      const std::string Key = *decodeBase64(Each.value("key", ""));
+      const auto Found = this->Items.find(Key);
+      const std::int64_t Present =
+          Found == this->Items.end() ? 0 : Found->second.second;
+      Holds =
+          Holds && std::to_string(Present) == Each.value("mod_revision", "0");
+    }
+    Json Responses = Json::array();
+    for (const Json &Each :
+         Asked.value(Holds ? "success" : "failure", Json::array()))
+      Responses.push_back(this->operation(Each));
+    return {{"header", this->header()},
+            {"succeeded", Holds},
+            {"responses", Responses}};
+  }
+
+  std::mutex Lock;
+  std::string Mode = "ok";
+  std::uint64_t Calls = 0;
+
+private:
+  Json header() const { return {{"revision", std::to_string(this->Current)}}; }
+
+  Json operation(const Json &Each) {
+    if (Each.contains("request_range"))
+      return {{"response_range", this->range(Each["request_range"])}};
+    const Json &Put = Each["request_put"];
+    ++this->Current;
+    this->Items[*decodeBase64(Put.value("key", ""))] = {
+        *decodeBase64(Put.value("value", "")), this->Current};
+    return {{"response_put", Json::object()}};
+  }
+
+  std::int64_t Current = 1;
+  std::map<std::string, std::pair<std::string, std::int64_t>> Items;
+};
+
+void handle(Store &Kept, const Pistache::Http::Request &Request,
+            Pistache::Http::ResponseWriter &Response) {
+  const Json Body = Json::parse(Request.body(), nullptr, false);
+  std::unique_lock<std::mutex> Guard(Kept.Lock);
+  if (Request.resource() == "/control") {
+    if (Body.is_object())
+      Kept.Mode = Body.value("mode", "ok");
+    sendJson(Response, 200, Json({{"calls", Kept.Calls}}).dump());
+    return;
+  }
+  if (Request.resource() == "/health") {
+    sendJson(Response, 200, "{}");
+    return;
+  }
+  ++Kept.Calls;
+  if (Kept.Mode == "down") {
+    sendJson(Response, 503, "{}");
+    return;
+  }
+  const bool IsTxn = Request.resource() == "/v3/kv/txn";
+  const Json Answer = IsTxn ? Kept.txn(Body) : Kept.range(Body);
+  if (Kept.Mode == "lose_answers" && IsTxn) {
+    sendJson(Response, 503, "{}");
+    return;
+  }
+  const bool IsSlow = Kept.Mode == "slow";
+  Guard.unlock();
+  if (IsSlow)
+    std::this_thread::sleep_for(SlowPause);
+  sendJson(Response, 200, Answer.dump());
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  if (Count != 2) {
+    std::cerr << "usage: " << Arguments[0] << " PORT\n";
+    return 2;
+  }
+  Store Kept;
+  serve(static_cast<std::uint16_t>(std::stoi(Arguments[1])), ServerThreads,
+        [&](const auto &Request, auto &Response) {
+          handle(Kept, Request, Response);
+        });
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/service.cpp
@@ -0,0 +1,72 @@
+/// \file
+/// Stands in for a plain service whose calls may not be repeated.
+///
+/// Any path runs its request and counts the run under the request's body;
+/// ?delay_ms=N makes a run take time before it counts, ?linger_ms=N after.
+/// GET /executions tells the counts; /crash ends the process.
+#include "StandinServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace tanagerlanding::standin;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int ServerThreads = 32;
+
+/// How often each body was run.
+struct Executions {
+  std::mutex Lock;
+  std::map<std::string, int> Counts;
+};
+
+void pause(const Pistache::Http::Request &Request, const char *Name) {
+  const auto Millis = Request.query().get(Name);
+  if (Millis)
+    std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(*Millis)));
+}
+
+void handle(Executions &Kept, const Pistache::Http::Request &Request,
+            Pistache::Http::ResponseWriter &Response) {
+  if (Request.resource() == "/health") {
+    sendJson(Response, 200, "{}");
+    return;
+  }
+  if (Request.resource() == "/executions") {
+    const std::lock_guard<std::mutex> Guard(Kept.Lock);
+    sendJson(Response, 200, Json(Kept.Counts).dump());
+    return;
+  }
+  if (Request.resource() == "/crash")
+    std::_Exit(1);
+  pause(Request, "delay_ms");
+  int Times = 0;
+  {
+    const std::lock_guard<std::mutex> Guard(Kept.Lock);
+    Times = ++Kept.Counts[Request.body()];
+  }
+  pause(Request, "linger_ms");
+  sendJson(Response, 200,
+           Json({{"body", Request.body()}, {"times", Times}}).dump());
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  if (Count != 2) {
+    std::cerr << "usage: " << Arguments[0] << " PORT\n";
+    return 2;
+  }
+  Executions Kept;
+  serve(static_cast<std::uint16_t>(std::stoi(Arguments[1])), ServerThreads,
+        [&](const auto &Request, auto &Response) {
+          handle(Kept, Request, Response);
+        });
+  return 0;
+}
--- /dev/null
+++ b/tools/format.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Formats all C++ files; with --check only tells which are not formatted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(git ls-files -co --exclude-standard '*.h' '*.cpp' | grep -v /generated/)
+if [ "${1:-}" = "--check" ]; then
+  clang-format --dry-run --Werror "${files[@]}"
+else
+  clang-format -i "${files[@]}"
+fi
