Prove at most once, not run, and history under failure; mend a lost wake

Cause: Proof01 'the same key comes through all entries at once' had callers time out after 20 s (8 of 54) though the entries' spans showed every answer given. Setting a timerfd that is due resets its expiry; the server's thread then reads nothing from it and, being told only once, sleeps on. Ruled out: the reducer (54 answers for 54 requests in the spans) and the forwarding. Change: a mailbox sets its timer once for each wake. Also found by reading: a repeat that came between a call's outcome and its being durable was answered from the ledger before it was durable; calls under way are now looked at first.

--- a/packages/decision/src/CallAdmission.cpp
+++ b/packages/decision/src/CallAdmission.cpp
@@ -150,32 +150,36 @@
   /// under way. Returns whether the call was a repeat.
   bool repeatsEarlierCall() {
     const std::uint64_t Digest = digestOf(this->Asked);
-    const auto Stored = this->Program->Answers.find(this->Asked.Key);
-    if (Stored != this->Program->Answers.end()) {
-      if (Stored->second.Digest != Digest)
-        this->refuseReused();
-      else
-        answerRoute(this->Context, this->Caller.Route, Stored->second.Answer);
-      return true;
-    }
+    // Calls under way come first: their answers may stand in the ledger
+    // before they are durable.
     for (auto &[Agent, Line] :
          this->Shard.Programs[this->Asked.Program].Lines) {
       CallTicket *Ticket = this->findTicket(Line);
       if (!Ticket)
         continue;
-      if (digestOf(Ticket->Asked) != Digest) {
+      if (digestOf(Ticket->Asked) != Digest)
         this->refuseReused();
-        return true;
-      }
-      // Pieces that have passed already can't be had again: the answer comes
-      // whole.
-      this->Caller.Stream = false;
-      Ticket->Waiters.push_back(this->Caller);
-      Ticket->Deadline = std::max(Ticket->Deadline,
-                                  this->Context.now() + this->Asked.Deadline);
+      else
+        this->joinWaiters(*Ticket);
       return true;
     }
-    return false;
+    const auto Stored = this->Program->Answers.find(this->Asked.Key);
+    if (Stored == this->Program->Answers.end())
+      return false;
+    if (Stored->second.Digest != Digest)
+      this->refuseReused();
+    else
+      answerRoute(this->Context, this->Caller.Route, Stored->second.Answer);
+    return true;
+  }
+
+  void joinWaiters(CallTicket &Ticket) {
+    // Pieces that have passed already can't be had again: the answer comes
+    // whole.
+    this->Caller.Stream = false;
+    Ticket.Waiters.push_back(this->Caller);
+    Ticket.Deadline =
+        std::max(Ticket.Deadline, this->Context.now() + this->Asked.Deadline);
   }
 
   CallTicket *findTicket(AgentLine &Line) {
--- a/packages/gateway/src/Mailbox.cpp
+++ b/packages/gateway/src/Mailbox.cpp
@@ -23,6 +23,7 @@
   const std::lock_guard<std::mutex> Guard(this->Lock);
   closeIfOpen(this->Retired);
   this->Retired = this->Current;
+  this->IsWakePending = false;
   this->Current = ::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
   return this->Current;
 }
@@ -30,7 +31,10 @@
 void Mailbox::post(Delivery Item) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   this->Items.push_back(std::move(Item));
-  this->wake();
+  // Setting a timer that is due takes its expiry back for a moment: the owner
+  // would find nothing to read, and is not told a second time.
+  if (!this->IsWakePending)
+    this->wake();
 }
 
 std::deque<Delivery> Mailbox::take() {
@@ -47,6 +51,7 @@
 }
 
 void Mailbox::wake() {
+  this->IsWakePending = true;
   itimerspec Soon{};
   Soon.it_value.tv_nsec = 1;
   ::timerfd_settime(this->Current, 0, &Soon, nullptr);
--- a/packages/gateway/src/Mailbox.h
+++ b/packages/gateway/src/Mailbox.h
@@ -55,6 +55,7 @@
 
   std::mutex Lock;
   std::deque<Delivery> Items;
+  bool IsWakePending = false;
   int Current = -1;
   int Retired = -1;
 };
--- /dev/null
+++ b/tests/integration/Proof01AtMostOnce.cpp
@@ -0,0 +1,199 @@
+/// A request that may not be repeated runs at most once, whatever fails.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <random>
+#include <set>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+constexpr std::uint32_t Seed = 20261203;
+/// The longest that a takeover may take, with time to spare on a busy machine.
+constexpr std::chrono::seconds RepairLimit{30};
+
+std::future<Response> sendLater(const Request &Asked) {
+  return std::async(std::launch::async, [Asked] { return send(Asked); });
+}
+
+/// Returns an entry that is not Other.
+unsigned entryBeside(unsigned Other) { return Other == 0 ? 1 : 0; }
+
+/// Waits until the target has begun to run a call.
+void awaitDispatch() {
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+}
+
+} // namespace
+
+TEST_CASE("Proof01: the owner dies while the target runs the call") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+  const unsigned Via = entryBeside(Owner);
+  const Request Post = serviceRequest(Deployment.http(Via), Log,
+                                      "/log?delay_ms=400", "find 1", "k1");
+  auto First = sendLater(Post);
+  awaitDispatch();
+  Deployment.process(Site::entryName(Owner)).kill();
+  const Response Lost = First.get();
+  CHECK(Lost.errorRan() == "unknown");
+
+  const Response Repeated = sendUntilTaken(Post, nullptr, RepairLimit);
+  CHECK(Repeated.Status == 200);
+  CHECK(Deployment.executions()["find 1"] == 1);
+  CHECK(send(Post).Body == Repeated.Body);
+}
+
+TEST_CASE("Proof01: the owner dies at any moment of a call") {
+  Site Deployment;
+  std::mt19937 Random(Seed);
+  std::uniform_int_distribution<int> KillAfterMicros(0, 12000);
+  for (int Round = 0; Round < 8; ++Round) {
+    const Program Log{"log-" + std::to_string(Round)};
+    const std::string Body = "find " + std::to_string(Round);
+    const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+    const unsigned Via = entryBeside(Owner);
+    const Request Post =
+        serviceRequest(Deployment.http(Via), Log, "/log?delay_ms=3", Body, "k");
+    auto First = sendLater(Post);
+    std::this_thread::sleep_for(
+        std::chrono::microseconds(KillAfterMicros(Random)));
+    Deployment.process(Site::entryName(Owner)).kill();
+    First.get();
+    const Response Repeated = sendUntilTaken(Post, nullptr, RepairLimit);
+    INFO("round " << Round << ": " << Repeated.Body);
+    CHECK(Repeated.Status == 200);
+    CHECK(Deployment.executions()[Body] == 1);
+    Deployment.restart(Site::entryName(Owner));
+    REQUIRE(Deployment.awaitReady());
+  }
+}
+
+TEST_CASE("Proof01: the sidecar dies while its target runs the call") {
+  Site Deployment(SiteOptions().withServices(1));
+  const Program Log{"log-1"};
+  const Request Post = serviceRequest(Deployment.http(0), Log,
+                                      "/log?delay_ms=300", "find 1", "k1");
+  auto First = sendLater(Post);
+  awaitDispatch();
+  Deployment.restart("service-0");
+  const Response Told = First.get();
+  CHECK(Told.errorRan() == "unknown");
+  REQUIRE(Deployment.awaitReady());
+  // Nobody can tell any more, so that it never runs again.
+  const Response Repeated = sendUntilTaken(Post);
+  CHECK(Repeated.errorRan() == "unknown");
+  CHECK(Deployment.executions()["find 1"] <= 1);
+}
+
+TEST_CASE("Proof01: the target dies while it runs the call") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  const Request Post = serviceRequest(Deployment.http(0), Log,
+                                      "/log?delay_ms=300", "find 1", "k1");
+  auto First = sendLater(Post);
+  awaitDispatch();
+  Deployment.process("service-0-target").kill();
+  Deployment.process("service-1-target").kill();
+  CHECK(First.get().errorRan() == "unknown");
+  Deployment.restart("service-0-target");
+  Deployment.restart("service-1-target");
+  CHECK(sendUntilTaken(Post).errorRan() == "unknown");
+  CHECK(Deployment.executions()["find 1"] == 0);
+}
+
+TEST_CASE("Proof01: the connection between target and sidecar is cut") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  const Request Post = serviceRequest(Deployment.http(0), Log,
+                                      "/log?linger_ms=300", "find 1", "k1");
+  auto First = sendLater(Post);
+  awaitDispatch();
+  Deployment.proxy("service-0-target").cutAll();
+  Deployment.proxy("service-1-target").cutAll();
+  CHECK(First.get().errorRan() == "unknown");
+  CHECK(sendUntilTaken(Post).errorRan() == "unknown");
+  CHECK(Deployment.executions()["find 1"] == 1);
+}
+
+TEST_CASE("Proof01: the answer on its way to the owner is lost") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  const Request Post = serviceRequest(Deployment.http(0), Log,
+                                      "/log?delay_ms=300", "find 1", "k1");
+  auto First = sendLater(Post);
+  awaitDispatch();
+  for (const char *Sidecar : {"service-0", "service-1"}) {
+    Deployment.proxy(Sidecar).setLosingAnswers(true);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  for (const char *Sidecar : {"service-0", "service-1"}) {
+    Deployment.proxy(Sidecar).setLosingAnswers(false);
+    Deployment.proxy(Sidecar).cutAll();
+  }
+  // The sidecar kept the outcome and is asked for it.
+  CHECK(First.get().Status == 200);
+  CHECK(Deployment.executions()["find 1"] == 1);
+}
+
+TEST_CASE("Proof01: the same key comes through all entries at once") {
+  Site Deployment;
+  for (int Round = 0; Round < 10; ++Round) {
+    const Program Log{"log-" + std::to_string(Round)};
+    const std::string Body = "find " + std::to_string(Round);
+    std::vector<std::future<Response>> Callers;
+    for (unsigned Via = 0; Via < 6; ++Via)
+      Callers.push_back(sendLater(
+          serviceRequest(Deployment.http(Via % 3), Log, "/log", Body, "k")));
+    std::set<std::string> Bodies;
+    for (auto &Each : Callers) {
+      const Response Got = Each.get();
+      CHECK(Got.Status == 200);
+      Bodies.insert(Got.Body);
+    }
+    CHECK(Bodies.size() == 1);
+    CHECK(Deployment.executions()[Body] == 1);
+  }
+}
+
+TEST_CASE("Proof01: the owner is frozen, taken over, and woken") {
+  Site Deployment;
+  for (int Round = 0; Round < 3; ++Round) {
+    const Program Log{"log-" + std::to_string(Round)};
+    const std::string Body = "find " + std::to_string(Round);
+    const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+    const unsigned Via = entryBeside(Owner);
+    const Request Post =
+        serviceRequest(Deployment.http(Via), Log, "/log?delay_ms=5", Body, "k");
+    auto First = sendLater(Post);
+    std::this_thread::sleep_for(std::chrono::milliseconds(Round * 3));
+    Deployment.process(Site::entryName(Owner)).signal(SIGSTOP);
+    First.get();
+    const Response Repeated = sendUntilTaken(Post, nullptr, RepairLimit);
+    CHECK(Repeated.Status == 200);
+    Deployment.process(Site::entryName(Owner)).signal(SIGCONT);
+    REQUIRE(Deployment.awaitReady());
+    // Through the entry that was frozen, too.
+    const Response Again = sendUntilTaken(serviceRequest(
+        Deployment.http(Owner), Log, "/log?delay_ms=5", Body, "k"));
+    CHECK(Again.Body == Repeated.Body);
+    CHECK(Deployment.executions()[Body] == 1);
+  }
+}
+
+TEST_CASE("Proof01: a key is not used for two different calls") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  send(serviceRequest(Deployment.http(0), Log, "/log", "find 1", "k1"));
+  const Response Other =
+      send(serviceRequest(Deployment.http(1), Log, "/log", "find 2", "k1"));
+  CHECK(Other.errorCode() == "key_reused");
+  CHECK(Other.errorRan() == "not_run");
+  CHECK(Deployment.executions().count("find 2") == 0);
+}
--- /dev/null
+++ b/tests/integration/Proof02NotRun.cpp
@@ -0,0 +1,122 @@
+/// What was refused as not run truly did not run.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <mutex>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+/// Calls once for each body, from several threads, and never repeats one.
+class SingleShots {
+public:
+  explicit SingleShots(Site &Deployment) : Deployment(Deployment) {}
+
+  void run(unsigned Callers, unsigned CallsEach, const std::string &Path) {
+    std::vector<std::thread> Threads;
+    for (unsigned Caller = 0; Caller < Callers; ++Caller)
+      Threads.emplace_back([=] { this->call(Caller, CallsEach, Path); });
+    for (std::thread &Each : Threads)
+      Each.join();
+  }
+
+  /// Checks each answer against the targets' counts, which must be complete.
+  void check() {
+    std::map<std::string, int> Runs = this->Deployment.executions();
+    for (const auto &[Body, Got] : this->Answers) {
+      INFO(Body << ": " << Got.Status << " " << Got.Body);
+      CHECK(Runs[Body] <= 1);
+      if (Got.errorRan() == "not_run")
+        CHECK(Runs[Body] == 0);
+      if (Got.Status == 200)
+        CHECK(Runs[Body] == 1);
+    }
+  }
+
+  /// Returns the number of answers with this error.ran.
+  std::size_t countRan(const std::string &Ran) const {
+    std::size_t Count = 0;
+    for (const auto &[Body, Got] : this->Answers)
+      Count += Got.errorRan() == Ran ? 1 : 0;
+    return Count;
+  }
+
+  std::size_t countAnswered() const {
+    std::size_t Count = 0;
+    for (const auto &[Body, Got] : this->Answers)
+      Count += Got.Status == 200 ? 1 : 0;
+    return Count;
+  }
+
+private:
+  void call(unsigned Caller, unsigned Calls, const std::string &Path) {
+    for (unsigned Number = 0; Number < Calls; ++Number) {
+      const std::string Body =
+          "call " + std::to_string(Caller) + "-" + std::to_string(Number);
+      const Program Own{"program-" + std::to_string(Caller)};
+      const Response Got = send(serviceRequest(
+          this->Deployment.http(Caller % 3), Own, Path, Body, Body.substr(5)));
+      const std::lock_guard<std::mutex> Guard(this->Lock);
+      this->Answers[Body] = Got;
+    }
+  }
+
+  Site &Deployment;
+  std::mutex Lock;
+  std::map<std::string, Response> Answers;
+};
+
+} // namespace
+
+TEST_CASE("Proof02: refusals of an overloaded target") {
+  Site Deployment(SiteOptions().withServices(1));
+  SingleShots Calls(Deployment);
+  // 16 run at once and 32 wait; the rest is refused.
+  Calls.run(96, 2, "/log?delay_ms=150");
+  Calls.check();
+  CHECK(Calls.countRan("not_run") > 0);
+  CHECK(Calls.countAnswered() > 0);
+}
+
+TEST_CASE("Proof02: refusals while a target and a sidecar stop and come back") {
+  Site Deployment;
+  SingleShots Calls(Deployment);
+  std::atomic<bool> IsOver{false};
+  std::thread Faults([&] {
+    while (!IsOver) {
+      Deployment.process("service-0").signal(SIGTERM);
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      Deployment.restart("service-0");
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+  });
+  Calls.run(12, 40, "/log?delay_ms=10");
+  IsOver = true;
+  Faults.join();
+  Calls.check();
+  CHECK(Calls.countAnswered() > 0);
+}
+
+TEST_CASE("Proof02: refusals while entries stop and die under load") {
+  Site Deployment;
+  SingleShots Calls(Deployment);
+  std::thread Faults([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    Deployment.process("entry-1").signal(SIGTERM);
+    Deployment.process("entry-1").awaitExit(std::chrono::seconds(20));
+    Deployment.restart("entry-1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    Deployment.process("entry-2").kill();
+    Deployment.restart("entry-2");
+  });
+  Calls.run(12, 250, "/log?delay_ms=10");
+  Faults.join();
+  Calls.check();
+  CHECK(Calls.countAnswered() > 0);
+}
--- /dev/null
+++ b/tests/integration/Proof03History.cpp
@@ -0,0 +1,197 @@
+/// Histories are kept, in order, and never mixed.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <set>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+constexpr std::chrono::seconds RepairLimit{30};
+
+/// A program whose every turn is checked against all turns before it.
+class Conversation {
+public:
+  Conversation(Site &Deployment, std::string Id)
+      : Deployment(Deployment), Own{std::move(Id)} {}
+
+  /// Takes the next turn and checks it.
+  void takeTurn(unsigned Via) { CHECK(this->faultOfTurn(Via) == ""); }
+
+  /// Takes the next turn through an entry, repeating it as long as it is
+  /// refused. The engine tells how many messages it was given. Returns what
+  /// was wrong with the answer, or an empty text.
+  std::string faultOfTurn(unsigned Via) {
+    ++this->Turns;
+    const std::string Content =
+        this->Own.Id + " turn " + std::to_string(this->Turns);
+    const Response Got = sendUntilTaken(
+        chatRequest(this->Deployment.http(Via), this->Own, Content,
+                    "turn-" + std::to_string(this->Turns)),
+        nullptr, RepairLimit);
+    const std::string Expected =
+        "re[" + std::to_string(2 * this->Turns - 1) + "]: " + Content;
+    if (Got.content().find(Expected) == 0)
+      return std::string();
+    return "expected " + Expected + ", got " + std::to_string(Got.Status) +
+           " " + Got.Body;
+  }
+
+  const std::string &id() const { return this->Own.Id; }
+
+private:
+  Site &Deployment;
+  const Program Own;
+  int Turns = 0;
+};
+
+/// Returns an entry that is neither of two.
+unsigned entryBeside(unsigned A, unsigned B) {
+  for (unsigned Entry = 0; Entry < 3; ++Entry) {
+    if (Entry != A && Entry != B)
+      return Entry;
+  }
+  return 0;
+}
+
+} // namespace
+
+TEST_CASE("Proof03: owners die between turns, one after the other") {
+  Site Deployment;
+  Conversation Log(Deployment, "log-1");
+  Log.takeTurn(0);
+  for (int Round = 0; Round < 4; ++Round) {
+    const unsigned Owner = Deployment.ownerOf(Log.id(), 0);
+    const unsigned Via = entryBeside(Owner, Owner);
+    Deployment.process(Site::entryName(Owner)).kill();
+    Log.takeTurn(Via);
+    Deployment.restart(Site::entryName(Owner));
+    REQUIRE(Deployment.awaitReady());
+    Log.takeTurn(Owner);
+  }
+}
+
+TEST_CASE("Proof03: the owner dies within a turn") {
+  Site Deployment;
+  Conversation Log(Deployment, "log-1");
+  for (int Round = 0; Round < 4; ++Round) {
+    Log.takeTurn(0);
+    const unsigned Owner = Deployment.ownerOf(Log.id(), 0);
+    const unsigned Via = entryBeside(Owner, Owner);
+    auto Turn =
+        std::async(std::launch::async, [&] { return Log.faultOfTurn(Via); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(8 * Round));
+    Deployment.process(Site::entryName(Owner)).kill();
+    CHECK(Turn.get() == "");
+    Deployment.restart(Site::entryName(Owner));
+    REQUIRE(Deployment.awaitReady());
+  }
+}
+
+TEST_CASE("Proof03: a copy holder is lost, then the owner") {
+  Site Deployment(SiteOptions().withShards(1));
+  Conversation Log(Deployment, "log-1");
+  Log.takeTurn(0);
+  const unsigned Owner = Deployment.ownerOf(Log.id(), 0);
+  const unsigned Second = entryBeside(Owner, Owner);
+  const unsigned Third = entryBeside(Owner, Second);
+  // One of the two others is the second copy holder: lose each in turn, with
+  // time for repair, then the owner.
+  for (const unsigned Lost : {Second, Third}) {
+    Deployment.process(Site::entryName(Lost)).kill();
+    Log.takeTurn(Owner);
+    Deployment.emptyDataFolder(Site::entryName(Lost));
+    Deployment.restart(Site::entryName(Lost));
+    REQUIRE(Deployment.awaitReady());
+    Log.takeTurn(Lost);
+  }
+  Deployment.process(Site::entryName(Owner)).kill();
+  Log.takeTurn(Second);
+  Log.takeTurn(Third);
+}
+
+TEST_CASE("Proof03: the owner's host is replaced empty") {
+  Site Deployment;
+  Conversation Log(Deployment, "log-1");
+  Log.takeTurn(0);
+  const unsigned Owner = Deployment.ownerOf(Log.id(), 0);
+  Deployment.process(Site::entryName(Owner)).kill();
+  Deployment.emptyDataFolder(Site::entryName(Owner));
+  Deployment.restart(Site::entryName(Owner));
+  Log.takeTurn(Owner);
+  Log.takeTurn(entryBeside(Owner, Owner));
+}
+
+TEST_CASE("Proof03: a frozen owner wakes after the takeover") {
+  Site Deployment;
+  Conversation Log(Deployment, "log-1");
+  for (int Round = 0; Round < 2; ++Round) {
+    Log.takeTurn(0);
+    const unsigned Owner = Deployment.ownerOf(Log.id(), 0);
+    const unsigned Via = entryBeside(Owner, Owner);
+    Deployment.process(Site::entryName(Owner)).signal(SIGSTOP);
+    Log.takeTurn(Via);
+    Deployment.process(Site::entryName(Owner)).signal(SIGCONT);
+    Log.takeTurn(Owner);
+    Log.takeTurn(Via);
+    REQUIRE(Deployment.awaitReady());
+  }
+}
+
+TEST_CASE("Proof03: calls of one program through all entries are in order") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  constexpr unsigned CallCount = 9;
+  std::vector<std::future<Response>> Callers;
+  for (unsigned Number = 0; Number < CallCount; ++Number)
+    Callers.push_back(std::async(std::launch::async, [&, Number] {
+      return send(chatRequest(Deployment.http(Number % 3), Log,
+                              "call " + std::to_string(Number),
+                              "k" + std::to_string(Number)));
+    }));
+  // Each call sees all turns before it: the numbers of messages are all
+  // different and have no gap.
+  std::set<std::string> Marks;
+  for (auto &Each : Callers) {
+    const Response Got = Each.get();
+    REQUIRE(Got.Status == 200);
+    Marks.insert(Got.content().substr(0, Got.content().find(':')));
+  }
+  std::set<std::string> Expected;
+  for (unsigned Turn = 0; Turn < CallCount; ++Turn)
+    Expected.insert("re[" + std::to_string(2 * Turn + 1) + "]");
+  CHECK(Marks == Expected);
+}
+
+TEST_CASE("Proof03: many programs at once are never mixed") {
+  Site Deployment;
+  std::vector<std::future<std::string>> Callers;
+  for (unsigned Caller = 0; Caller < 12; ++Caller)
+    Callers.push_back(std::async(std::launch::async, [&, Caller] {
+      Conversation Log(Deployment, "log-" + std::to_string(Caller));
+      std::string Faults;
+      for (unsigned Turn = 0; Turn < 8; ++Turn)
+        Faults += Log.faultOfTurn((Caller + Turn) % 3);
+      return Faults;
+    }));
+  for (auto &Each : Callers)
+    CHECK(Each.get() == "");
+}
+
+TEST_CASE("Proof03: a doubled turn is answered once and the same") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  const Response First =
+      send(chatRequest(Deployment.http(0), Log, "hello", "turn-1"));
+  const Response Doubled =
+      send(chatRequest(Deployment.http(1), Log, "hello", "turn-1"));
+  CHECK(First.Body == Doubled.Body);
+  const Response Next =
+      send(chatRequest(Deployment.http(2), Log, "next", "turn-2"));
+  CHECK(Next.content().find("re[3]: next") == 0);
+}
