--- a/packages/decision/src/Ownership.cpp
+++ b/packages/decision/src/Ownership.cpp
@@ -154,6 +154,7 @@
   runDurableActions(Context, Shard, Id);
   adoptPrograms(Context, Shard, Id);
   adoptOpenIntents(Context, Shard, Id);
+  sendKeptPrefixesToAll(Context);
   startWaitingLines(Context, Shard, Id);
 }
 
--- /dev/null
+++ b/tests/integration/Proof04WholeAnswers.cpp
@@ -0,0 +1,167 @@
+/// A caller gets the whole answer to its own request, or a typed error.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+/// Returns what is wrong with a streamed answer, or an empty text. One that is
+/// not whole must end in a typed error.
+std::string faultOf(const Response &Got, const std::string &Content) {
+  if (Got.isWholeStream()) {
+    const std::string Text = Got.streamedContent();
+    const bool IsOwn = Text.find(": " + Content + " ") != std::string::npos;
+    const bool HasEnd =
+        Text.size() > 4 && Text.compare(Text.size() - 4, 4, " end") == 0;
+    return IsOwn && HasEnd ? std::string() : "wrong or short: " + Got.Body;
+  }
+  const bool IsTyped = Got.Body.find("event: error\n") != std::string::npos ||
+                       !Got.errorCode().empty();
+  return IsTyped ? std::string()
+                 : "neither whole nor typed: " + std::to_string(Got.Status) +
+                       " " + Got.Body;
+}
+
+std::size_t descriptorsOf(const ChildProcess &Process) {
+  std::size_t Count = 0;
+  for (const auto &Each : std::filesystem::directory_iterator(
+           "/proc/" + std::to_string(Process.pid()) + "/fd")) {
+    static_cast<void>(Each);
+    ++Count;
+  }
+  return Count;
+}
+
+/// Streams one answer for each of Count programs at once through entry 0.
+std::vector<std::future<std::string>>
+streamMany(Site &Deployment, unsigned Count, const std::string &Round) {
+  std::vector<std::future<std::string>> Callers;
+  for (unsigned Number = 0; Number < Count; ++Number)
+    Callers.push_back(std::async(std::launch::async, [&, Number, Round] {
+      const std::string Name = Round + "-" + std::to_string(Number);
+      const std::string Content = "own " + Name + " tokens=24";
+      return faultOf(send(chatRequest(Deployment.http(0), Program{Name},
+                                      Content, "k", true)),
+                     Content);
+    }));
+  return Callers;
+}
+
+} // namespace
+
+TEST_CASE("Proof04: 64 streams at once, with callers that vanish and return") {
+  Site Deployment(SiteOptions().withEngineCapacity(40));
+  const ChildProcess &Entry = Deployment.process("entry-0");
+  REQUIRE(streamMany(Deployment, 4, "warm")[0].get() == "");
+  const std::size_t Before = descriptorsOf(Entry);
+
+  std::atomic<bool> IsOver{false};
+  std::vector<std::thread> Vanishing;
+  for (unsigned Caller = 0; Caller < 6; ++Caller)
+    Vanishing.emplace_back([&, Caller] {
+      for (unsigned Number = 0; !IsOver; ++Number) {
+        Request Asked = chatRequest(Deployment.http(0),
+                                    Program{"gone-" + std::to_string(Caller) +
+                                            "-" + std::to_string(Number)},
+                                    "gone tokens=24", "k", true);
+        Asked.VanishAfterBytes = 200;
+        send(Asked);
+      }
+    });
+  auto Callers = streamMany(Deployment, 64, "stream");
+  for (auto &Each : Callers)
+    CHECK(Each.get() == "");
+  IsOver = true;
+  for (std::thread &Each : Vanishing)
+    Each.join();
+  CHECK(waitFor([&] { return descriptorsOf(Entry) <= Before; }));
+}
+
+TEST_CASE("Proof04: connections to targets and sidecars are cut all the time") {
+  Site Deployment(SiteOptions().withEngineCapacity(40));
+  std::atomic<bool> IsOver{false};
+  std::thread Faults([&] {
+    const char *const Names[] = {"engine-0-target", "engine-1", "entry-1",
+                                 "engine-1-target", "engine-0", "entry-2"};
+    for (unsigned Round = 0; !IsOver; ++Round) {
+      Deployment.proxy(Names[Round % 6]).cutAll();
+      std::this_thread::sleep_for(std::chrono::milliseconds(40));
+    }
+  });
+  for (int Round = 0; Round < 4; ++Round) {
+    auto Callers = streamMany(Deployment, 24, "cut-" + std::to_string(Round));
+    for (auto &Each : Callers)
+      CHECK(Each.get() == "");
+  }
+  IsOver = true;
+  Faults.join();
+}
+
+TEST_CASE("Proof04: a stream that its engine cuts never looks finished") {
+  Site Deployment(SiteOptions().withEngines(1));
+  Deployment.proxy("engine-0-target").setCutAfterAnswerBytes(700);
+  const Response Got = send(chatRequest(Deployment.http(0), Program{"log-1"},
+                                        "long tokens=60", "k1", true));
+  CHECK_FALSE(Got.isWholeStream());
+  CHECK(Got.Body.find("event: error\n") != std::string::npos);
+  CHECK(Got.Body.find("\"stream_cut\"") != std::string::npos);
+  Deployment.proxy("engine-0-target").setCutAfterAnswerBytes(0);
+  const Response Repeated = sendUntilTaken(chatRequest(
+      Deployment.http(0), Program{"log-1"}, "long tokens=60", "k1", true));
+  CHECK(Repeated.isWholeStream());
+  CHECK(Repeated.streamedContent().find("re[1]: long") == 0);
+}
+
+TEST_CASE("Proof04: a whole answer cut by its engine is asked for again") {
+  Site Deployment;
+  Deployment.proxy("engine-0-target").setCutAfterAnswerBytes(1);
+  for (int Round = 0; Round < 6; ++Round) {
+    const std::string Name = "log-" + std::to_string(Round);
+    const Response Got = sendUntilTaken(
+        chatRequest(Deployment.http(0), Program{Name}, "own " + Name, "k1"));
+    CHECK(Got.content().find("re[1]: own " + Name) == 0);
+  }
+}
+
+TEST_CASE("Proof04: malformed requests get typed errors and end no process") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  Request Asked = chatRequest(Deployment.http(0), Log, "hello", "k1");
+  const Request Good = Asked;
+
+  Asked.Body = "{\"model\": \"trail-llm\", \"messages\": [";
+  CHECK(send(Asked).errorCode() == "malformed_request");
+  Asked.Body = "{\"model\": \"no-such-model\", \"messages\": [{\"role\": "
+               "\"user\", \"content\": \"hello\"}]}";
+  CHECK(send(Asked).errorCode() == "unknown_service");
+  Asked = Good;
+  Asked.Headers[1] = "Tanager-Program: ../etc";
+  CHECK(send(Asked).errorCode() == "malformed_request");
+  Asked = Good;
+  Asked.Headers.resize(3);
+  Asked.Headers[1] = "Tanager-Program: unbudgeted";
+  CHECK(send(Asked).errorCode() == "missing_budget");
+  CHECK(send(Good).Status == 200);
+  Asked = chatRequest(Deployment.http(1), Program{"log-1", "team-b"}, "hello",
+                      "k2");
+  CHECK(send(Asked).errorCode() == "foreign_program");
+  Asked = Good;
+  Asked.Body = std::string(9 * 1024 * 1024, 'x');
+  CHECK(send(Asked).Status == 413);
+  for (int Round = 0; Round < 20; ++Round) {
+    Asked = chatRequest(Deployment.http(0),
+                        Program{"gone-" + std::to_string(Round)}, "tokens=60",
+                        "k", true);
+    Asked.VanishAfterBytes = 1;
+    send(Asked);
+  }
+  CHECK(send(chatRequest(Deployment.http(0), Log, "again", "k3")).Status ==
+        200);
+}
--- /dev/null
+++ b/tests/integration/Proof09PlatformDown.cpp
@@ -0,0 +1,100 @@
+/// The platform's service is down or slow.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+/// Takes turns of a few programs and checks that each was answered.
+void checkService(Site &Deployment, const std::string &Round) {
+  for (unsigned Number = 0; Number < 6; ++Number) {
+    const Program Fresh{"fresh-" + Round + "-" + std::to_string(Number)};
+    CHECK(send(chatRequest(Deployment.http(Number % 3), Fresh, "hello", "k1"))
+              .Status == 200);
+    CHECK(send(serviceRequest(Deployment.http(Number % 3), Fresh, "/log",
+                              Fresh.Id, "k2"))
+              .Status == 200);
+    CHECK(Deployment.executions()[Fresh.Id] == 1);
+  }
+}
+
+} // namespace
+
+TEST_CASE("Proof09: programs go on while the service is down or slow") {
+  Site Deployment;
+  checkService(Deployment, "before");
+  for (const char *Mode : {"down", "slow"}) {
+    Deployment.setPlatform(Mode);
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    checkService(Deployment, Mode);
+  }
+}
+
+TEST_CASE(
+    "Proof09: without the service and a copy holder, refusals are at once") {
+  Site Deployment(SiteOptions().withShards(1));
+  const Program Log{"log-1"};
+  REQUIRE(send(serviceRequest(Deployment.http(0), Log, "/log", "first", "k1"))
+              .Status == 200);
+  const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+  Deployment.setPlatform("down");
+  for (unsigned Entry = 0; Entry < 3; ++Entry) {
+    if (Entry != Owner)
+      Deployment.process(Site::entryName(Entry)).kill();
+  }
+  const Request Asked =
+      serviceRequest(Deployment.http(Owner), Log, "/log", "second", "k2");
+  const Response Refused = send(Asked);
+  CHECK(Refused.errorCode() == "not_durable");
+  CHECK(Refused.errorRan() == "not_run");
+  CHECK(Refused.Headers.count("Retry-After") == 1);
+  CHECK(Deployment.executions().count("second") == 0);
+
+  // Once they are back, all goes on and nothing was lost.
+  for (unsigned Entry = 0; Entry < 3; ++Entry) {
+    if (Entry != Owner)
+      Deployment.restart(Site::entryName(Entry));
+  }
+  Deployment.setPlatform("ok");
+  const Response Taken = sendUntilTaken(Asked);
+  CHECK(Taken.Status == 200);
+  CHECK(Deployment.executions()["second"] == 1);
+  CHECK(sendUntilTaken(
+            serviceRequest(Deployment.http(Owner), Log, "/log", "first", "k1"))
+            .Status == 200);
+  CHECK(Deployment.executions()["first"] == 1);
+}
+
+TEST_CASE("Proof09: a takeover's write takes effect but its answer is lost") {
+  Site Deployment;
+  const Program Log{"log-1"};
+  REQUIRE(send(chatRequest(Deployment.http(0), Log, "one", "k1")).Status ==
+          200);
+  const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+  const unsigned Via = Owner == 0 ? 1 : 0;
+  Deployment.setPlatform("lose_answers");
+  Deployment.process(Site::entryName(Owner)).kill();
+  const Response Next =
+      sendUntilTaken(chatRequest(Deployment.http(Via), Log, "two", "k2"));
+  CHECK(Next.content().find("re[3]: two") == 0);
+}
+
+TEST_CASE("Proof09: no call to the service for a program") {
+  Site Deployment;
+  const std::uint64_t Before = Deployment.platformCalls();
+  const auto Start = std::chrono::steady_clock::now();
+  checkService(Deployment, "count");
+  for (int Number = 0; Number < 60; ++Number)
+    send(chatRequest(Deployment.http(Number % 3),
+                     Program{"p" + std::to_string(Number)}, "hello", "k1"));
+  const std::chrono::duration<double> Took =
+      std::chrono::steady_clock::now() - Start;
+  // Each of three entries reads twice a second, programs or not.
+  const double Polls = 3 * (2 * Took.count() + 2);
+  CHECK(static_cast<double>(Deployment.platformCalls() - Before) <= Polls);
+}
--- /dev/null
+++ b/tests/integration/Proof10Crashers.cpp
@@ -0,0 +1,70 @@
+/// A request that crashes its targets costs at most two of them.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+constexpr unsigned EngineCount = 4;
+
+std::string targetName(unsigned Engine) {
+  return "engine-" + std::to_string(Engine) + "-target";
+}
+
+/// Returns how many engines have ended since they were started, and starts
+/// those again.
+unsigned countAndRestartLost(Site &Deployment) {
+  unsigned Lost = 0;
+  for (unsigned Engine = 0; Engine < EngineCount; ++Engine) {
+    ChildProcess &Target = Deployment.process(targetName(Engine));
+    if (Target.awaitExit(std::chrono::milliseconds(0)) < 0)
+      continue;
+    ++Lost;
+    Deployment.restart(targetName(Engine));
+  }
+  return Lost;
+}
+
+} // namespace
+
+TEST_CASE("Proof10: a crasher sent through all entries again and again") {
+  Site Deployment(SiteOptions().withEngines(EngineCount));
+  unsigned Lost = 0;
+  Response Last;
+  for (unsigned Number = 0; Number < 12; ++Number) {
+    const Program Fresh{"program-" + std::to_string(Number)};
+    Last = send(chatRequest(Deployment.http(Number % 3), Fresh, "CRASH", "k1"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    Lost += countAndRestartLost(Deployment);
+    REQUIRE(Deployment.awaitReady());
+  }
+  CHECK(Lost <= 2);
+  CHECK(Last.errorCode() == "quarantined");
+  CHECK(Last.errorRan() == "not_run");
+}
+
+TEST_CASE("Proof10: innocent neighbours are not quarantined") {
+  Site Deployment(
+      SiteOptions().withEngines(EngineCount).withEngineCapacity(40));
+  std::vector<std::future<Response>> Neighbours;
+  for (unsigned Number = 0; Number < 24; ++Number)
+    Neighbours.push_back(std::async(std::launch::async, [&, Number] {
+      return sendUntilTaken(
+          chatRequest(Deployment.http(Number % 3),
+                      Program{"good-" + std::to_string(Number)},
+                      "good " + std::to_string(Number) + " tokens=60", "k1"));
+    }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  send(chatRequest(Deployment.http(0), Program{"bad"}, "CRASH", "k1"));
+  CHECK(countAndRestartLost(Deployment) <= 2);
+  for (auto &Each : Neighbours) {
+    const Response Got = Each.get();
+    INFO(Got.Body);
+    CHECK(Got.Status == 200);
+  }
+}
