--- /dev/null
+++ b/packages/ctl/src/CommandLine.cpp
@@ -0,0 +1,153 @@
+#include "tanagerlanding/ctl/CommandLine.h"
+
+#include "Commands.h"
+
+#include <CLI/CLI.hpp>
+
+#include <functional>
+
+namespace tanagerlanding {
+
+namespace {
+
+/// Builds the commands and remembers which one was named.
+class CommandLine {
+public:
+  CommandLine() : App("Operates a tanagerlanding deployment") {
+    this->App.require_subcommand(1);
+    this->addFileCommands();
+    this->addPlatformCommands();
+    this->addEntryCommands();
+    this->addLoad();
+  }
+
+  int run(int Count, char **Arguments) {
+    try {
+      this->App.parse(Count, Arguments);
+    } catch (const CLI::ParseError &Error) {
+      const int Code = this->App.exit(Error);
+      return Code == 0 ? 0 : static_cast<int>(ExitCode::InvalidInput);
+    }
+    return static_cast<int>(this->Chosen());
+  }
+
+private:
+  CLI::App *add(const char *Name, const char *Help,
+                std::function<ExitCode()> Run) {
+    CLI::App *Command = this->App.add_subcommand(Name, Help);
+    Command->callback([this, Run = std::move(Run)] { this->Chosen = Run; });
+    return Command;
+  }
+
+  static void addPlatform(CLI::App *Command, PlatformOptions &Into) {
+    Command->add_option("--platform", Into.Url, "URL of the key-value service")
+        ->required();
+    Command->add_option("--prefix", Into.Prefix, "Prefix of our keys")
+        ->capture_default_str();
+  }
+
+  static void addJson(CLI::App *Command, bool &Into) {
+    Command->add_flag("--json", Into, "Print JSON");
+  }
+
+  void addFileCommands() {
+    CLI::App *Command = this->add("check", "Check settings and inventory files",
+                                  [this] { return runCheck(this->Check); });
+    Command->add_option("files", this->Check.Files, "Files")->required();
+    addJson(Command, this->Check.AsJson);
+
+    Command = this->add("import", "Turn an asset register into an inventory",
+                        [this] { return runImport(this->Import); });
+    Command->add_option("file", this->Import.File, "Register in CSV")
+        ->required();
+    Command->add_option("--column", this->Import.Columns,
+                        "FIELD=COLUMN, for a column with another name");
+
+    Command = this->add("trace", "Show the spans of a trace",
+                        [this] { return runTrace(this->Trace); });
+    Command->add_option("id", this->Trace.TraceId, "Trace id")->required();
+    Command->add_option("--spans", this->Trace.SpanFiles, "Span files")
+        ->required();
+    addJson(Command, this->Trace.AsJson);
+  }
+
+  void addPlatformCommands() {
+    CLI::App *Command =
+        this->add("diff", "Show what applying a file would change",
+                  [this] { return runDiff(this->Diff); });
+    addPlatform(Command, this->Diff.Platform);
+    Command->add_option("file", this->Diff.File, "Inventory")->required();
+    addJson(Command, this->Diff.AsJson);
+
+    Command = this->add("apply", "Make a file the accepted configuration",
+                        [this] { return runApply(this->Apply); });
+    addPlatform(Command, this->Apply.Platform);
+    Command->add_option("file", this->Apply.File, "Inventory")->required();
+    Command
+        ->add_option("--base", this->Apply.Base,
+                     "Version that the file was edited from, 0 for the first")
+        ->required();
+
+    Command = this->add("show", "Show the accepted configuration",
+                        [this] { return runShow(this->Show); });
+    addPlatform(Command, this->Show.Platform);
+    Command->add_flag("--version-only", this->Show.OnlyVersion,
+                      "Print its version only");
+
+    Command = this->add("drain", "Give a host no new work",
+                        [this] { return runDrain(this->Drain); });
+    addPlatform(Command, this->Drain.Platform);
+    Command->add_option("host", this->Drain.Host, "Host")->required();
+    Command->add_flag("--undo", this->Drain.Undo, "Use the host again");
+  }
+
+  void addEntryCommands() {
+    CLI::App *Command =
+        this->add("status", "Show hosts and shards as an entry sees them",
+                  [this] { return runStatus(this->Status); });
+    Command->add_option("--entry", this->Status.EntryUrl, "URL of an entry")
+        ->required();
+    addJson(Command, this->Status.AsJson);
+
+    Command = this->add("programs", "Show the programs of an entry",
+                        [this] { return runPrograms(this->Programs); });
+    Command->add_option("--entry", this->Programs.EntryUrl, "URL of an entry")
+        ->required();
+    addJson(Command, this->Programs.AsJson);
+  }
+
+  void addLoad() {
+    CLI::App *Command = this->add("load", "Drive programs through entries",
+                                  [this] { return runLoad(this->Load); });
+    Command->add_option("--entry", this->Load.EntryUrls, "URLs of entries")
+        ->required();
+    Command->add_option("workload", this->Load.Workload, "Workload file")
+        ->required();
+    Command->add_option("--seed", this->Load.Seed, "Seed")
+        ->capture_default_str();
+    Command->add_option("--plot", this->Load.PlotFile,
+                        "File for a plot in SVG");
+    addJson(Command, this->Load.AsJson);
+  }
+
+  CLI::App App;
+  std::function<ExitCode()> Chosen;
+  CheckOptions Check;
+  ImportOptions Import;
+  TraceOptions Trace;
+  DiffOptions Diff;
+  ApplyOptions Apply;
+  ShowOptions Show;
+  DrainOptions Drain;
+  EntryQuery Status;
+  EntryQuery Programs;
+  LoadOptions Load;
+};
+
+} // namespace
+
+int runCommandLine(int Count, char **Arguments) {
+  return CommandLine().run(Count, Arguments);
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/ctl/src/ConfigurationCommands.cpp
@@ -0,0 +1,220 @@
+#include "Commands.h"
+
+#include "ConfigurationSpread.h"
+#include "InventoryDiff.h"
+#include "Report.h"
+#include "tanagerlanding/platform.h"
+#include "tanagerlanding/settings.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace tanagerlanding {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int DrainTries = 3;
+
+std::string presentDocument(const AcceptedConfiguration &Present) {
+  return Present.Stored ? Present.Stored->Document : std::string("{}");
+}
+
+/// Writes a checked document and passes it on to the entries.
+ExitCode changeTo(ConfigurationClient &Client,
+                  const AcceptedConfiguration &Base, const Inventory &Checked) {
+  const ConfigVersion Next(Base.version().Value + 1);
+  switch (Client.change(Base, Checked.Document)) {
+  case ChangeOutcome::Accepted: {
+    const std::size_t Told =
+        spreadConfiguration(Checked, ConfigOffer{Next, Checked.Document});
+    std::cout << "accepted version " << Next << ", told " << Told
+              << " entries\n";
+    return ExitCode::Success;
+  }
+  case ChangeOutcome::Conflict:
+    return ExitCode::Conflict;
+  case ChangeOutcome::Unknown:
+    std::cerr << "the service does not tell whether the change took effect; "
+                 "see `show` before trying again\n";
+    return ExitCode::OutcomeUnknown;
+  }
+  return ExitCode::Failure;
+}
+
+/// Tells what another change, which came first, did.
+ExitCode reportConflict(const AcceptedConfiguration &Present,
+                        const std::string &Wanted) {
+  std::cerr << "the accepted configuration is at version " << Present.version()
+            << " by now; nothing was changed. What the file would undo or "
+               "change there:\n";
+  printChanges(compareInventories(presentDocument(Present), Wanted));
+  return ExitCode::Conflict;
+}
+
+/// Returns the document with a host's drained mark set, or nothing where it
+/// has no such host.
+std::optional<std::string> withDrained(const std::string &Document,
+                                       const std::string &Host, bool Drained) {
+  Json Parsed = Json::parse(Document, nullptr, false, true);
+  if (!Parsed.is_object() || !Parsed.contains("hosts"))
+    return std::nullopt;
+  for (Json &Each : Parsed["hosts"]) {
+    if (Each.value("name", "") != Host)
+      continue;
+    Each["drained"] = Drained;
+    return Parsed.dump(2) + "\n";
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+ExitCode runCheck(const CheckOptions &Options) {
+  std::vector<SettingsFault> Faults;
+  for (const std::string &File : Options.Files) {
+    std::ostringstream Text;
+    Text << std::ifstream(File).rdbuf();
+    const Json Parsed = Json::parse(Text.str(), nullptr, false, true);
+    const bool IsInventory = Parsed.is_object() && Parsed.contains("hosts");
+    std::vector<SettingsFault> Found;
+    if (IsInventory) {
+      if (const auto Read = readInventory(File); !Read)
+        Found = Read.error();
+    } else if (const auto Read = readNodeSettings(File); !Read) {
+      Found = Read.error();
+    }
+    Faults.insert(Faults.end(), Found.begin(), Found.end());
+  }
+  if (Options.AsJson || !Faults.empty())
+    printFaults(Faults, Options.AsJson);
+  else
+    std::cout << "no faults\n";
+  return Faults.empty() ? ExitCode::Success : ExitCode::InvalidInput;
+}
+
+ExitCode runImport(const ImportOptions &Options) {
+  ColumnMapping Columns;
+  for (const std::string &Each : Options.Columns) {
+    const std::size_t Equals = Each.find('=');
+    if (Equals == std::string::npos) {
+      std::cerr << "--column " << Each << ": expected FIELD=COLUMN\n";
+      return ExitCode::InvalidInput;
+    }
+    Columns[Each.substr(0, Equals)] = Each.substr(Equals + 1);
+  }
+  std::ifstream File(Options.File);
+  if (!File) {
+    printFaults({{Options.File, Options.File, "a file that can be read"}},
+                false);
+    return ExitCode::InvalidInput;
+  }
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  const ImportedRegister Imported =
+      importAssetRegister(Text.str(), Columns, Options.File);
+  if (!Imported) {
+    printFaults(Imported.error(), false);
+    return ExitCode::InvalidInput;
+  }
+  const CheckedInventory Checked =
+      parseInventory(Imported.value(), Options.File);
+  if (!Checked) {
+    printFaults(Checked.error(), false);
+    return ExitCode::InvalidInput;
+  }
+  std::cout << Imported.value();
+  return ExitCode::Success;
+}
+
+ExitCode runDiff(const DiffOptions &Options) {
+  const CheckedInventory Wanted = readInventory(Options.File);
+  if (!Wanted) {
+    printFaults(Wanted.error(), Options.AsJson);
+    return ExitCode::InvalidInput;
+  }
+  ConfigurationClient Client(Options.Platform.Url, Options.Platform.Prefix);
+  const auto Present = Client.read();
+  if (!Present) {
+    printPlatformError(Present.error());
+    return ExitCode::Failure;
+  }
+  const auto Changes = compareInventories(presentDocument(Present.value()),
+                                          Wanted.value().Document);
+  if (Options.AsJson)
+    std::cout << toJson(Changes).dump(2) << '\n';
+  else
+    printChanges(Changes);
+  return ExitCode::Success;
+}
+
+ExitCode runApply(const ApplyOptions &Options) {
+  const CheckedInventory Wanted = readInventory(Options.File);
+  if (!Wanted) {
+    printFaults(Wanted.error(), false);
+    return ExitCode::InvalidInput;
+  }
+  ConfigurationClient Client(Options.Platform.Url, Options.Platform.Prefix);
+  auto Present = Client.read();
+  if (!Present) {
+    printPlatformError(Present.error());
+    return ExitCode::Failure;
+  }
+  if (Present.value().version() != ConfigVersion(Options.Base))
+    return reportConflict(Present.value(), Wanted.value().Document);
+  const ExitCode Ended = changeTo(Client, Present.value(), Wanted.value());
+  if (Ended != ExitCode::Conflict)
+    return Ended;
+  Present = Client.read();
+  if (!Present) {
+    printPlatformError(Present.error());
+    return ExitCode::Conflict;
+  }
+  return reportConflict(Present.value(), Wanted.value().Document);
+}
+
+ExitCode runShow(const ShowOptions &Options) {
+  ConfigurationClient Client(Options.Platform.Url, Options.Platform.Prefix);
+  const auto Present = Client.read();
+  if (!Present) {
+    printPlatformError(Present.error());
+    return ExitCode::Failure;
+  }
+  if (Options.OnlyVersion)
+    std::cout << Present.value().version() << '\n';
+  else
+    std::cout << presentDocument(Present.value());
+  return ExitCode::Success;
+}
+
+ExitCode runDrain(const DrainOptions &Options) {
+  ConfigurationClient Client(Options.Platform.Url, Options.Platform.Prefix);
+  for (int Try = 0; Try < DrainTries; ++Try) {
+    const auto Present = Client.read();
+    if (!Present) {
+      printPlatformError(Present.error());
+      return ExitCode::Failure;
+    }
+    const auto Document = withDrained(presentDocument(Present.value()),
+                                      Options.Host, !Options.Undo);
+    if (!Document) {
+      std::cerr << "the accepted configuration has no host " << Options.Host
+                << '\n';
+      return ExitCode::InvalidInput;
+    }
+    const CheckedInventory Checked = parseInventory(*Document, "accepted");
+    if (!Checked) {
+      printFaults(Checked.error(), false);
+      return ExitCode::InvalidInput;
+    }
+    const ExitCode Ended = changeTo(Client, Present.value(), Checked.value());
+    if (Ended != ExitCode::Conflict)
+      return Ended;
+  }
+  std::cerr << "other changes came first each time; try again\n";
+  return ExitCode::Conflict;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/ctl/src/LoadCommand.cpp
@@ -0,0 +1,7 @@
+#include "Commands.h"
+
+namespace tanagerlanding {
+
+ExitCode runLoad(const LoadOptions &) { return ExitCode::Failure; }
+
+} // namespace tanagerlanding
--- a/packages/ctl/src/Placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace tanagerlanding {}
--- a/packages/daemon/include/tanagerlanding/daemon/EntryProcess.h
+++ b/packages/daemon/include/tanagerlanding/daemon/EntryProcess.h
@@ -41,6 +41,8 @@
   void onOpened(ConnectionId Id) override;
   void onMessage(ConnectionId Id, Message Body) override;
   void onClosed(ConnectionId Id) override;
+  /// Takes what an operator's program says.
+  void handleOperator(ConnectionId Id, const Message &Body);
   void greet(ConnectionId Id, const Hello &Greeting);
   void handleOffer(const ConfigOffer &Offer);
   void sendTo(const HostId &Host, Message Body);
@@ -52,6 +54,7 @@
   void onCallerVanished(RequestId Request) override;
   std::string metricsText() override;
   std::string statusText() override;
+  std::string programsText() override;
   bool isReady() override;
 
   // Decisions.
--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <future>
+
 namespace tanagerlanding {
 
 namespace {
@@ -11,6 +13,7 @@
 constexpr Milliseconds StatusInterval{200};
 constexpr Milliseconds FlushLimit{2000};
 constexpr Milliseconds FlushPause{50};
+constexpr Milliseconds QueryLimit{1000};
 
 RoutingPolicy policyNamed(const std::string &Name) {
   if (Name == "round_robin")
@@ -199,6 +202,10 @@
     return;
   }
   const HostId Host = Known->second;
+  if (Host.Value.empty()) {
+    this->handleOperator(Id, Body);
+    return;
+  }
   if (const auto *Offer = std::get_if<ConfigOffer>(&Body)) {
     this->handleOffer(*Offer);
     return;
@@ -207,7 +214,19 @@
     this->apply(PeerSaid{Host, std::move(Body)});
 }
 
+void EntryProcess::handleOperator(ConnectionId Id, const Message &Body) {
+  if (const auto *Offer = std::get_if<ConfigOffer>(&Body))
+    this->handleOffer(*Offer);
+  else
+    this->Hub.close(Id);
+}
+
 void EntryProcess::greet(ConnectionId Id, const Hello &Greeting) {
+  if (Greeting.Host.Value.empty()) {
+    // An operator's program is no peer.
+    this->Hosts[Id] = Greeting.Host;
+    return;
+  }
   const auto Former = this->Links.find(Greeting.Host);
   if (Former != this->Links.end() && Former->second != Id) {
     const ConnectionId Old = Former->second;
@@ -337,6 +356,29 @@
   return this->Status;
 }
 
+std::string EntryProcess::programsText() {
+  using Json = nlohmann::json;
+  const auto Answer = std::make_shared<std::promise<std::string>>();
+  std::future<std::string> Text = Answer->get_future();
+  this->Loop.post([this, Answer] {
+    Json List = Json::array();
+    for (const auto &[Id, Shard] : this->State.Owned) {
+      for (const auto &[Program, Ledger] : Shard.Ledger)
+        List.push_back({{"program", Program.Value},
+                        {"team", Ledger.Team.Value},
+                        {"shard", Id.Value},
+                        {"calls", Ledger.CallsSpent},
+                        {"tokens", Ledger.TokensSpent.Value},
+                        {"reserved", Ledger.TokensReserved.Value},
+                        {"ended", Ledger.Ended}});
+    }
+    Answer->set_value(List.dump());
+  });
+  if (Text.wait_for(QueryLimit) != std::future_status::ready)
+    return "[]";
+  return Text.get();
+}
+
 bool EntryProcess::isReady() {
   const std::lock_guard<std::mutex> Guard(this->StatusLock);
   return this->Ready;
--- a/packages/gateway/include/tanagerlanding/gateway/HttpGateway.h
+++ b/packages/gateway/include/tanagerlanding/gateway/HttpGateway.h
@@ -29,6 +29,8 @@
     virtual std::string metricsText() = 0;
     /// Returns the answer to GET /v1/status.
     virtual std::string statusText() = 0;
+    /// Returns the answer to GET /v1/programs.
+    virtual std::string programsText() = 0;
     /// Returns whether new calls are taken.
     virtual bool isReady() = 0;
   };
--- a/packages/gateway/src/GatewayHandler.cpp
+++ b/packages/gateway/src/GatewayHandler.cpp
@@ -248,6 +248,8 @@
     this->send(Response, StatusOk, Heard.metricsText(), TextType);
   else if (Path == "/v1/status")
     this->send(Response, StatusOk, Heard.statusText(), JsonType);
+  else if (Path == "/v1/programs")
+    this->send(Response, StatusOk, Heard.programsText(), JsonType);
   else
     return false;
   return true;
--- a/packages/platform/include/tanagerlanding/platform.h
+++ b/packages/platform/include/tanagerlanding/platform.h
@@ -5,6 +5,7 @@
 #ifndef TANAGERLANDING_PLATFORM_H
 #define TANAGERLANDING_PLATFORM_H
 
+#include "tanagerlanding/platform/ConfigurationClient.h"
 #include "tanagerlanding/platform/ConfigurationStore.h"
 #include "tanagerlanding/platform/KeyValueClient.h"
 #include "tanagerlanding/platform/ShardTableStore.h"
--- a/packages/runtime/include/tanagerlanding/runtime/EventLoop.h
+++ b/packages/runtime/include/tanagerlanding/runtime/EventLoop.h
@@ -22,7 +22,7 @@
   EventLoop(const EventLoop &) = delete;
   EventLoop &operator=(const EventLoop &) = delete;
 
-  /// Runs tasks until stop() is called.
+  /// Runs tasks until stop() is called. May be called again afterwards.
   void run();
 
   /// Makes run() return after the present task. May be called by any thread.
--- a/packages/runtime/src/EventLoop.cpp
+++ b/packages/runtime/src/EventLoop.cpp
@@ -9,6 +9,7 @@
     : Signals(Context), StartedAt(std::chrono::steady_clock::now()) {}
 
 void EventLoop::run() {
+  this->Context.restart();
   const auto Guard = boost::asio::make_work_guard(this->Context);
   this->Context.run();
 }
--- a/tests/harness/Site.cpp
+++ b/tests/harness/Site.cpp
@@ -269,6 +269,39 @@
   return Json::parse(get(this->PlatformPort, "/control"))["calls"];
 }
 
+int Site::operate(const std::vector<std::string> &Arguments) const {
+  std::vector<std::string> All = Arguments;
+  All.insert(All.begin() + 1,
+             {"--platform", urlOf(this->PlatformPort, ""), "--prefix", Prefix});
+  ChildProcess Command("tanagerlanding", All, this->Folder + "/operator.log");
+  return Command.awaitExit(std::chrono::seconds(60));
+}
+
+std::string Site::inventory() const {
+  std::ostringstream Text;
+  Text << std::ifstream(this->Folder + "/inventory.json").rdbuf();
+  return Text.str();
+}
+
+std::string Site::writeFile(const std::string &Name,
+                            const std::string &Text) const {
+  const std::string Path = this->Folder + "/" + Name;
+  std::ofstream(Path) << Text;
+  return Path;
+}
+
+std::map<std::string, std::uint64_t> Site::versions(unsigned Entry) const {
+  std::map<std::string, std::uint64_t> Seen;
+  const Json Status = Json::parse(this->status(Entry), nullptr, false);
+  if (!Status.is_object())
+    return Seen;
+  for (const Json &Host : Status["hosts"]) {
+    if (Host["connected"].get<bool>())
+      Seen[Host["host"]] = Host["version"];
+  }
+  return Seen;
+}
+
 std::string Site::log(const std::string &Name) const {
   std::ostringstream Text;
   Text << std::ifstream(this->Folder + "/" + Name + ".log").rdbuf();
--- a/tests/harness/Site.h
+++ b/tests/harness/Site.h
@@ -94,6 +94,16 @@
   void setPlatform(const std::string &Mode) const;
   /// Returns the calls to the key-value stand-in.
   std::uint64_t platformCalls() const;
+  /// Runs the operators' command line against the platform; returns its exit
+  /// code.
+  int operate(const std::vector<std::string> &Arguments) const;
+  /// Returns the inventory as text.
+  std::string inventory() const;
+  /// Writes a file in the site's folder; returns its path.
+  std::string writeFile(const std::string &Name, const std::string &Text) const;
+  /// Returns the configuration versions that hosts have, as an entry sees
+  /// them.
+  std::map<std::string, std::uint64_t> versions(unsigned Entry) const;
   /// Returns the folder of settings and logs.
   const std::string &folder() const { return this->Folder; }
   /// Returns a process's log so far.
