Add the load tool, the capacity bench and a proof for broken target connections

Cause: a mutant that tells an unknown outcome as not_run passed Proof02: none of its cases broke a connection after the target had run the call. Change: a case that does; tanagerlanding load drives planned programs open loop from a checked workload file and a seed; tl_capacity_bench measures slopes.

--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -125,8 +125,6 @@
         ->required();
     Command->add_option("--seed", this->Load.Seed, "Seed")
         ->capture_default_str();
-    Command->add_option("--plot", this->Load.PlotFile,
-                        "File for a plot in SVG");
     addJson(Command, this->Load.AsJson);
   }
 
--- a/packages/ctl/src/Commands.h
+++ b/packages/ctl/src/Commands.h
@@ -86,7 +86,6 @@
   std::vector<std::string> EntryUrls;
   std::string Workload;
   std::uint64_t Seed = 1;
-  std::string PlotFile;
   bool AsJson = false;
 };
 /// Drives programs through entries and reports what came of it.
--- /dev/null
+++ b/packages/ctl/src/LoadRunner.h
@@ -0,0 +1,78 @@
+/// \file
+/// Driving programs through entries.
+#ifndef TANAGERLANDING_CTL_LOADRUNNER_H
+#define TANAGERLANDING_CTL_LOADRUNNER_H
+
+#include "Workload.h"
+#include "tanagerlanding/engine.h"
+#include "tanagerlanding/runtime.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tanagerlanding {
+
+/// What came of a load.
+struct LoadResult {
+  std::vector<double> ProgramMillis;
+  std::vector<double> FirstTokenMillis;
+  std::vector<double> TokenGapMillis;
+  std::map<std::string, std::uint64_t> Refusals;
+  std::uint32_t Finished = 0;
+  /// Past their deadline, or ended by a final error.
+  std::uint32_t Failed = 0;
+  /// Still under way when the time was up.
+  std::uint32_t Unfinished = 0;
+  double TookSeconds = 0;
+};
+
+/// Runs a workload's programs, open loop: each begins at its time, whatever
+/// the others do, and its calls follow one another.
+class LoadRunner {
+public:
+  LoadRunner(const Workload &Load, std::vector<std::string> EntryUrls,
+             std::uint64_t Seed);
+  LoadRunner(const LoadRunner &) = delete;
+  LoadRunner &operator=(const LoadRunner &) = delete;
+
+  /// Runs until all programs are over or the workload's limit has passed.
+  LoadResult run();
+
+private:
+  struct RunningProgram {
+    PlannedProgram Plan;
+    std::string Id;
+    std::size_t NextCall = 0;
+    Instant Started;
+    Instant CallStarted;
+    Instant LastPiece;
+    bool HasPiece = false;
+    bool HasStarted = false;
+    bool IsOver = false;
+  };
+
+  void handleTime(Instant Now);
+  void startCall(std::size_t Index);
+  HttpRequest requestFor(const RunningProgram &Program) const;
+  void handlePiece(std::size_t Index);
+  void handleAnswer(std::size_t Index, const HttpOutcome &Outcome);
+  void handleRefusal(std::size_t Index, const HttpOutcome &Outcome);
+  void finish(std::size_t Index, bool IsGood);
+  void startAt(Instant When, std::size_t Index);
+
+  const Workload Load;
+  const std::vector<std::string> EntryUrls;
+  const std::string RunName;
+  EventLoop Loop;
+  TimerService Timers;
+  HttpClient Client;
+  std::vector<RunningProgram> Programs;
+  std::multimap<Instant, std::size_t> Due;
+  std::uint32_t Open = 0;
+  LoadResult Counted;
+};
+
+} // namespace tanagerlanding
+
+#endif
--- a/packages/settings/src/AssetRegister.cpp
+++ b/packages/settings/src/AssetRegister.cpp
@@ -1,6 +1,6 @@
 #include "tanagerlanding/settings/AssetRegister.h"
 
-#include "DocumentReader.h"
+#include "tanagerlanding/settings/DocumentReader.h"
 
 #include <boost/algorithm/string/trim.hpp>
 #include <boost/tokenizer.hpp>
--- a/packages/settings/src/DocumentReader.cpp
+++ b/packages/settings/src/DocumentReader.cpp
@@ -1,4 +1,4 @@
-#include "DocumentReader.h"
+#include "tanagerlanding/settings/DocumentReader.h"
 
 #include <algorithm>
 #include <fstream>
--- a/packages/settings/src/InventoryDocument.cpp
+++ b/packages/settings/src/InventoryDocument.cpp
@@ -1,6 +1,6 @@
 #include "tanagerlanding/settings/InventoryDocument.h"
 
-#include "DocumentReader.h"
+#include "tanagerlanding/settings/DocumentReader.h"
 
 #include <boost/asio/ip/address.hpp>
 
--- /dev/null
+++ b/tests/bench/CapacityBench.cpp
@@ -0,0 +1,180 @@
+/// \file
+/// Measures the slopes from which docs/CAPACITY.md is worked out, with real
+/// processes on loopback. Prints one line of key=value pairs for each figure.
+#include "ProcessUsage.h"
+#include "Site.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr unsigned CallerThreads = 24;
+constexpr std::chrono::seconds IdleSpan{5};
+
+double secondsSince(Clock::time_point Start) {
+  return std::chrono::duration<double>(Clock::now() - Start).count();
+}
+
+double sentBytes(const Site &Deployment, unsigned Entry) {
+  return Json::parse(Deployment.status(Entry))["sent_bytes"].get<double>();
+}
+
+/// Runs one service call for each of Count fresh programs; returns how many
+/// were answered.
+unsigned runPrograms(const Site &Deployment, unsigned Entries, unsigned Count,
+                     const std::string &Name) {
+  std::atomic<unsigned> Next{0};
+  std::atomic<unsigned> Answered{0};
+  std::vector<std::thread> Callers;
+  for (unsigned Caller = 0; Caller < CallerThreads; ++Caller)
+    Callers.emplace_back([&] {
+      for (;;) {
+        const unsigned Number = Next++;
+        if (Number >= Count)
+          return;
+        const Program Own{Name + "-" + std::to_string(Number)};
+        const Response Got = send(serviceRequest(
+            Deployment.http(Number % Entries), Own, "/log", Own.Id, "k1"));
+        Answered += Got.Status == 200 ? 1 : 0;
+      }
+    });
+  for (std::thread &Each : Callers)
+    Each.join();
+  return Answered;
+}
+
+/// State, processor time and control bytes against the number of programs.
+void measurePrograms() {
+  constexpr unsigned Entries = 3;
+  for (const unsigned Count : {100U, 1000U, 5000U, 20000U}) {
+    Site Deployment;
+    runPrograms(Deployment, Entries, 50, "warm");
+    std::vector<ProcessUsage> Before;
+    double BytesBefore = 0;
+    for (unsigned Entry = 0; Entry < Entries; ++Entry) {
+      Before.push_back(
+          usageOf(Deployment.process(Site::entryName(Entry)).pid()));
+      BytesBefore += sentBytes(Deployment, Entry);
+    }
+    const ProcessUsage SidecarBefore =
+        usageOf(Deployment.process("service-0").pid());
+    const auto Start = Clock::now();
+    const unsigned Answered =
+        runPrograms(Deployment, Entries, Count, "program");
+    const double Took = secondsSince(Start);
+    double Cpu = 0;
+    double Memory = 0;
+    double Bytes = -BytesBefore;
+    for (unsigned Entry = 0; Entry < Entries; ++Entry) {
+      const ProcessUsage After =
+          usageOf(Deployment.process(Site::entryName(Entry)).pid());
+      Cpu += After.CpuSeconds - Before[Entry].CpuSeconds;
+      Memory += After.ResidentMegabytes - Before[Entry].ResidentMegabytes;
+      Bytes += sentBytes(Deployment, Entry);
+    }
+    const ProcessUsage SidecarAfter =
+        usageOf(Deployment.process("service-0").pid());
+    const double Calls = Count;
+    std::cout << "measure=programs count=" << Count << " answered=" << Answered
+              << " calls_per_s=" << Calls / Took
+              << " entry_cpu_us_per_call=" << Cpu * 1e6 / Calls
+              << " entry_kb_per_program=" << Memory * 1024 / Calls
+              << " entry_bytes_sent_per_call=" << Bytes / Calls
+              << " sidecar_cpu_us_per_call="
+              << (SidecarAfter.CpuSeconds - SidecarBefore.CpuSeconds) * 1e6 /
+                     (Calls / 2)
+              << " sidecar_mb=" << SidecarAfter.ResidentMegabytes << std::endl;
+  }
+}
+
+/// What an idle deployment uses against its size.
+void measureIdle(unsigned Entries, unsigned Sidecars) {
+  Site Deployment(SiteOptions()
+                      .withEntries(Entries)
+                      .withEngines(Sidecars / 2)
+                      .withServices(Sidecars - Sidecars / 2)
+                      .withShards(16));
+  const ProcessUsage EntryBefore = usageOf(Deployment.process("entry-0").pid());
+  const ProcessUsage SidecarBefore =
+      usageOf(Deployment.process("service-0").pid());
+  const double BytesBefore = sentBytes(Deployment, 0);
+  const std::uint64_t CallsBefore = Deployment.platformCalls();
+  const auto Start = Clock::now();
+  std::this_thread::sleep_for(IdleSpan);
+  const double Took = secondsSince(Start);
+  const double Bytes = sentBytes(Deployment, 0) - BytesBefore;
+  const ProcessUsage EntryAfter = usageOf(Deployment.process("entry-0").pid());
+  const ProcessUsage SidecarAfter =
+      usageOf(Deployment.process("service-0").pid());
+  std::cout << "measure=idle entries=" << Entries << " sidecars=" << Sidecars
+            << " entry_cpu_percent="
+            << (EntryAfter.CpuSeconds - EntryBefore.CpuSeconds) * 100 / Took
+            << " entry_mb=" << EntryAfter.ResidentMegabytes
+            << " entry_sent_bytes_per_s=" << Bytes / Took
+            << " sidecar_cpu_percent="
+            << (SidecarAfter.CpuSeconds - SidecarBefore.CpuSeconds) * 100 / Took
+            << " sidecar_mb=" << SidecarAfter.ResidentMegabytes
+            << " platform_calls_per_s="
+            << static_cast<double>(Deployment.platformCalls() - CallsBefore) /
+                   Took
+            << std::endl;
+}
+
+double medianOf(std::vector<double> Values) {
+  std::sort(Values.begin(), Values.end());
+  return Values[Values.size() / 2];
+}
+
+/// The time that the path adds, side by side with the engine called directly.
+void measurePath() {
+  constexpr int Rounds = 150;
+  Site Deployment(SiteOptions().withEngines(1));
+  std::vector<double> Direct;
+  std::vector<double> Whole;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    const std::string Name = "path-" + std::to_string(Round);
+    Request Straight;
+    Straight.Method = "POST";
+    Straight.Url = "http://127.0.0.1:" +
+                   std::to_string(Deployment.targetPort("engine-0")) +
+                   "/v1/chat/completions";
+    Straight.Body =
+        Json({{"model", "m"},
+              {"user", "direct/" + Name},
+              {"max_tokens", 64},
+              {"messages", {{{"role", "user"}, {"content", "tokens=16"}}}}})
+            .dump();
+    auto Start = Clock::now();
+    send(Straight);
+    Direct.push_back(secondsSince(Start) * 1e3);
+    Start = Clock::now();
+    send(chatRequest(Deployment.http(Round % 3), Program{Name}, "tokens=16",
+                     "k1"));
+    Whole.push_back(secondsSince(Start) * 1e3);
+  }
+  std::cout << "measure=path direct_median_ms=" << medianOf(Direct)
+            << " whole_median_ms=" << medianOf(Whole)
+            << " ratio=" << medianOf(Whole) / medianOf(Direct) << std::endl;
+}
+
+} // namespace
+
+int main() {
+  measurePath();
+  measurePrograms();
+  for (const unsigned Entries : {2U, 3U, 5U, 8U})
+    measureIdle(Entries, 2);
+  for (const unsigned Sidecars : {2U, 8U, 16U, 32U})
+    measureIdle(2, Sidecars);
+  return 0;
+}
--- a/tests/harness/Site.cpp
+++ b/tests/harness/Site.cpp
@@ -252,6 +252,10 @@
   return Total;
 }
 
+std::uint16_t Site::targetPort(const std::string &Name) const {
+  return this->portOf(Name + "-target");
+}
+
 std::string Site::askTarget(const std::string &Name,
                             const std::string &Path) const {
   return get(this->portOf(Name + "-target"), Path);
--- a/tests/harness/Site.h
+++ b/tests/harness/Site.h
@@ -90,6 +90,8 @@
   std::map<std::string, int> executions() const;
   /// Returns a target's answer to GET Path.
   std::string askTarget(const std::string &Name, const std::string &Path) const;
+  /// Returns the port of a host's target itself.
+  std::uint16_t targetPort(const std::string &Name) const;
   /// Sets how the key-value stand-in behaves.
   void setPlatform(const std::string &Mode) const;
   /// Returns the calls to the key-value stand-in.
--- a/tests/integration/Proof02NotRun.cpp
+++ b/tests/integration/Proof02NotRun.cpp
@@ -103,6 +103,26 @@
   CHECK(Calls.countAnswered() > 0);
 }
 
+TEST_CASE("Proof02: connections to targets break after they ran the call") {
+  Site Deployment;
+  SingleShots Calls(Deployment);
+  std::atomic<bool> IsOver{false};
+  std::thread Faults([&] {
+    while (!IsOver) {
+      for (const char *Name : {"service-0-target", "service-1-target"}) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(25));
+        Deployment.proxy(Name).cutAll();
+      }
+    }
+  });
+  Calls.run(12, 30, "/log?linger_ms=20");
+  IsOver = true;
+  Faults.join();
+  Calls.check();
+  CHECK(Calls.countRan("unknown") > 0);
+  CHECK(Calls.countAnswered() > 0);
+}
+
 TEST_CASE("Proof02: refusals while entries stop and die under load") {
   Site Deployment;
   SingleShots Calls(Deployment);
