Count own attempts at targets exactly instead of since the last report

Ruled out: the sidecars' queues (they never refused) and the callers (24 at a time). Change: what an entry has at a target is known exactly; only the others' share is taken from the report.

--- a/packages/decision/include/tanagerlanding/decision/EntryState.h
+++ b/packages/decision/include/tanagerlanding/decision/EntryState.h
@@ -120,6 +120,8 @@
   InstanceId SidecarInstance;
   Fingerprint Content;
   bool Isolated = false;
+  /// Whether the present attempt counts as outstanding at its target.
+  bool IsOutstanding = false;
   std::uint32_t Tries = 0;
   std::set<HostId> Tried;
   bool HasStreamed = false;
@@ -229,8 +231,9 @@
   std::uint32_t Capacity = 1;
   bool Healthy = false;
   bool Leaving = false;
-  /// Attempts sent since the last report.
-  std::uint32_t SentSinceReport = 0;
+  /// This entry's own attempts there, now and when the last report came.
+  std::uint32_t OwnOutstanding = 0;
+  std::uint32_t OwnAtReport = 0;
   /// Moving average of an attempt's time at the target.
   double AverageMillis = 50;
 };
--- a/packages/decision/src/CallAttempts.cpp
+++ b/packages/decision/src/CallAttempts.cpp
@@ -69,10 +69,22 @@
   Active.PhaseSince = Context.now();
 }
 
+} // namespace
+
+void leaveTarget(EntryState &State, ActiveCall &Active) {
+  if (!Active.IsOutstanding)
+    return;
+  Active.IsOutstanding = false;
+  --State.Targets[Active.Target].OwnOutstanding;
+}
+
+namespace {
+
 /// Ends the active call of a line, whose waiters have their answers.
 void closeCall(EntryContext &Context, const LineView &View) {
   ActiveCall &Active = View.active();
   View.Shard->Attempts.erase(Active.Attempt);
+  leaveTarget(Context.State, Active);
   const Milliseconds Took = Context.now() - Active.Ticket.Arrived;
   Context.Effects.push_back(
       RecordSpan{Active.Ticket.Asked.TraceParent,
@@ -121,6 +133,7 @@
   const auto Intent = View.Ledger->OpenIntents.find(Active.Attempt);
   if (Release.Ran && Intent != View.Ledger->OpenIntents.end())
     Release.Charged = Intent->second.Reserved;
+  leaveTarget(Context.State, Active);
   View.Shard->Attempts.erase(Active.Attempt);
   appendRecord(Context, *View.Shard, View.Ref.Shard, Release, std::monostate());
 }
@@ -195,7 +208,8 @@
   Active.Attempt = AttemptId{View.Ref.Shard, View.Shard->Entry.OwnerEpoch,
                              View.Shard->NextSequence++};
   View.Shard->Attempts[Active.Attempt] = {View.Ref.Program, View.Ref.Agent};
-  ++Context.State.Targets[Target].SentSinceReport;
+  ++Context.State.Targets[Target].OwnOutstanding;
+  Active.IsOutstanding = true;
   setPhase(Context, Active, CallPhase::Recording);
 
   IntentRecorded Intent;
@@ -288,6 +302,7 @@
       static_cast<double>((Context.now() - Active.DispatchedAt).count());
   if (!Active.IsInherited)
     Target.AverageMillis += AverageWeight * (Took - Target.AverageMillis);
+  leaveTarget(Context.State, Active);
   setPhase(Context, Active, CallPhase::Finishing);
   appendRecord(Context, *View.Shard, View.Ref.Shard,
                CallFinished{View.Ref.Program, Active.Attempt, Finished.Answer,
--- a/packages/decision/src/CallAttempts.h
+++ b/packages/decision/src/CallAttempts.h
@@ -7,6 +7,9 @@
 
 namespace tanagerlanding {
 
+/// Notes that a call's present attempt is no load for its target any more.
+void leaveTarget(EntryState &State, ActiveCall &Active);
+
 /// Starts the first waiting call of a line, if none is under way.
 void startNextCall(EntryContext &Context, OwnedShard &Shard,
                    const LineRef &Ref);
--- a/packages/decision/src/Membership.cpp
+++ b/packages/decision/src/Membership.cpp
@@ -146,7 +146,7 @@
   Target.Capacity = std::max<std::uint32_t>(1, Report.Capacity);
   Target.Healthy = Report.Healthy;
   Target.Leaving = Report.Leaving;
-  Target.SentSinceReport = 0;
+  Target.OwnAtReport = Target.OwnOutstanding;
   handleHeartbeat(Context, Host, Heartbeat{Report.Version});
 }
 
--- a/packages/decision/src/Ownership.cpp
+++ b/packages/decision/src/Ownership.cpp
@@ -162,16 +162,18 @@
 /// becomes of the calls.
 void stepDown(EntryContext &Context, ShardId Id) {
   const auto Found = Context.State.Owned.find(Id);
-  const OwnedShard Shard = std::move(Found->second);
+  OwnedShard Shard = std::move(Found->second);
   Context.State.Owned.erase(Found);
   Context.log("shard_lost", {{"shard", std::to_string(Id.Value)}});
   const CallFailure Failure{CallError::OwnerLost, Execution::Unknown,
                             Context.State.Options.RetryAfter,
                             "another entry took the program over"};
-  for (const auto &[Program, Runtime] : Shard.Programs) {
-    for (const auto &[Agent, Line] : Runtime.Lines) {
-      if (Line.Active)
+  for (auto &[Program, Runtime] : Shard.Programs) {
+    for (auto &[Agent, Line] : Runtime.Lines) {
+      if (Line.Active) {
+        leaveTarget(Context.State, *Line.Active);
         answerWaiters(Context, Line.Active->Ticket.Waiters, Failure);
+      }
       for (const CallTicket &Ticket : Line.Queue)
         answerWaiters(Context, Ticket.Waiters, Failure);
     }
--- a/packages/decision/src/Routing.cpp
+++ b/packages/decision/src/Routing.cpp
@@ -10,8 +10,13 @@
 /// Attempts that may wait at a target beyond those that run.
 constexpr std::uint32_t TargetQueueAllowance = 32;
 
+/// Reports come late: what this entry has there is known exactly, and only
+/// the others' share is taken from the report.
 std::uint32_t loadOf(const TargetView &Target) {
-  return Target.Running + Target.Queued + Target.SentSinceReport;
+  const std::uint32_t Reported = Target.Running + Target.Queued;
+  const std::uint32_t Others =
+      Reported > Target.OwnAtReport ? Reported - Target.OwnAtReport : 0;
+  return Others + Target.OwnOutstanding;
 }
 
 bool isUsable(const EntryState &State, const HostId &Host) {
--- a/tests/harness/Site.cpp
+++ b/tests/harness/Site.cpp
@@ -20,6 +20,7 @@
 const char *const Zones[ZoneCount] = {"hall-concord", "hall-keene",
                                       "hall-nashua"};
 constexpr unsigned ServiceCapacity = 16;
+constexpr const char *OldHardwareSpeed = "0.5";
 constexpr const char *Prefix = "/tanagerlanding/";
 
 std::string urlOf(std::uint16_t Port, const std::string &Path) {
@@ -90,6 +91,10 @@
     Target.Program = "tanagerlanding-standin-" + Kind;
     Target.Port = freePort();
     Target.Arguments = {std::to_string(Target.Port)};
+    const bool IsOld =
+        this->Options.HasOldHardware && Kind == "engine" && Number % 3 == 2;
+    if (IsOld)
+      Target.Arguments.push_back(OldHardwareSpeed);
     this->Proxies[Name + "-target"] = std::make_unique<FaultProxy>(Target.Port);
     Node &Sidecar = this->Nodes[Name];
     Sidecar.Program = "tanagerlandingd";
@@ -150,6 +155,7 @@
       Settings["shards"] = this->Options.Shards;
       Settings["program_idle_ms"] = this->Options.ProgramIdleMillis;
       Settings["prefix_hold_ms"] = this->Options.PrefixHoldMillis;
+      Settings["routing"] = this->Options.Routing;
     } else {
       Settings["target_url"] =
           urlOf(this->Proxies.at(Name + "-target")->port(), "");
@@ -281,6 +287,13 @@
   return Command.awaitExit(std::chrono::seconds(60));
 }
 
+std::vector<std::string> Site::entryUrls() const {
+  std::vector<std::string> Urls;
+  for (const auto &[Name, Port] : this->HttpPorts)
+    Urls.push_back(urlOf(Port, ""));
+  return Urls;
+}
+
 std::string Site::inventory() const {
   std::ostringstream Text;
   Text << std::ifstream(this->Folder + "/inventory.json").rdbuf();
--- a/tests/harness/Site.h
+++ b/tests/harness/Site.h
@@ -23,6 +23,9 @@
   unsigned ProgramIdleMillis = 600000;
   unsigned PrefixHoldMillis = 10000;
   unsigned PrefixLeaseMillis = 2000;
+  std::string Routing = "least_expected_finish";
+  /// Whether every third engine is of old hardware, at half the speed.
+  bool HasOldHardware = false;
 
   SiteOptions &withEntries(unsigned Count) {
     this->Entries = Count;
@@ -48,6 +51,14 @@
     this->ProgramIdleMillis = Millis;
     return *this;
   }
+  SiteOptions &withRouting(std::string Name) {
+    this->Routing = std::move(Name);
+    return *this;
+  }
+  SiteOptions &withOldHardware() {
+    this->HasOldHardware = true;
+    return *this;
+  }
   SiteOptions &withPrefixHoldMillis(unsigned Millis) {
     this->PrefixHoldMillis = Millis;
     return *this;
@@ -99,6 +110,8 @@
   /// Runs the operators' command line against the platform; returns its exit
   /// code.
   int operate(const std::vector<std::string> &Arguments) const;
+  /// Returns the URLs at which entries serve callers.
+  std::vector<std::string> entryUrls() const;
   /// Returns the inventory as text.
   std::string inventory() const;
   /// Writes a file in the site's folder; returns its path.
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Reproduces the figures of docs/CAPACITY.md and docs/MEASUREMENTS.md. Run it on
+# a machine that does nothing else; it takes about ten minutes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/install.sh
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+ninja -C build >/dev/null
+echo "commit=$(git rev-parse --short HEAD)"
+build/bin/tl_capacity_bench
+build/bin/tl_policy_bench "$@"
