--- a/packages/decision/include/tanagerlanding/decision/SidecarReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/SidecarReducer.h
@@ -27,6 +27,9 @@
   Milliseconds AgingStep{250};
   TokenCount AgingTokens{256};
   Milliseconds ReportInterval{200};
+  /// How long a target may be silent before what it runs is given up, as far
+  /// as that may be run again elsewhere.
+  Milliseconds SilenceLimit{1500};
 
   SidecarOptions &withCapacity(std::uint32_t Calls) {
     this->Capacity = Calls;
@@ -76,6 +79,8 @@
   InstanceId Self;
   Instant Now;
   bool Healthy = false;
+  /// Since when health probes have failed.
+  Instant UnhealthySince;
   bool Leaving = false;
   bool ProbeRunning = false;
   bool ExitAsked = false;
--- a/packages/decision/src/SidecarReducer.cpp
+++ b/packages/decision/src/SidecarReducer.cpp
@@ -23,6 +23,7 @@
     this->cancelOrphans();
     this->releaseExpiredPrefixes();
     this->refuseLate();
+    this->giveUpSilentTarget();
     this->startNext();
     this->reportIfDue();
     this->exitIfDone();
@@ -87,6 +88,8 @@
   void operator()(const TargetProbed &Event) {
     this->State.ProbeRunning = false;
     const bool Changed = this->State.Healthy != Event.Alive;
+    if (this->State.Healthy && !Event.Alive)
+      this->State.UnhealthySince = this->State.Now;
     this->State.Healthy = Event.Alive;
     this->settleBroken(!Event.Alive);
     if (Event.Alive)
@@ -366,6 +369,20 @@
     }
   }
 
+  /// A target that hangs holds connections open without an answer. What may
+  /// be run again elsewhere does not wait for it.
+  void giveUpSilentTarget() {
+    const bool IsSilent = !this->State.Healthy &&
+                          this->State.Options.SilenceLimit <=
+                              this->State.Now - this->State.UnhealthySince;
+    if (!IsSilent)
+      return;
+    for (auto &[Id, Attempt] : this->State.Attempts) {
+      if (Attempt.Running && Attempt.Work.Idempotent)
+        this->cancel(Id, Attempt);
+    }
+  }
+
   void cancelOrphans() {
     std::vector<AttemptId> Waiting;
     for (auto &[Id, Attempt] : this->State.Attempts) {
--- a/packages/gateway/src/HttpGateway.cpp
+++ b/packages/gateway/src/HttpGateway.cpp
@@ -14,8 +14,11 @@
 namespace Http = Pistache::Http;
 
 constexpr std::size_t MaxResponseBytes = 256 * 1024 * 1024;
-constexpr std::chrono::seconds RequestTimeout{30};
-constexpr std::chrono::seconds KeepAliveTimeout{300};
+/// The library answers 408 by itself once this time has passed since the
+/// request began, also while its answer is being made: longer than any deadline
+/// that a caller may set.
+constexpr std::chrono::seconds RequestTimeout{3700};
+constexpr std::chrono::seconds KeepAliveTimeout{3700};
 
 } // namespace
 
--- /dev/null
+++ b/tests/integration/SilentTarget.cpp
@@ -0,0 +1,55 @@
+/// Targets that hang.
+#include "Site.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+#include <thread>
+
+using namespace tanagerlanding::test;
+
+TEST_CASE("SilentTarget: calls on a frozen engine are answered by another") {
+  Site Deployment(SiteOptions().withEngineCapacity(40));
+  std::vector<std::future<Response>> Callers;
+  for (unsigned Number = 0; Number < 12; ++Number)
+    Callers.push_back(std::async(std::launch::async, [&, Number] {
+      const Program Own{"log-" + std::to_string(Number)};
+      // Less than the call's own deadline of a minute.
+      Request Asked =
+          chatRequest(Deployment.http(Number % 3), Own, "tokens=60", "k1");
+      Asked.Timeout = std::chrono::seconds(40);
+      return sendUntilTaken(Asked);
+    }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  Deployment.process("engine-0-target").signal(SIGSTOP);
+  for (auto &Each : Callers) {
+    const Response Got = Each.get();
+    INFO(Got.Body);
+    CHECK(Got.Status == 200);
+  }
+  Deployment.process("engine-0-target").signal(SIGCONT);
+}
+
+TEST_CASE("SilentTarget: a call that may not be repeated is not given up") {
+  Site Deployment(SiteOptions().withServices(1));
+  const Program Log{"log-1"};
+  auto Held = std::async(std::launch::async, [&] {
+    return send(serviceRequest(Deployment.http(0), Log, "/log?delay_ms=200",
+                               "find 1", "k1"));
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  Deployment.process("service-0-target").signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  Deployment.process("service-0-target").signal(SIGCONT);
+  CHECK(Held.get().Status == 200);
+  CHECK(Deployment.executions()["find 1"] == 1);
+}
+
+TEST_CASE("SilentTarget: an answer that takes over half a minute is whole") {
+  Site Deployment(SiteOptions().withServices(1));
+  Request Asked = serviceRequest(Deployment.http(0), Program{"log-1"},
+                                 "/log?delay_ms=33000", "find 1", "k1");
+  Asked.Timeout = std::chrono::seconds(50);
+  CHECK(send(Asked).Status == 200);
+}
