--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -1,6 +1,6 @@
 #include "tanagerlanding/daemon/EntryProcess.h"
 
-#include <nlohmann/json.hpp>
+#include "StatusReport.h"
 
 #include <future>
 
@@ -35,22 +35,6 @@
   return Options;
 }
 
-const char *nameOf(ShardPhase Phase) {
-  switch (Phase) {
-  case ShardPhase::Claiming:
-    return "claiming";
-  case ShardPhase::Sealing:
-    return "sealing";
-  case ShardPhase::Copying:
-    return "copying";
-  case ShardPhase::Confirming:
-    return "confirming";
-  case ShardPhase::Serving:
-    return "serving";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 /// Performs the effects of the entry's reducer, one overload for each.
@@ -357,23 +341,10 @@
 }
 
 std::string EntryProcess::programsText() {
-  using Json = nlohmann::json;
   const auto Answer = std::make_shared<std::promise<std::string>>();
   std::future<std::string> Text = Answer->get_future();
-  this->Loop.post([this, Answer] {
-    Json List = Json::array();
-    for (const auto &[Id, Shard] : this->State.Owned) {
-      for (const auto &[Program, Ledger] : Shard.Ledger)
-        List.push_back({{"program", Program.Value},
-                        {"team", Ledger.Team.Value},
-                        {"shard", Id.Value},
-                        {"calls", Ledger.CallsSpent},
-                        {"tokens", Ledger.TokensSpent.Value},
-                        {"reserved", Ledger.TokensReserved.Value},
-                        {"ended", Ledger.Ended}});
-    }
-    Answer->set_value(List.dump());
-  });
+  this->Loop.post(
+      [this, Answer] { Answer->set_value(describePrograms(this->State)); });
   if (Text.wait_for(QueryLimit) != std::future_status::ready)
     return "[]";
   return Text.get();
@@ -385,65 +356,16 @@
 }
 
 void EntryProcess::publishStatus() {
-  using Json = nlohmann::json;
-  Json Shards = Json::array();
-  std::size_t Unserved = 0;
-  for (std::uint32_t Number = 0; Number < this->State.Options.ShardCount;
-       ++Number) {
-    const auto Row = this->State.Table.find(ShardId(Number));
-    const bool IsServed = Row != this->State.Table.end() &&
-                          Row->second.Entry.Serving &&
-                          isOwnerLive(this->State, Row->second.Entry);
-    if (!IsServed)
-      ++Unserved;
-    if (Row == this->State.Table.end())
-      continue;
-    Json Item = {{"shard", Number},
-                 {"owner", Row->second.Entry.Owner.Value},
-                 {"epoch", Row->second.Entry.OwnerEpoch.Value},
-                 {"serving", IsServed}};
-    const auto Owned = this->State.Owned.find(ShardId(Number));
-    if (Owned != this->State.Owned.end()) {
-      Item["phase"] = nameOf(Owned->second.Phase);
-      Item["programs"] = Owned->second.Ledger.size();
-    }
-    Shards.push_back(Item);
-  }
-  Json Hosts = Json::array();
-  for (const auto &[Name, Host] : this->State.Accepted.Hosts) {
-    Json Item = {{"host", Name.Value}, {"zone", Host.Zone.Value}};
-    const auto Peer = this->State.Peers.find(Name);
-    const bool IsPeer = Peer != this->State.Peers.end();
-    const bool IsSelf = Name == this->State.Self;
-    Item["connected"] = IsSelf || (IsPeer && Peer->second.Connected);
-    Item["version"] = IsSelf   ? this->State.Accepted.Version.Value
-                      : IsPeer ? Peer->second.Version.Value
-                               : 0;
-    const auto Target = this->State.Targets.find(Name);
-    if (Target != this->State.Targets.end()) {
-      Item["healthy"] = Target->second.Healthy;
-      Item["leaving"] = Target->second.Leaving;
-      Item["running"] = Target->second.Running;
-      Item["queued"] = Target->second.Queued;
-    }
-    Hosts.push_back(Item);
-  }
-  const Json Whole = {{"host", this->State.Self.Value},
-                      {"version", this->State.Accepted.Version.Value},
-                      {"draining", this->State.Draining},
-                      {"unserved_shards", Unserved},
-                      {"requests", this->State.Requests.size()},
-                      {"platform_calls", this->Platform.callCount()},
-                      {"sent_bytes", this->Hub.sentBytes()},
-                      {"shards", Shards},
-                      {"hosts", Hosts}};
+  const std::string Described =
+      describeStatus(this->State, ProcessCounts{this->Platform.callCount(),
+                                                this->Hub.sentBytes()});
   this->Measured.set("platform_calls",
                      static_cast<double>(this->Platform.callCount()));
   this->Measured.set("control_sent_bytes",
                      static_cast<double>(this->Hub.sentBytes()));
   const std::lock_guard<std::mutex> Guard(this->StatusLock);
-  this->Status = Whole.dump(2);
-  this->Ready = !this->State.Draining && Unserved == 0;
+  this->Status = Described;
+  this->Ready = !this->State.Draining && countUnserved(this->State) == 0;
 }
 
 void EntryProcess::pollPlatform() {
--- a/packages/decision/src/CallAdmission.cpp
+++ b/packages/decision/src/CallAdmission.cpp
@@ -1,6 +1,7 @@
 #include "CallAdmission.h"
 
 #include "CallAttempts.h"
+#include "CallDeadlines.h"
 #include "Durability.h"
 #include "Membership.h"
 #include "Ownership.h"
--- a/packages/decision/src/CallAttempts.cpp
+++ b/packages/decision/src/CallAttempts.cpp
@@ -1,172 +1,18 @@
 #include "CallAttempts.h"
 
 #include "CallAdmission.h"
+#include "CallLines.h"
 #include "Durability.h"
-#include "Ownership.h"
 #include "Prefixes.h"
 #include "Quarantine.h"
 #include "Routing.h"
 
 #include <algorithm>
-#include <cmath>
-#include <random>
 
 namespace tanagerlanding {
 
 namespace {
 
-/// Weight of the newest sample in a target's average time.
-constexpr double AverageWeight = 0.1;
-
-/// A line with all that it belongs to. Line is null where there is none.
-struct LineView {
-  OwnedShard *Shard = nullptr;
-  ProgramLedger *Ledger = nullptr;
-  AgentLine *Line = nullptr;
-  LineRef Ref;
-
-  bool hasActive() const { return this->Line && this->Line->Active; }
-  ActiveCall &active() const { return *this->Line->Active; }
-};
-
-LineView findLine(EntryContext &Context, const LineRef &Ref) {
-  LineView View;
-  View.Ref = Ref;
-  const auto Shard = Context.State.Owned.find(Ref.Shard);
-  if (Shard == Context.State.Owned.end())
-    return View;
-  View.Shard = &Shard->second;
-  const auto Ledger = View.Shard->Ledger.find(Ref.Program);
-  const auto Runtime = View.Shard->Programs.find(Ref.Program);
-  if (Ledger == View.Shard->Ledger.end() ||
-      Runtime == View.Shard->Programs.end())
-    return View;
-  View.Ledger = &Ledger->second;
-  const auto Line = Runtime->second.Lines.find(Ref.Agent);
-  if (Line != Runtime->second.Lines.end())
-    View.Line = &Line->second;
-  return View;
-}
-
-/// Returns the line whose active call's present attempt is Id; without an
-/// active call where there is none.
-LineView findAttempt(EntryContext &Context, const AttemptId &Id) {
-  const auto Shard = Context.State.Owned.find(Id.Shard);
-  if (Shard == Context.State.Owned.end())
-    return LineView();
-  const auto Found = Shard->second.Attempts.find(Id);
-  if (Found == Shard->second.Attempts.end())
-    return LineView();
-  LineView View = findLine(
-      Context, LineRef{Id.Shard, Found->second.first, Found->second.second});
-  if (!View.hasActive() || !(View.active().Attempt == Id))
-    return LineView();
-  return View;
-}
-
-void setPhase(EntryContext &Context, ActiveCall &Active, CallPhase Phase) {
-  Active.Phase = Phase;
-  Active.PhaseSince = Context.now();
-}
-
-} // namespace
-
-void leaveTarget(EntryState &State, ActiveCall &Active) {
-  if (!Active.IsOutstanding)
-    return;
-  Active.IsOutstanding = false;
-  --State.Targets[Active.Target].OwnOutstanding;
-}
-
-namespace {
-
-/// Ends the active call of a line, whose waiters have their answers.
-void closeCall(EntryContext &Context, const LineView &View) {
-  ActiveCall &Active = View.active();
-  View.Shard->Attempts.erase(Active.Attempt);
-  leaveTarget(Context.State, Active);
-  const Milliseconds Took = Context.now() - Active.Ticket.Arrived;
-  Context.Effects.push_back(
-      RecordSpan{Active.Ticket.Asked.TraceParent,
-                 "owner.call",
-                 Took,
-                 {{"program", View.Ref.Program.Value},
-                  {"key", Active.Ticket.Asked.Key.Value},
-                  {"tries", std::to_string(Active.Tries)}}});
-  View.Line->Active.reset();
-  View.Line->LastFinished = Context.now();
-  holdPrefix(Context, *View.Ledger, *View.Line, View.Ref);
-  startNextCall(Context, *View.Shard, View.Ref);
-}
-
-/// Gives the active call up and says so at once.
-void failCall(EntryContext &Context, const LineView &View, CallError Code,
-              bool MayRetry, const char *Detail) {
-  const CallFailure Failure =
-      refusal(Context, Code, View.active().Worst, MayRetry, Detail);
-  answerWaiters(Context, View.active().Ticket.Waiters, Failure);
-  closeCall(Context, View);
-}
-
-/// Ends a call that may have run and must not run again.
-void finishUnknown(EntryContext &Context, const LineView &View) {
-  ActiveCall &Active = View.active();
-  const CallFailure Failure =
-      refusal(Context, CallError::TargetFailed, Execution::Unknown, false,
-              "the call may or may not have run, and is not repeated");
-  setPhase(Context, Active, CallPhase::Finishing);
-  TokenCount Charged;
-  const auto Intent = View.Ledger->OpenIntents.find(Active.Attempt);
-  if (Intent != View.Ledger->OpenIntents.end())
-    Charged = Intent->second.Reserved;
-  appendRecord(
-      Context, *View.Shard, View.Ref.Shard,
-      CallFinished{View.Ref.Program, Active.Attempt, Failure, Charged, {}},
-      PublishAnswer{View.Ref.Program, View.Ref.Agent});
-}
-
-void releaseAttempt(EntryContext &Context, const LineView &View,
-                    Execution Ran) {
-  ActiveCall &Active = View.active();
-  AttemptReleased Release{View.Ref.Program, Active.Attempt, TokenCount(),
-                          Ran != Execution::NotRun};
-  const auto Intent = View.Ledger->OpenIntents.find(Active.Attempt);
-  if (Release.Ran && Intent != View.Ledger->OpenIntents.end())
-    Release.Charged = Intent->second.Reserved;
-  leaveTarget(Context.State, Active);
-  View.Shard->Attempts.erase(Active.Attempt);
-  appendRecord(Context, *View.Shard, View.Ref.Shard, Release, std::monostate());
-}
-
-Milliseconds backoff(EntryContext &Context, std::uint32_t Tries) {
-  const double Longest =
-      static_cast<double>(Context.State.Options.BackoffBase.count()) *
-      std::pow(2.0, Tries);
-  std::uniform_real_distribution<double> Jitter(0.5, 1.0);
-  return Milliseconds(
-      static_cast<std::int64_t>(Longest * Jitter(Context.State.Random)));
-}
-
-/// Tries the call again later, or gives it up.
-void retryOrFail(EntryContext &Context, const LineView &View) {
-  ActiveCall &Active = View.active();
-  EntryState &State = Context.State;
-  const bool HasWaiters = !Active.Ticket.Waiters.empty();
-  const bool MayTry = HasWaiters && Active.Tries < State.Options.TriesPerCall &&
-                      State.RetryCredit >= 1 &&
-                      Context.now() < Active.Ticket.Deadline;
-  if (!MayTry) {
-    failCall(Context, View, Active.LastError, true,
-             "no target could run the call");
-    return;
-  }
-  State.RetryCredit -= 1;
-  Context.count("retries_total", toString(Active.LastError));
-  setPhase(Context, Active, CallPhase::Waiting);
-  Active.RetryAt = Context.now() + backoff(Context, Active.Tries);
-  State.Due.emplace(Active.RetryAt, View.Ref);
-}
-
 std::string joinMessages(const std::string &History, const std::string &Fresh) {
   return History.empty() ? Fresh : History + "," + Fresh;
 }
@@ -230,7 +76,8 @@
   return Asked.Kind != CallKind::Chat || TokenCount() < Ledger.tokensLeft();
 }
 
-/// Tries the active call of a line, or says why it can't be run.
+} // namespace
+
 void tryCall(EntryContext &Context, const LineView &View) {
   ActiveCall &Active = View.active();
   const Call &Asked = Active.Ticket.Asked;
@@ -272,160 +119,6 @@
   recordIntent(Context, View, *Choice.Target);
 }
 
-/// An attempt ended, and whether it ran can't be told.
-void handleUnknownOutcome(EntryContext &Context, const LineView &View,
-                          bool TargetCrashed) {
-  ActiveCall &Active = View.active();
-  if (TargetCrashed)
-    noteCrash(Context, Active.Content, Active.Isolated);
-  if (!Active.Ticket.Asked.Idempotent) {
-    finishUnknown(Context, View);
-    return;
-  }
-  releaseAttempt(Context, View, Execution::Unknown);
-  Active.Worst = Execution::Unknown;
-  Active.LastError = CallError::TargetFailed;
-  if (Active.HasStreamed)
-    failCall(Context, View, CallError::StreamCut, true,
-             "the answer was cut off by its target");
-  else
-    retryOrFail(Context, View);
-}
-
-void handleRan(EntryContext &Context, const LineView &View,
-               const AttemptFinished &Finished) {
-  ActiveCall &Active = View.active();
-  if (Active.Isolated)
-    clearSuspicion(Context, Active.Content);
-  TargetView &Target = Context.State.Targets[Active.Target];
-  const auto Took =
-      static_cast<double>((Context.now() - Active.DispatchedAt).count());
-  if (!Active.IsInherited)
-    Target.AverageMillis += AverageWeight * (Took - Target.AverageMillis);
-  leaveTarget(Context.State, Active);
-  setPhase(Context, Active, CallPhase::Finishing);
-  appendRecord(Context, *View.Shard, View.Ref.Shard,
-               CallFinished{View.Ref.Program, Active.Attempt, Finished.Answer,
-                            Finished.Generated, Finished.HistoryMessage},
-               PublishAnswer{View.Ref.Program, View.Ref.Agent});
-}
-
-/// Answers the waiters of a running call whose deadline has passed. What may
-/// not be repeated goes on, and its outcome is kept for a repeat.
-void handleLateCall(EntryContext &Context, ActiveCall &Active) {
-  const CallFailure Failure =
-      refusal(Context, CallError::DeadlinePassed, Execution::Unknown, true,
-              "the call is still running; repeat with the same key");
-  answerWaiters(Context, Active.Ticket.Waiters, Failure);
-  Active.Ticket.Waiters.clear();
-  cancelIfUnwanted(Context, Active);
-}
-
-void wakeActive(EntryContext &Context, const LineView &View) {
-  ActiveCall &Active = View.active();
-  const bool IsLate = Active.Ticket.Deadline <= Context.now();
-  switch (Active.Phase) {
-  case CallPhase::Waiting:
-    if (Active.RetryAt <= Context.now() || IsLate)
-      tryCall(Context, View);
-    return;
-  case CallPhase::Running:
-    if (IsLate)
-      handleLateCall(Context, Active);
-    return;
-  case CallPhase::Resolving:
-    if (Context.now() - Active.PhaseSince >= Context.State.Options.ResolveLimit)
-      handleUnknownOutcome(Context, View, false);
-    return;
-  case CallPhase::Recording:
-  case CallPhase::Finishing:
-    if (IsLate)
-      handleLateCall(Context, Active);
-    return;
-  }
-}
-
-void refuseLateTickets(EntryContext &Context, AgentLine &Line) {
-  const CallFailure Failure =
-      refusal(Context, CallError::DeadlinePassed, Execution::NotRun, false,
-              "the call's deadline passed before its turn came");
-  for (auto Ticket = Line.Queue.begin(); Ticket != Line.Queue.end();) {
-    if (Context.now() < Ticket->Deadline) {
-      ++Ticket;
-      continue;
-    }
-    answerWaiters(Context, Ticket->Waiters, Failure);
-    Ticket = Line.Queue.erase(Ticket);
-  }
-}
-
-/// Ends a program that has been silent for too long, and forgets one that
-/// ended long ago.
-void wakeProgram(EntryContext &Context, OwnedShard &Shard, ShardId Id,
-                 const ProgramId &Program) {
-  const auto Ledger = Shard.Ledger.find(Program);
-  const auto Runtime = Shard.Programs.find(Program);
-  if (Ledger == Shard.Ledger.end() || Runtime == Shard.Programs.end())
-    return;
-  const EntryOptions &Options = Context.State.Options;
-  const Milliseconds Limit =
-      Ledger->second.Ended ? Options.EndedRetention : Options.ProgramIdleLimit;
-  const bool IsBusy = std::any_of(
-      Runtime->second.Lines.begin(), Runtime->second.Lines.end(),
-      [](const auto &Item) { return Item.second.Active.has_value(); });
-  if (IsBusy || Context.now() < Runtime->second.LastUsed + Limit) {
-    watchProgram(Context, Id, Program);
-    return;
-  }
-  if (Ledger->second.Ended) {
-    Shard.Ledger.erase(Ledger);
-    Shard.Programs.erase(Runtime);
-    return;
-  }
-  cancelProgram(Context, Shard, Id, Program);
-  appendRecord(Context, Shard, Id, ProgramEnded{Program}, std::monostate());
-  Runtime->second.LastUsed = Context.now();
-  watchProgram(Context, Id, Program);
-}
-
-void wakeLine(EntryContext &Context, const LineRef &Ref) {
-  const LineView View = findLine(Context, Ref);
-  if (!View.Shard || !View.Shard->HasOwnLedger)
-    return;
-  if (Ref.Agent.Value.empty()) {
-    wakeProgram(Context, *View.Shard, Ref.Shard, Ref.Program);
-    return;
-  }
-  if (!View.Line)
-    return;
-  refuseLateTickets(Context, *View.Line);
-  if (View.hasActive())
-    wakeActive(Context, View);
-  else
-    releaseIdlePrefix(Context, *View.Ledger, *View.Line, Ref);
-}
-
-/// Calls Visit for each line of this entry's shards with an active call.
-template <typename Visitor>
-void forEachActive(EntryContext &Context, Visitor Visit) {
-  std::vector<LineRef> Lines;
-  for (const auto &[Id, Shard] : Context.State.Owned) {
-    for (const auto &[Program, Runtime] : Shard.Programs) {
-      for (const auto &[Agent, Line] : Runtime.Lines) {
-        if (Line.Active)
-          Lines.push_back(LineRef{Id, Program, Agent});
-      }
-    }
-  }
-  for (const LineRef &Ref : Lines) {
-    const LineView View = findLine(Context, Ref);
-    if (View.hasActive())
-      Visit(View);
-  }
-}
-
-} // namespace
-
 void startNextCall(EntryContext &Context, OwnedShard &Shard,
                    const LineRef &Ref) {
   const LineView View = findLine(Context, Ref);
@@ -499,120 +192,6 @@
   closeCall(Context, View);
 }
 
-void handleRefused(EntryContext &Context, const AttemptRefused &Refused) {
-  const LineView View = findAttempt(Context, Refused.Attempt);
-  if (!View.hasActive())
-    return;
-  ActiveCall &Active = View.active();
-  if (Active.Phase != CallPhase::Running &&
-      Active.Phase != CallPhase::Resolving)
-    return;
-  releaseAttempt(Context, View, Execution::NotRun);
-  Active.LastError = Refused.Reason;
-  retryOrFail(Context, View);
-}
-
-void handleChunk(EntryContext &Context, const AttemptChunk &Chunk) {
-  const LineView View = findAttempt(Context, Chunk.Attempt);
-  if (!View.hasActive() || View.active().Phase != CallPhase::Running)
-    return;
-  View.active().HasStreamed = true;
-  streamToWaiters(Context, View.active().Ticket.Waiters, Chunk.Bytes);
-}
-
-void handleFinished(EntryContext &Context, const AttemptFinished &Finished) {
-  const LineView View = findAttempt(Context, Finished.Attempt);
-  if (!View.hasActive()) {
-    Context.count("late_outcomes_total", "unknown_attempt");
-    return;
-  }
-  const CallPhase Phase = View.active().Phase;
-  if (Phase != CallPhase::Running && Phase != CallPhase::Resolving)
-    return;
-  if (Finished.Ran == Execution::Ran)
-    handleRan(Context, View, Finished);
-  else
-    handleUnknownOutcome(Context, View, Finished.TargetCrashed);
-}
-
-void suspendAttemptsAt(EntryContext &Context, const HostId &Host) {
-  forEachActive(Context, [&](const LineView &View) {
-    ActiveCall &Active = View.active();
-    if (Active.Target != Host || Active.Phase != CallPhase::Running)
-      return;
-    if (Active.Ticket.Asked.Idempotent) {
-      handleUnknownOutcome(Context, View, false);
-      return;
-    }
-    setPhase(Context, Active, CallPhase::Resolving);
-    Context.State.Due.emplace(
-        Context.now() + Context.State.Options.ResolveLimit, View.Ref);
-  });
-}
-
-void resolveAttemptsAt(EntryContext &Context, const HostId &Host,
-                       const InstanceId &Instance) {
-  forEachActive(Context, [&](const LineView &View) {
-    ActiveCall &Active = View.active();
-    if (Active.Target != Host || Active.Phase != CallPhase::Resolving)
-      return;
-    if (Active.SidecarInstance == Instance)
-      Context.send(Host,
-                   QueryAttempt{Active.Attempt, View.Shard->Entry.OwnerEpoch});
-    else
-      handleUnknownOutcome(Context, View, false);
-  });
-}
-
-void adoptPrograms(EntryContext &Context, OwnedShard &Shard, ShardId Id) {
-  for (const auto &[Program, Ledger] : Shard.Ledger) {
-    const auto [Found, IsNew] =
-        Shard.Programs.emplace(Program, ProgramRuntime());
-    if (!IsNew)
-      continue;
-    Found->second.LastUsed = Context.now();
-    watchProgram(Context, Id, Program);
-    for (const auto &[Agent, History] : Ledger.Agents) {
-      AgentLine &Line = Found->second.Lines[Agent];
-      Line.LastFinished = Context.now();
-      Line.PrefixReleased = History.LastTarget.Value.empty();
-      holdPrefix(Context, Ledger, Line, LineRef{Id, Program, Agent});
-    }
-  }
-}
-
-void adoptOpenIntents(EntryContext &Context, OwnedShard &Shard, ShardId Id) {
-  for (const auto &[Program, Ledger] : Shard.Ledger) {
-    for (const auto &[Attempt, Intent] : Ledger.OpenIntents) {
-      if (Shard.Attempts.count(Attempt) > 0)
-        continue;
-      const Call &Asked = Intent.Asked;
-      AgentLine &Line = Shard.Programs[Program].Lines[Asked.Agent];
-      ActiveCall Active;
-      Active.Ticket.Asked = Asked;
-      Active.Ticket.Arrived = Context.now();
-      Active.Ticket.Deadline = Context.now() + Asked.Deadline;
-      Active.Attempt = Attempt;
-      Active.Target = Intent.Target;
-      Active.SidecarInstance = Intent.SidecarInstance;
-      Active.IsInherited = true;
-      Active.Tries = 1;
-      setPhase(Context, Active, CallPhase::Resolving);
-      Line.Active = std::move(Active);
-      const LineRef Ref{Id, Program, Asked.Agent};
-      Shard.Attempts[Attempt] = {Program, Asked.Agent};
-      Context.State.Due.emplace(
-          Context.now() + Context.State.Options.ResolveLimit, Ref);
-    }
-  }
-  // Copies: an answer may change the peers while they are visited.
-  const std::map<HostId, PeerView> Peers = Context.State.Peers;
-  for (const auto &[Host, Peer] : Peers) {
-    if (Peer.Connected)
-      resolveAttemptsAt(Context, Host, Peer.Instance);
-  }
-}
-
 void refuseUndurable(EntryContext &Context, OwnedShard &Shard, ShardId Id) {
   const CallFailure Failure =
       refusal(Context, CallError::NotDurable, Execution::NotRun, true,
@@ -635,23 +214,6 @@
   }
 }
 
-void wakeDueLines(EntryContext &Context) {
-  auto &Due = Context.State.Due;
-  while (!Due.empty() && Due.begin()->first <= Context.now()) {
-    const LineRef Ref = Due.begin()->second;
-    Due.erase(Due.begin());
-    wakeLine(Context, Ref);
-  }
-}
-
-void watchProgram(EntryContext &Context, ShardId Id, const ProgramId &Program) {
-  const EntryOptions &Options = Context.State.Options;
-  const Milliseconds Pause =
-      std::min(Options.ProgramIdleLimit, Options.EndedRetention);
-  Context.State.Due.emplace(Context.now() + Pause,
-                            LineRef{Id, Program, AgentId()});
-}
-
 void cancelIfUnwanted(EntryContext &Context, ActiveCall &Active) {
   const bool IsUnwanted =
       Active.Ticket.Waiters.empty() && Active.Ticket.Asked.Idempotent;
--- /dev/null
+++ b/packages/decision/src/CallLines.cpp
@@ -0,0 +1,146 @@
+#include "CallLines.h"
+
+#include "CallAdmission.h"
+#include "CallAttempts.h"
+#include "Durability.h"
+#include "Prefixes.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace tanagerlanding {
+
+namespace {
+
+Milliseconds backoff(EntryContext &Context, std::uint32_t Tries) {
+  const double Longest =
+      static_cast<double>(Context.State.Options.BackoffBase.count()) *
+      std::pow(2.0, Tries);
+  std::uniform_real_distribution<double> Jitter(0.5, 1.0);
+  return Milliseconds(
+      static_cast<std::int64_t>(Longest * Jitter(Context.State.Random)));
+}
+
+} // namespace
+
+LineView findLine(EntryContext &Context, const LineRef &Ref) {
+  LineView View;
+  View.Ref = Ref;
+  const auto Shard = Context.State.Owned.find(Ref.Shard);
+  if (Shard == Context.State.Owned.end())
+    return View;
+  View.Shard = &Shard->second;
+  const auto Ledger = View.Shard->Ledger.find(Ref.Program);
+  const auto Runtime = View.Shard->Programs.find(Ref.Program);
+  if (Ledger == View.Shard->Ledger.end() ||
+      Runtime == View.Shard->Programs.end())
+    return View;
+  View.Ledger = &Ledger->second;
+  const auto Line = Runtime->second.Lines.find(Ref.Agent);
+  if (Line != Runtime->second.Lines.end())
+    View.Line = &Line->second;
+  return View;
+}
+
+LineView findAttempt(EntryContext &Context, const AttemptId &Id) {
+  const auto Shard = Context.State.Owned.find(Id.Shard);
+  if (Shard == Context.State.Owned.end())
+    return LineView();
+  const auto Found = Shard->second.Attempts.find(Id);
+  if (Found == Shard->second.Attempts.end())
+    return LineView();
+  LineView View = findLine(
+      Context, LineRef{Id.Shard, Found->second.first, Found->second.second});
+  if (!View.hasActive() || !(View.active().Attempt == Id))
+    return LineView();
+  return View;
+}
+
+void setPhase(EntryContext &Context, ActiveCall &Active, CallPhase Phase) {
+  Active.Phase = Phase;
+  Active.PhaseSince = Context.now();
+}
+
+void leaveTarget(EntryState &State, ActiveCall &Active) {
+  if (!Active.IsOutstanding)
+    return;
+  Active.IsOutstanding = false;
+  --State.Targets[Active.Target].OwnOutstanding;
+}
+
+void closeCall(EntryContext &Context, const LineView &View) {
+  ActiveCall &Active = View.active();
+  View.Shard->Attempts.erase(Active.Attempt);
+  leaveTarget(Context.State, Active);
+  const Milliseconds Took = Context.now() - Active.Ticket.Arrived;
+  Context.Effects.push_back(
+      RecordSpan{Active.Ticket.Asked.TraceParent,
+                 "owner.call",
+                 Took,
+                 {{"program", View.Ref.Program.Value},
+                  {"key", Active.Ticket.Asked.Key.Value},
+                  {"tries", std::to_string(Active.Tries)}}});
+  View.Line->Active.reset();
+  View.Line->LastFinished = Context.now();
+  holdPrefix(Context, *View.Ledger, *View.Line, View.Ref);
+  startNextCall(Context, *View.Shard, View.Ref);
+}
+
+void failCall(EntryContext &Context, const LineView &View, CallError Code,
+              bool MayRetry, const char *Detail) {
+  const CallFailure Failure =
+      refusal(Context, Code, View.active().Worst, MayRetry, Detail);
+  answerWaiters(Context, View.active().Ticket.Waiters, Failure);
+  closeCall(Context, View);
+}
+
+void finishUnknown(EntryContext &Context, const LineView &View) {
+  ActiveCall &Active = View.active();
+  const CallFailure Failure =
+      refusal(Context, CallError::TargetFailed, Execution::Unknown, false,
+              "the call may or may not have run, and is not repeated");
+  setPhase(Context, Active, CallPhase::Finishing);
+  TokenCount Charged;
+  const auto Intent = View.Ledger->OpenIntents.find(Active.Attempt);
+  if (Intent != View.Ledger->OpenIntents.end())
+    Charged = Intent->second.Reserved;
+  appendRecord(
+      Context, *View.Shard, View.Ref.Shard,
+      CallFinished{View.Ref.Program, Active.Attempt, Failure, Charged, {}},
+      PublishAnswer{View.Ref.Program, View.Ref.Agent});
+}
+
+void releaseAttempt(EntryContext &Context, const LineView &View,
+                    Execution Ran) {
+  ActiveCall &Active = View.active();
+  AttemptReleased Release{View.Ref.Program, Active.Attempt, TokenCount(),
+                          Ran != Execution::NotRun};
+  const auto Intent = View.Ledger->OpenIntents.find(Active.Attempt);
+  if (Release.Ran && Intent != View.Ledger->OpenIntents.end())
+    Release.Charged = Intent->second.Reserved;
+  leaveTarget(Context.State, Active);
+  View.Shard->Attempts.erase(Active.Attempt);
+  appendRecord(Context, *View.Shard, View.Ref.Shard, Release, std::monostate());
+}
+
+void retryOrFail(EntryContext &Context, const LineView &View) {
+  ActiveCall &Active = View.active();
+  EntryState &State = Context.State;
+  const bool HasWaiters = !Active.Ticket.Waiters.empty();
+  const bool MayTry = HasWaiters && Active.Tries < State.Options.TriesPerCall &&
+                      State.RetryCredit >= 1 &&
+                      Context.now() < Active.Ticket.Deadline;
+  if (!MayTry) {
+    failCall(Context, View, Active.LastError, true,
+             "no target could run the call");
+    return;
+  }
+  State.RetryCredit -= 1;
+  Context.count("retries_total", toString(Active.LastError));
+  setPhase(Context, Active, CallPhase::Waiting);
+  Active.RetryAt = Context.now() + backoff(Context, Active.Tries);
+  State.Due.emplace(Active.RetryAt, View.Ref);
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/CallOutcomes.cpp
@@ -0,0 +1,171 @@
+#include "CallOutcomes.h"
+
+#include "CallAdmission.h"
+#include "CallAttempts.h"
+#include "CallLines.h"
+#include "Durability.h"
+#include "Quarantine.h"
+
+namespace tanagerlanding {
+
+namespace {
+
+/// Weight of the newest sample in a target's average time.
+constexpr double AverageWeight = 0.1;
+
+void handleRan(EntryContext &Context, const LineView &View,
+               const AttemptFinished &Finished) {
+  ActiveCall &Active = View.active();
+  if (Active.Isolated)
+    clearSuspicion(Context, Active.Content);
+  TargetView &Target = Context.State.Targets[Active.Target];
+  const auto Took =
+      static_cast<double>((Context.now() - Active.DispatchedAt).count());
+  if (!Active.IsInherited)
+    Target.AverageMillis += AverageWeight * (Took - Target.AverageMillis);
+  leaveTarget(Context.State, Active);
+  setPhase(Context, Active, CallPhase::Finishing);
+  appendRecord(Context, *View.Shard, View.Ref.Shard,
+               CallFinished{View.Ref.Program, Active.Attempt, Finished.Answer,
+                            Finished.Generated, Finished.HistoryMessage},
+               PublishAnswer{View.Ref.Program, View.Ref.Agent});
+}
+
+/// Calls Visit for each line of this entry's shards with an active call.
+template <typename Visitor>
+void forEachActive(EntryContext &Context, Visitor Visit) {
+  std::vector<LineRef> Lines;
+  for (const auto &[Id, Shard] : Context.State.Owned) {
+    for (const auto &[Program, Runtime] : Shard.Programs) {
+      for (const auto &[Agent, Line] : Runtime.Lines) {
+        if (Line.Active)
+          Lines.push_back(LineRef{Id, Program, Agent});
+      }
+    }
+  }
+  for (const LineRef &Ref : Lines) {
+    const LineView View = findLine(Context, Ref);
+    if (View.hasActive())
+      Visit(View);
+  }
+}
+
+} // namespace
+
+void handleUnknownOutcome(EntryContext &Context, const LineView &View,
+                          bool TargetCrashed) {
+  ActiveCall &Active = View.active();
+  if (TargetCrashed)
+    noteCrash(Context, Active.Content, Active.Isolated);
+  if (!Active.Ticket.Asked.Idempotent) {
+    finishUnknown(Context, View);
+    return;
+  }
+  releaseAttempt(Context, View, Execution::Unknown);
+  Active.Worst = Execution::Unknown;
+  Active.LastError = CallError::TargetFailed;
+  if (Active.HasStreamed)
+    failCall(Context, View, CallError::StreamCut, true,
+             "the answer was cut off by its target");
+  else
+    retryOrFail(Context, View);
+}
+
+void handleRefused(EntryContext &Context, const AttemptRefused &Refused) {
+  const LineView View = findAttempt(Context, Refused.Attempt);
+  if (!View.hasActive())
+    return;
+  ActiveCall &Active = View.active();
+  if (Active.Phase != CallPhase::Running &&
+      Active.Phase != CallPhase::Resolving)
+    return;
+  releaseAttempt(Context, View, Execution::NotRun);
+  Active.LastError = Refused.Reason;
+  retryOrFail(Context, View);
+}
+
+void handleChunk(EntryContext &Context, const AttemptChunk &Chunk) {
+  const LineView View = findAttempt(Context, Chunk.Attempt);
+  if (!View.hasActive() || View.active().Phase != CallPhase::Running)
+    return;
+  View.active().HasStreamed = true;
+  streamToWaiters(Context, View.active().Ticket.Waiters, Chunk.Bytes);
+}
+
+void handleFinished(EntryContext &Context, const AttemptFinished &Finished) {
+  const LineView View = findAttempt(Context, Finished.Attempt);
+  if (!View.hasActive()) {
+    Context.count("late_outcomes_total", "unknown_attempt");
+    return;
+  }
+  const CallPhase Phase = View.active().Phase;
+  if (Phase != CallPhase::Running && Phase != CallPhase::Resolving)
+    return;
+  if (Finished.Ran == Execution::Ran)
+    handleRan(Context, View, Finished);
+  else
+    handleUnknownOutcome(Context, View, Finished.TargetCrashed);
+}
+
+void suspendAttemptsAt(EntryContext &Context, const HostId &Host) {
+  forEachActive(Context, [&](const LineView &View) {
+    ActiveCall &Active = View.active();
+    if (Active.Target != Host || Active.Phase != CallPhase::Running)
+      return;
+    if (Active.Ticket.Asked.Idempotent) {
+      handleUnknownOutcome(Context, View, false);
+      return;
+    }
+    setPhase(Context, Active, CallPhase::Resolving);
+    Context.State.Due.emplace(
+        Context.now() + Context.State.Options.ResolveLimit, View.Ref);
+  });
+}
+
+void resolveAttemptsAt(EntryContext &Context, const HostId &Host,
+                       const InstanceId &Instance) {
+  forEachActive(Context, [&](const LineView &View) {
+    ActiveCall &Active = View.active();
+    if (Active.Target != Host || Active.Phase != CallPhase::Resolving)
+      return;
+    if (Active.SidecarInstance == Instance)
+      Context.send(Host,
+                   QueryAttempt{Active.Attempt, View.Shard->Entry.OwnerEpoch});
+    else
+      handleUnknownOutcome(Context, View, false);
+  });
+}
+
+void adoptOpenIntents(EntryContext &Context, OwnedShard &Shard, ShardId Id) {
+  for (const auto &[Program, Ledger] : Shard.Ledger) {
+    for (const auto &[Attempt, Intent] : Ledger.OpenIntents) {
+      if (Shard.Attempts.count(Attempt) > 0)
+        continue;
+      const Call &Asked = Intent.Asked;
+      AgentLine &Line = Shard.Programs[Program].Lines[Asked.Agent];
+      ActiveCall Active;
+      Active.Ticket.Asked = Asked;
+      Active.Ticket.Arrived = Context.now();
+      Active.Ticket.Deadline = Context.now() + Asked.Deadline;
+      Active.Attempt = Attempt;
+      Active.Target = Intent.Target;
+      Active.SidecarInstance = Intent.SidecarInstance;
+      Active.IsInherited = true;
+      Active.Tries = 1;
+      setPhase(Context, Active, CallPhase::Resolving);
+      Line.Active = std::move(Active);
+      const LineRef Ref{Id, Program, Asked.Agent};
+      Shard.Attempts[Attempt] = {Program, Asked.Agent};
+      Context.State.Due.emplace(
+          Context.now() + Context.State.Options.ResolveLimit, Ref);
+    }
+  }
+  // Copies: an answer may change the peers while they are visited.
+  const std::map<HostId, PeerView> Peers = Context.State.Peers;
+  for (const auto &[Host, Peer] : Peers) {
+    if (Peer.Connected)
+      resolveAttemptsAt(Context, Host, Peer.Instance);
+  }
+}
+
+} // namespace tanagerlanding
--- a/packages/decision/src/EntryReducer.cpp
+++ b/packages/decision/src/EntryReducer.cpp
@@ -2,6 +2,8 @@
 
 #include "CallAdmission.h"
 #include "CallAttempts.h"
+#include "CallDeadlines.h"
+#include "CallOutcomes.h"
 #include "Draining.h"
 #include "Durability.h"
 #include "EntryContext.h"
--- a/packages/decision/src/Membership.cpp
+++ b/packages/decision/src/Membership.cpp
@@ -2,6 +2,7 @@
 
 #include "CallAdmission.h"
 #include "CallAttempts.h"
+#include "CallOutcomes.h"
 #include "Ownership.h"
 #include "Quarantine.h"
 #include "tanagerlanding/decision/SidecarReducer.h"
