--- a/tests/integration/Proof03History.cpp
+++ b/tests/integration/Proof03History.cpp
@@ -21,7 +21,9 @@
       : Deployment(Deployment), Own{std::move(Id)} {}
 
   /// Takes the next turn and checks it.
-  void takeTurn(unsigned Via) { CHECK(this->faultOfTurn(Via) == ""); }
+  void takeTurn(unsigned Via) {
+    CHECK_THAT(this->faultOfTurn(Via), Catch::Matchers::Equals(""));
+  }
 
   /// Takes the next turn through an entry, repeating it as long as it is
   /// refused. The engine tells how many messages it was given. Returns what
@@ -87,7 +89,7 @@
         std::async(std::launch::async, [&] { return Log.faultOfTurn(Via); });
     std::this_thread::sleep_for(std::chrono::milliseconds(8 * Round));
     Deployment.process(Site::entryName(Owner)).kill();
-    CHECK(Turn.get() == "");
+    CHECK_THAT(Turn.get(), Catch::Matchers::Equals(""));
     Deployment.restart(Site::entryName(Owner));
     REQUIRE(Deployment.awaitReady());
   }
@@ -201,7 +203,7 @@
       return Faults;
     }));
   for (auto &Each : Callers)
-    CHECK(Each.get() == "");
+    CHECK_THAT(Each.get(), Catch::Matchers::Equals(""));
 }
 
 TEST_CASE("Proof03: a doubled turn is answered once and the same") {
--- a/tests/integration/Proof04WholeAnswers.cpp
+++ b/tests/integration/Proof04WholeAnswers.cpp
@@ -59,7 +59,8 @@
 TEST_CASE("Proof04: 64 streams at once, with callers that vanish and return") {
   Site Deployment(SiteOptions().withEngineCapacity(40));
   const ChildProcess &Entry = Deployment.process("entry-0");
-  REQUIRE(streamMany(Deployment, 4, "warm")[0].get() == "");
+  REQUIRE_THAT(streamMany(Deployment, 4, "warm")[0].get(),
+               Catch::Matchers::Equals(""));
   const std::size_t Before = descriptorsOf(Entry);
 
   std::atomic<bool> IsOver{false};
@@ -77,7 +78,7 @@
     });
   auto Callers = streamMany(Deployment, 64, "stream");
   for (auto &Each : Callers)
-    CHECK(Each.get() == "");
+    CHECK_THAT(Each.get(), Catch::Matchers::Equals(""));
   IsOver = true;
   for (std::thread &Each : Vanishing)
     Each.join();
@@ -98,7 +99,7 @@
   for (int Round = 0; Round < 4; ++Round) {
     auto Callers = streamMany(Deployment, 24, "cut-" + std::to_string(Round));
     for (auto &Each : Callers)
-      CHECK(Each.get() == "");
+      CHECK_THAT(Each.get(), Catch::Matchers::Equals(""));
   }
   IsOver = true;
   Faults.join();
