Admit no repeat to a shard before its new owner serves it

A repeat that reached an entry between copying and confirming a takeover was put in line before the open intent of the old owner was adopted, and ran again after it. Ruled out: the fences (FencingTest), the intent being lost (sealed logs hold it), libcurl repeating the request (fresh connections). Change: calls wait in a shard only if this entry has served it; open intents are adopted as soon as the log is replayed; a call whose key got an answer while it waited gets that answer. Measured: TakeoverTest failed before (not_durable in place of not_owner), 38 assertions passed after; 150 random cases passed.

--- a/packages/decision/include/tanagerlanding/decision/EntryState.h
+++ b/packages/decision/include/tanagerlanding/decision/EntryState.h
@@ -197,6 +197,9 @@
   /// The row as this entry wants it.
   ShardEntry Entry;
   Instant PhaseSince;
+  /// Whether this entry has served it in any epoch; calls wait for the next
+  /// epoch only then.
+  bool HasServed = false;
   /// When it last stopped serving.
   Instant StoppedAt;
   /// Whether the ledger is this process's own and needs no sealing.
--- a/packages/decision/src/CallAttempts.cpp
+++ b/packages/decision/src/CallAttempts.cpp
@@ -125,9 +125,17 @@
   if (!View.Line || View.Line->Active || View.Line->Queue.empty() ||
       Shard.Phase != ShardPhase::Serving)
     return;
-  ActiveCall Active;
-  Active.Ticket = std::move(View.Line->Queue.front());
+  CallTicket Ticket = std::move(View.Line->Queue.front());
   View.Line->Queue.pop_front();
+  const auto Stored = View.Ledger->Answers.find(Ticket.Asked.Key);
+  if (Stored != View.Ledger->Answers.end()) {
+    // Its key got an answer while it waited.
+    answerWaiters(Context, Ticket.Waiters, Stored->second.Answer);
+    startNextCall(Context, Shard, Ref);
+    return;
+  }
+  ActiveCall Active;
+  Active.Ticket = std::move(Ticket);
   View.Line->Active = std::move(Active);
   tryCall(Context, View);
 }
--- a/packages/decision/src/Ownership.cpp
+++ b/packages/decision/src/Ownership.cpp
@@ -148,6 +148,7 @@
 
 void handleServing(EntryContext &Context, OwnedShard &Shard, ShardId Id) {
   setPhase(Context, Shard, ShardPhase::Serving);
+  Shard.HasServed = true;
   Context.log("shard_serving",
               {{"shard", std::to_string(Id.Value)},
                {"epoch", std::to_string(Shard.Entry.OwnerEpoch.Value)},
@@ -282,7 +283,7 @@
 
 OwnedShard *findUsable(EntryState &State, ShardId Id) {
   const auto Found = State.Owned.find(Id);
-  if (Found == State.Owned.end() || !Found->second.HasOwnLedger)
+  if (Found == State.Owned.end() || !Found->second.HasServed)
     return nullptr;
   return &Found->second;
 }
@@ -350,6 +351,9 @@
     applyRecord(Shard.Ledger, Content);
   Shard.Sealed.clear();
   startCopy(Context, Shard, Answer.Shard);
+  // Before any repeat is admitted: it must find the call that is open.
+  adoptPrograms(Context, Shard, Answer.Shard);
+  adoptOpenIntents(Context, Shard, Answer.Shard);
 }
 
 void handleRejected(EntryContext &Context, const AppendRejected &Answer) {
