Ask in one place whether a host is an entry

Cause: the inventory look-up for the role stood three times (membership, quarantine, draining), and PeerView.DownSince was written but never read. Change: isEntryHost is public in Membership and used by all three; the unread field is gone. No behaviour was changed. Looked at and left: the reading of settings and workload files (NodeSettings, Workload), and the printing of faults in the two programs, which stand twice.

--- a/packages/decision/include/tanagerlanding/decision/EntryState.h
+++ b/packages/decision/include/tanagerlanding/decision/EntryState.h
@@ -224,8 +224,6 @@
   std::optional<HolderId> Holder;
   ConfigVersion Version;
   Instant LastHeard;
-  /// When it was found to be down.
-  Instant DownSince;
   bool Leaving = false;
 };
 
--- a/packages/decision/src/Draining.cpp
+++ b/packages/decision/src/Draining.cpp
@@ -1,5 +1,6 @@
 #include "Draining.h"
 
+#include "Membership.h"
 #include "Ownership.h"
 
 #include <algorithm>
@@ -43,10 +44,8 @@
   return std::any_of(State.Peers.begin(), State.Peers.end(),
                      [&](const auto &Item) {
                        const PeerView &Peer = Item.second;
-                       const auto Spec = State.Accepted.Hosts.find(Item.first);
                        return Peer.Connected && !Peer.Leaving &&
-                              Spec != State.Accepted.Hosts.end() &&
-                              Spec->second.Role == HostRole::Entry;
+                              isEntryHost(State, Item.first);
                      });
 }
 
--- a/packages/decision/src/Membership.cpp
+++ b/packages/decision/src/Membership.cpp
@@ -19,12 +19,6 @@
          Spec->second.Role == HostRole::Target;
 }
 
-bool isEntryHost(const EntryState &State, const HostId &Host) {
-  const auto Spec = State.Accepted.Hosts.find(Host);
-  return Spec != State.Accepted.Hosts.end() &&
-         Spec->second.Role == HostRole::Entry;
-}
-
 void indexTargets(EntryState &State) {
   State.TargetsByService.clear();
   for (const auto &[Name, Host] : State.Accepted.Hosts) {
@@ -60,6 +54,12 @@
   }
 }
 
+bool isEntryHost(const EntryState &State, const HostId &Host) {
+  const auto Spec = State.Accepted.Hosts.find(Host);
+  return Spec != State.Accepted.Hosts.end() &&
+         Spec->second.Role == HostRole::Entry;
+}
+
 bool isEntryLive(const EntryState &State, const HostId &Host) {
   const auto Found = State.Peers.find(Host);
   if (Found == State.Peers.end() || !isEntryHost(State, Host))
@@ -96,7 +96,6 @@
                             const PeerDisconnected &Event) {
   PeerView &Peer = Context.State.Peers[Event.Host];
   Peer.Connected = false;
-  Peer.DownSince = Context.now();
   Context.log("peer_disconnected", {{"host", Event.Host.Value}});
   if (isEntryHost(Context.State, Event.Host)) {
     failForwarded(Context, Event.Host);
--- a/packages/decision/src/Membership.h
+++ b/packages/decision/src/Membership.h
@@ -30,6 +30,9 @@
 void handleLoad(EntryContext &Context, const HostId &Host,
                 const LoadReport &Report);
 
+/// Returns whether the inventory has the host as an entry.
+bool isEntryHost(const EntryState &State, const HostId &Host);
+
 /// Returns whether an entry is connected, was heard lately and stays.
 bool isEntryLive(const EntryState &State, const HostId &Host);
 
--- a/packages/decision/src/Quarantine.cpp
+++ b/packages/decision/src/Quarantine.cpp
@@ -1,5 +1,7 @@
 #include "Quarantine.h"
 
+#include "Membership.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -12,10 +14,7 @@
 
 void tellEntries(EntryContext &Context, const SuspectNotice &Notice) {
   for (const auto &[Host, Peer] : Context.State.Peers) {
-    const auto Spec = Context.State.Accepted.Hosts.find(Host);
-    const bool IsEntry = Spec != Context.State.Accepted.Hosts.end() &&
-                         Spec->second.Role == HostRole::Entry;
-    if (Peer.Connected && IsEntry)
+    if (Peer.Connected && isEntryHost(Context.State, Host))
       Context.send(Host, Notice);
   }
 }
