--- a/apps/tanagerlandingd.cpp
+++ b/apps/tanagerlandingd.cpp
@@ -1,6 +1,8 @@
 /// \file
-/// The daemon: an entry or a sidecar.
+/// The daemon: an entry or a sidecar, or a relay or a ledger replica on the
+/// users' platform.
 #include "tanagerlanding/daemon.h"
+#include "tanagerlanding/platform.h"
 
 #include <CLI/CLI.hpp>
 
@@ -44,6 +46,32 @@
   return report(SidecarProcess(Read).run());
 }
 
+int runRelay(const platform::BootSettings &Boot) {
+  DeploymentProtocols Protocols;
+  Protocols.Relay = platform::makeCallerHeaders();
+  Protocols.Directory = platform::makeOperatorDirectory();
+  Protocols.KeyValue = platform::makeStoreDialect();
+  return report(
+      RelayProcess(platform::relaySettingsOf(Boot), std::move(Protocols))
+          .run());
+}
+
+int runLedger(const platform::BootSettings &Boot) {
+  return report(LedgerProcess(platform::ledgerSettingsOf(Boot),
+                              platform::makeOperatorDirectory(),
+                              platform::makeStoreDialect())
+                    .run());
+}
+
+/// Runs a role whose settings the platform gives.
+int runOnPlatform(int (*Role)(const platform::BootSettings &)) {
+  const auto Boot = platform::readBootSettings();
+  if (Boot)
+    return Role(Boot.value());
+  printFaults(Boot.error());
+  return SettingsInvalid;
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -54,7 +82,15 @@
   CLI::App *Sidecar = App.add_subcommand("sidecar", "Stand beside a target");
   for (CLI::App *Role : {Entry, Sidecar})
     Role->add_option("--settings", Path, "Settings file")->required();
+  CLI::App *Relay =
+      App.add_subcommand("relay", "Pass callers on, on the platform");
+  CLI::App *Ledger =
+      App.add_subcommand("ledger", "Keep turns and budgets, on the platform");
   CLI11_PARSE(App, Count, Arguments);
   startLog(Arguments[0]);
+  if (*Relay)
+    return runOnPlatform(runRelay);
+  if (*Ledger)
+    return runOnPlatform(runLedger);
   return runRole(Path, *Entry ? HostRole::Entry : HostRole::Target);
 }
--- a/packages/basics/include/tanagerlanding/basics/Errors.h
+++ b/packages/basics/include/tanagerlanding/basics/Errors.h
@@ -64,7 +64,8 @@
 
 /// A failed call of the platform's key-value service.
 struct PlatformError {
-  enum class Kind { Unreachable, BadAnswer };
+  /// Refused: nothing was done, and a later call may succeed.
+  enum class Kind { Unreachable, BadAnswer, Refused, Unsupported };
   Kind Reason = Kind::Unreachable;
 };
 
--- a/packages/basics/include/tanagerlanding/basics/Ids.h
+++ b/packages/basics/include/tanagerlanding/basics/Ids.h
@@ -65,6 +65,22 @@
 using ConfigVersion = StrongId<struct ConfigVersionTag, std::uint64_t>;
 /// A revision in the platform's key-value service.
 using Revision = StrongId<struct RevisionTag, std::int64_t>;
+/// A lease of the key-value service; 0 is none.
+using LeaseId = StrongId<struct LeaseTag, std::int64_t>;
+/// A caller's own identifier of one of its attempts, unique for all time.
+using CallerAttemptId = StrongId<struct CallerAttemptTag, std::string>;
+/// A turn of a program: the caller's identifier of the attempt that ran it.
+using TurnId = CallerAttemptId;
+/// One run of one target, new whenever the target starts.
+using TargetId = StrongId<struct TargetTag, std::string>;
+/// A route of the configuration.
+using RouteName = StrongId<struct RouteTag, std::string>;
+/// An attempt at a target, local to the relay that made it.
+using RelayAttemptId = StrongId<struct RelayAttemptTag, std::uint64_t>;
+/// An operation of the ledger, local to the process that asked.
+using LedgerOperationId = StrongId<struct LedgerOperationTag, std::uint64_t>;
+/// The version of the ledger's membership; it only grows.
+using ViewVersion = StrongId<struct ViewVersionTag, std::uint64_t>;
 /// The hash of a request's content, the same whoever sends it.
 using Fingerprint = StrongId<struct FingerprintTag, std::uint64_t>;
 
--- a/packages/ctl/src/ConfigurationCommands.cpp
+++ b/packages/ctl/src/ConfigurationCommands.cpp
@@ -3,7 +3,7 @@
 #include "ConfigurationSpread.h"
 #include "InventoryDiff.h"
 #include "Report.h"
-#include "tanagerlanding/platform.h"
+#include "tanagerlanding/keyvalue.h"
 #include "tanagerlanding/settings.h"
 
 #include <fstream>
--- a/packages/daemon/include/tanagerlanding/daemon/EntryProcess.h
+++ b/packages/daemon/include/tanagerlanding/daemon/EntryProcess.h
@@ -6,7 +6,7 @@
 #include "tanagerlanding/decision.h"
 #include "tanagerlanding/gateway.h"
 #include "tanagerlanding/journal.h"
-#include "tanagerlanding/platform.h"
+#include "tanagerlanding/keyvalue.h"
 #include "tanagerlanding/runtime.h"
 #include "tanagerlanding/settings.h"
 
--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -5,6 +5,7 @@
 
 #include "tanagerlanding/decision/Inventory.h"
 #include "tanagerlanding/decision/Records.h"
+#include "tanagerlanding/decision/ledger/LedgerMessages.h"
 
 #include <optional>
 #include <variant>
@@ -214,7 +215,9 @@
                  ReleaseLog, SuspectNotice, DispatchAttempt, AttemptRefused,
                  AttemptChunk, AttemptFinished, QueryAttempt, AttemptRunning,
                  ForgetAttempt, CancelAttempt, KeepPrefixes, ReleasePrefixes,
-                 LoadReport>;
+                 LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
+                 TurnClosed, LedgerRefused, ViewOffer, PullRecords,
+                 RecordsPage>;
 
 } // namespace tanagerlanding
 
--- /dev/null
+++ b/packages/decision/include/tanagerlanding/decision/relay/EventSplitter.h
@@ -0,0 +1,41 @@
+/// \file
+/// Splits an event stream into whole events.
+#ifndef TANAGERLANDING_DECISION_RELAY_EVENTSPLITTER_H
+#define TANAGERLANDING_DECISION_RELAY_EVENTSPLITTER_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tanagerlanding {
+
+/// One event of a text/event-stream body.
+struct StreamEvent {
+  /// The event's bytes as they came, with the empty line that ends it.
+  std::string Bytes;
+  std::optional<std::uint64_t> Id;
+  /// The values of its data lines, joined by line feeds.
+  std::string Data;
+  /// Whether it has a data line at all; comments and retries have none.
+  bool HasData = false;
+};
+
+/// Takes the bytes of an event stream in pieces of any size and hands out
+/// whole events.
+class EventSplitter {
+public:
+  /// Adds bytes and returns the events that they complete.
+  std::vector<StreamEvent> append(std::string_view Bytes);
+
+  /// Returns whether bytes of an unfinished event are held.
+  bool hasPartialEvent() const { return !this->Partial.empty(); }
+
+private:
+  std::string Partial;
+};
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -0,0 +1,195 @@
+/// \file
+/// The state of a relay.
+#ifndef TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
+#define TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
+
+#include "tanagerlanding/decision/ledger/LedgerMessages.h"
+#include "tanagerlanding/decision/relay/CallerRequest.h"
+#include "tanagerlanding/decision/relay/EventSplitter.h"
+#include "tanagerlanding/decision/relay/RelayConfiguration.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace tanagerlanding {
+
+/// Limits and weights of a relay.
+struct RelayOptions {
+  /// A target without a registration is used this long after the key-value
+  /// service is back; live ones register again within two seconds.
+  Milliseconds MissingTargetGrace{2000};
+  /// How long the ledger may take to answer before the turn is refused: a
+  /// replica answers within its disk's sync, so that more means it is gone.
+  Milliseconds LedgerLimit{700};
+  /// How long a replica is given to send a history before another is asked.
+  Milliseconds HistoryLimit{100};
+  /// When a refused caller may come back: the time in which a connection is
+  /// made again or a restarted process serves.
+  Milliseconds RetryAfter{250};
+  /// A target that could not be reached is avoided this long, and twice as
+  /// long after each further failure, up to AvoidLimit.
+  Milliseconds AvoidBase{300};
+  Milliseconds AvoidLimit{4000};
+  /// Sends of one request that targets refused before the caller is told.
+  std::uint32_t RefusedSends = 3;
+  /// Share of a target's slots that is filled before requests leave its zone
+  /// or their preferred target.
+  double PreferredFill = 0.6;
+  /// Requests per slot, beyond which a target gets no more: more would wait
+  /// there longer than a caller's retry takes.
+  double FullFactor = 2.5;
+  /// Slots of a target that does not tell.
+  std::uint32_t DefaultSlots = 4;
+  /// Bytes of an answer that are held back so that the request can be tried
+  /// again; beyond them the answer is passed on as it comes.
+  std::size_t HeldAnswerBytes = 256 * 1024;
+  /// Turns up to this many claims away from the end of the budget are checked
+  /// a second time, as claims made at the same moment may not have been seen.
+  std::uint64_t BudgetMarginClaims = 16;
+  /// After a request to stop, how long the balancer may still send new
+  /// connections: two missed readiness checks a second apart, and one more.
+  Milliseconds DrainAccept{3200};
+  /// How long requests under way may take after a request to stop.
+  Milliseconds DrainLimit{7300};
+};
+
+/// A target as registered in the key-value service.
+struct RegisteredTarget {
+  TargetId Id;
+  ServiceName Service;
+  std::string Address;
+  std::uint16_t Port = 0;
+  ZoneId Zone;
+  std::uint32_t Slots = 0;
+  bool IsLeaving = false;
+  /// When it started, in milliseconds since the Unix epoch; 0 if not told. A
+  /// target may start again under its id.
+  std::int64_t BornMillis = 0;
+};
+
+/// A target as this relay sees it.
+struct RelayTarget {
+  RegisteredTarget Entry;
+  /// Own attempts under way.
+  std::uint32_t Outstanding = 0;
+  /// What others had there when the target last told its load.
+  std::uint32_t OthersLoad = 0;
+  Instant LoadAt;
+  /// Set while the registration is gone but the target may be alive.
+  std::optional<Instant> MissingSince;
+  /// Consecutive failures to reach it, and until when it is avoided for them.
+  std::uint32_t Failures = 0;
+  Instant AvoidUntil;
+};
+
+/// How far a caller's request is.
+enum class RelayPhase : std::uint8_t {
+  /// The ledger is asked for the claim and the previous turn.
+  Opening,
+  /// The claims are read again, near the end of the budget.
+  Confirming,
+  /// The history is being collected.
+  Collecting,
+  /// An attempt is at a target.
+  Running,
+  /// The turn is being made durable; only the end of its answer is missing.
+  Closing,
+};
+
+/// The ledger's part in one turn.
+struct TurnLedger {
+  bool HasClaim = false;
+  bool IsSettled = false;
+  LedgerOperationId Operation;
+  Instant AskedAt;
+  /// Replicas that have answered or refused the present operation.
+  std::set<HolderId> Answered;
+  std::set<HolderId> Refused;
+  std::map<Fingerprint, TokenClaim> Claims;
+  std::set<HolderId> KnowPrevious;
+  /// The replica that was last asked for history, and when.
+  HolderId HistoryAsked;
+  std::set<HolderId> HistoryTried;
+  Instant HistoryAskedAt;
+  /// History collected so far, newest part first found; what is missing ends
+  /// with HistoryNeeded.
+  std::string History;
+  std::optional<TurnId> HistoryNeeded;
+};
+
+/// A caller's request under way.
+struct RelayCall {
+  RequestId Request;
+  CallerRequest Asked;
+  RelayRoute Route;
+  ServiceName Service;
+  ConfigVersion Version;
+  TokenCount TokensPerEvent;
+  Instant Arrived;
+  Instant Deadline;
+  RelayPhase Phase = RelayPhase::Running;
+  TurnLedger Ledger;
+
+  /// The present attempt; 0 if none.
+  RelayAttemptId Attempt;
+  TargetId Target;
+  Instant SentAt;
+  std::set<TargetId> Tried;
+  /// Sends after which the request may have run, and those refused.
+  std::uint32_t MayHaveRun = 0;
+  std::uint32_t RefusedSends = 0;
+
+  std::optional<TargetAnswerHead> Head;
+  /// Body bytes that are held back.
+  std::string Held;
+  EventSplitter Splitter;
+  std::uint32_t EventsSent = 0;
+  std::uint64_t LastEventId = 0;
+  /// The events' data, kept for the history.
+  std::string Output;
+  /// Whether the caller has the beginning of the answer.
+  bool IsAnswering = false;
+};
+
+/// A close that too few replicas have confirmed.
+struct PendingClose {
+  CloseTurn Message;
+  std::set<HolderId> Confirmed;
+  /// The call whose answer ends once the close is durable, if it still waits.
+  std::optional<RequestId> Waiting;
+  Instant Since;
+};
+
+/// The state of a relay.
+struct RelayState {
+  RelayOptions Options;
+  HostId Self;
+  ZoneId Zone;
+  Instant Now;
+  std::mt19937_64 Random;
+  std::optional<RelayConfiguration> Configuration;
+  std::map<TargetId, RelayTarget> Targets;
+  std::map<ServiceName, std::set<TargetId>> TargetsByService;
+  bool IsServiceReachable = false;
+  Instant ServiceRegainedAt;
+  LedgerView View;
+  /// Replicas with an open connection.
+  std::set<HolderId> Connected;
+  std::map<RequestId, RelayCall> Calls;
+  std::map<RelayAttemptId, RequestId> Attempts;
+  std::map<LedgerOperationId, RequestId> Opens;
+  std::map<LedgerOperationId, PendingClose> Closes;
+  std::uint64_t NextAttempt = 1;
+  std::uint64_t NextOperation = 1;
+  bool IsDraining = false;
+  bool HasStoppedAccepting = false;
+  bool HasAskedExit = false;
+  Instant DrainSince;
+};
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -0,0 +1,358 @@
+#include "LedgerMembership.h"
+
+#include "LedgerRecords.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+std::string namesOf(const std::vector<LedgerMember> &Members) {
+  std::string Names;
+  for (const LedgerMember &Each : Members)
+    Names += (Names.empty() ? "" : ",") + Each.Host.Value;
+  return Names;
+}
+
+/// Returns whether a member is known to be gone or has been missing for long.
+bool isDead(const LedgerState &State, const LedgerMember &Member) {
+  const auto Present = State.Registered.find(Member.Host);
+  // The host came back with an empty disk: that replica is no more.
+  if (Present != State.Registered.end() &&
+      !(Present->second.Member.Holder == Member.Holder))
+    return true;
+  const auto Missing = State.MissingSince.find(Member.Holder);
+  return Missing != State.MissingSince.end() &&
+         State.Options.DeadAfter <= State.Now - Missing->second;
+}
+
+bool isRetiring(const LedgerState &State, const LedgerMember &Member) {
+  return State.Retiring.count(Member.Host) > 0;
+}
+
+/// Returns registered replicas that may join, those of the zones least
+/// covered first.
+std::vector<LedgerMember> candidatesFor(const LedgerState &State,
+                                        const std::vector<LedgerMember> &Kept) {
+  std::vector<LedgerMember> Found;
+  for (const auto &[Host, Each] : State.Registered) {
+    if (!containsHolder(Kept, Each.Member.Holder) &&
+        !isRetiring(State, Each.Member))
+      Found.push_back(Each.Member);
+  }
+  const auto Covered = [&Kept](const LedgerMember &Each) {
+    return std::count_if(
+        Kept.begin(), Kept.end(),
+        [&](const LedgerMember &Other) { return Other.Zone == Each.Zone; });
+  };
+  std::stable_sort(Found.begin(), Found.end(),
+                   [&](const LedgerMember &Left, const LedgerMember &Right) {
+                     return Covered(Left) < Covered(Right);
+                   });
+  return Found;
+}
+
+/// Returns the replicas that should serve. A lost member stays until another
+/// can take its place, as its disk may come back.
+std::vector<LedgerMember> wantedMembers(const LedgerState &State) {
+  const std::size_t Wanted = 2 * State.Tolerated + 1;
+  std::vector<LedgerMember> Kept;
+  for (const LedgerMember &Each : State.View.Current) {
+    if (!isDead(State, Each) && !isRetiring(State, Each))
+      Kept.push_back(Each);
+  }
+  // A change under way goes on with the replicas that copy already.
+  for (const LedgerMember &Each : State.View.Next) {
+    if (Kept.size() < Wanted && !containsHolder(Kept, Each.Holder) &&
+        !isDead(State, Each) && !isRetiring(State, Each))
+      Kept.push_back(Each);
+  }
+  while (Kept.size() < Wanted) {
+    const auto Candidates = candidatesFor(State, Kept);
+    if (Candidates.empty())
+      break;
+    Kept.push_back(Candidates.front());
+  }
+  for (const LedgerMember &Each : State.View.Current) {
+    if (Kept.size() < Wanted && !containsHolder(Kept, Each.Holder) &&
+        !isRetiring(State, Each))
+      Kept.push_back(Each);
+  }
+  // Too few would be left to keep records safely: the retiring ones stay.
+  for (const LedgerMember &Each : State.View.Current) {
+    if (Kept.size() < State.Tolerated + 1 &&
+        !containsHolder(Kept, Each.Holder))
+      Kept.push_back(Each);
+  }
+  return Kept;
+}
+
+bool isSameSet(const std::vector<LedgerMember> &Left,
+               const std::vector<LedgerMember> &Right) {
+  return Left.size() == Right.size() &&
+         std::all_of(Left.begin(), Left.end(), [&](const LedgerMember &Each) {
+           return containsHolder(Right, Each.Holder);
+         });
+}
+
+/// Returns the members with the addresses at which they are registered now.
+std::vector<LedgerMember> withAddresses(const LedgerState &State,
+                                        std::vector<LedgerMember> Members) {
+  for (LedgerMember &Each : Members) {
+    const auto Present = State.Registered.find(Each.Host);
+    if (Present != State.Registered.end() &&
+        Present->second.Member.Holder == Each.Holder)
+      Each = Present->second.Member;
+  }
+  return Members;
+}
+
+bool isChangeComplete(const LedgerState &State) {
+  const auto &Next = State.View.Next;
+  return State.View.isChanging() &&
+         std::all_of(Next.begin(), Next.end(), [&](const LedgerMember &Each) {
+           const auto Synced = State.Synced.find(Each.Holder);
+           return Synced != State.Synced.end() &&
+                  Synced->second == State.View.Version;
+         });
+}
+
+std::optional<LedgerView> firstView(const LedgerState &State) {
+  const std::size_t Wanted = 2 * State.Tolerated + 1;
+  const bool HasWaited =
+      State.Options.BootstrapWait <= State.Now - State.ServiceReadAt;
+  if (State.Registered.empty() ||
+      (State.Registered.size() < Wanted && !HasWaited))
+    return std::nullopt;
+  LedgerView View;
+  View.Version = ViewVersion(1);
+  View.Tolerated = State.Tolerated;
+  View.Current = wantedMembers(State);
+  return View;
+}
+
+/// Returns the view that should follow the present one, if any.
+std::optional<LedgerView> nextView(const LedgerState &State) {
+  if (State.ViewRevision.Value == 0)
+    return firstView(State);
+  LedgerView View = State.View;
+  View.Version = ViewVersion(State.View.Version.Value + 1);
+  View.Tolerated = State.Tolerated;
+  if (isChangeComplete(State)) {
+    View.Current = withAddresses(State, State.View.Next);
+    View.Next.clear();
+    return View;
+  }
+  const std::vector<LedgerMember> Wanted = wantedMembers(State);
+  if (State.View.isChanging() && isSameSet(Wanted, State.View.Next))
+    return std::nullopt;
+  View.Current = withAddresses(State, State.View.Current);
+  View.Next = withAddresses(State, Wanted);
+  if (!isSameSet(Wanted, State.View.Current))
+    return View;
+  // What was written meanwhile is at a quorum of Current as well, so that an
+  // unfinished change can simply be dropped.
+  View.Next.clear();
+  if (State.View.isChanging() || !(View.Current == State.View.Current))
+    return View;
+  return std::nullopt;
+}
+
+/// Returns how long this replica leaves a due change to others.
+Milliseconds proposalDelay(const LedgerState &State) {
+  int Rank = 0;
+  for (const auto &[Host, Each] : State.Registered) {
+    if (Host < State.Self.Host && !isRetiring(State, Each.Member))
+      ++Rank;
+  }
+  return State.Options.ProposalStagger * Rank;
+}
+
+void proposeView(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  const auto View = nextView(State);
+  if (!View) {
+    State.ProposalDueSince.reset();
+    return;
+  }
+  if (!State.ProposalDueSince)
+    State.ProposalDueSince = State.Now;
+  const bool IsDue =
+      proposalDelay(State) <= State.Now - *State.ProposalDueSince &&
+      State.Options.RetryInterval <= State.Now - State.ProposedAt;
+  if (!IsDue)
+    return;
+  State.ProposedAt = State.Now;
+  Context.log("ledger_view_proposed",
+              {{"version", std::to_string(View->Version.Value)},
+               {"current", namesOf(View->Current)},
+               {"next", namesOf(View->Next)},
+               {"expected_revision",
+                std::to_string(State.ViewRevision.Value)}});
+  Context.add(WriteLedgerView{State.ViewRevision, *View});
+}
+
+void tellRetirement(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  if (State.Retiring.count(State.Self.Host) == 0)
+    return;
+  if (!State.HasToldRetiring) {
+    State.HasToldRetiring = true;
+    Context.log("retirement_started", {{"host", State.Self.Host.Value}});
+    Context.add(TellRetirement{false});
+  }
+  const bool IsMember =
+      containsHolder(State.View.allMembers(), State.Self.Holder);
+  const bool IsEmpty = State.View.Version.Value > 0 && !IsMember;
+  if (!IsEmpty || State.HasToldRetired)
+    return;
+  State.HasToldRetired = true;
+  Context.log("retirement_completed",
+              {{"host", State.Self.Host.Value},
+               {"view", std::to_string(State.View.Version.Value)}});
+  Context.add(TellRetirement{true});
+}
+
+void startPull(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  RecordsPull Pull;
+  Pull.View = State.View.Version;
+  for (const LedgerMember &Each : State.View.Current) {
+    if (!(Each.Holder == State.Self.Holder))
+      Pull.Sources[Each.Holder] = {};
+  }
+  State.Pull = std::move(Pull);
+  Context.log("records_pull_started",
+              {{"view", std::to_string(State.View.Version.Value)},
+               {"sources", namesOf(State.View.Current)}});
+  State.Pull->AskedAt = State.Now;
+  for (const LedgerMember &Each : State.View.Current) {
+    if (!(Each.Holder == State.Self.Holder))
+      Context.send(Each.Host, PullRecords{State.View, 0});
+  }
+}
+
+} // namespace
+
+void adoptView(LedgerContext &Context, const LedgerView &View) {
+  LedgerState &State = Context.State;
+  if (!(State.View.Version < View.Version))
+    return;
+  State.View = View;
+  State.Pull.reset();
+  State.ProposalDueSince.reset();
+  Context.log("ledger_view_adopted",
+              {{"version", std::to_string(View.Version.Value)},
+               {"current", namesOf(View.Current)},
+               {"next", namesOf(View.Next)}});
+  Context.add(PersistLedgerView{View});
+  if (containsHolder(View.Next, State.Self.Holder))
+    startPull(Context);
+}
+
+void reviewMembership(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  if (!State.HasReadService)
+    return;
+  for (const LedgerMember &Each : State.View.allMembers()) {
+    if (State.Registered.count(Each.Host) > 0)
+      State.MissingSince.erase(Each.Holder);
+    else
+      State.MissingSince.emplace(Each.Holder, State.Now);
+  }
+  tellRetirement(Context);
+  proposeView(Context);
+}
+
+void continuePull(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  if (!State.Pull || State.Pull->IsComplete)
+    return;
+  if (State.Now - State.Pull->AskedAt < State.Options.RetryInterval)
+    return;
+  State.Pull->AskedAt = State.Now;
+  for (const LedgerMember &Each : State.View.Current) {
+    const auto Source = State.Pull->Sources.find(Each.Holder);
+    if (Source != State.Pull->Sources.end() && !Source->second.IsDone)
+      Context.send(Each.Host, PullRecords{State.View, Source->second.Cursor});
+  }
+}
+
+void takeRecordsPage(LedgerContext &Context, const HostId &Peer,
+                     const RecordsPage &Page) {
+  LedgerState &State = Context.State;
+  if (!State.Pull || !(State.Pull->View == Page.View))
+    return;
+  const auto Source = State.Pull->Sources.find(Page.Holder);
+  if (Source == State.Pull->Sources.end() || Source->second.IsDone)
+    return;
+  for (const LedgerBatch &Each : Page.Batches) {
+    LedgerBatch Unknown = withoutKnown(State, Each);
+    if (Unknown.Records.empty())
+      continue;
+    const std::uint64_t Ticket = State.NextTicket++;
+    State.Pull->Unstored.insert(Ticket);
+    State.Pending[Ticket] = PendingBatch{{}, {}, Page.View, Unknown};
+    Context.add(PersistLedgerBatch{Ticket, std::move(Unknown)});
+  }
+  const bool HasMoved = Source->second.Cursor < Page.NextCursor;
+  Source->second.Cursor = Page.NextCursor;
+  Source->second.IsDone = Page.IsLast;
+  if (!Page.IsLast && HasMoved) {
+    State.Pull->AskedAt = State.Now;
+    Context.send(Peer, PullRecords{State.View, Page.NextCursor});
+  }
+  completePull(Context);
+}
+
+void completePull(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  if (!State.Pull || State.Pull->IsComplete || !State.Pull->Unstored.empty())
+    return;
+  std::size_t Done =
+      containsHolder(State.View.Current, State.Self.Holder) ? 1 : 0;
+  for (const auto &[Holder, Source] : State.Pull->Sources)
+    Done += Source.IsDone ? 1 : 0;
+  if (Done < State.View.readQuorum())
+    return;
+  State.Pull->IsComplete = true;
+  Context.log("records_pull_completed",
+              {{"view", std::to_string(State.Pull->View.Value)},
+               {"turns", std::to_string(State.Turns.size())}});
+  Context.add(WriteSynced{State.Pull->View});
+}
+
+void answerPull(LedgerContext &Context, const HostId &Peer,
+                const PullRecords &Asked) {
+  LedgerState &State = Context.State;
+  adoptView(Context, Asked.View);
+  if (Asked.View.Version < State.View.Version) {
+    Context.send(Peer, ViewOffer{State.View});
+    return;
+  }
+  SendRecords Page;
+  Page.Peer = Peer;
+  Page.Head.View = State.View.Version;
+  Page.Head.Holder = State.Self.Holder;
+  Page.Head.NextCursor = Asked.Cursor;
+  std::uint32_t Bytes = 0;
+  auto Each = State.Stored.lower_bound(Asked.Cursor);
+  for (; Each != State.Stored.end() && Bytes < State.Options.PageBytes;
+       ++Each) {
+    Bytes += Each->second.Place.Length;
+    Page.Batches.push_back(Each->second.Place);
+    Page.Head.NextCursor = Each->first + 1;
+  }
+  // What was taken under an earlier view and is not durable yet may still be
+  // acknowledged, so that the last page has to wait for it.
+  const bool HasOlderPending =
+      std::any_of(State.Pending.begin(), State.Pending.end(),
+                  [&](const auto &Entry) {
+                    return Entry.second.View < State.View.Version;
+                  });
+  Page.Head.IsLast = Each == State.Stored.end() && !HasOlderPending;
+  Context.add(std::move(Page));
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -0,0 +1,189 @@
+#include "LedgerRecords.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+/// A program's claims are kept this many times as long as its turns: a program
+/// that was stopped may come back until its last turn expires.
+constexpr int ClaimRetentionFactor = 2;
+
+void releaseBatch(LedgerContext &Context, std::uint64_t Number) {
+  LedgerState &State = Context.State;
+  const auto Found = State.Stored.find(Number);
+  if (Found == State.Stored.end())
+    return;
+  if (--Found->second.LiveRecords > 0)
+    return;
+  const std::uint64_t Segment = Found->second.Place.Segment;
+  State.Stored.erase(Found);
+  const auto Left = State.BatchesInSegment.find(Segment);
+  if (Left == State.BatchesInSegment.end() || --Left->second > 0)
+    return;
+  State.BatchesInSegment.erase(Left);
+  Context.add(DropSegment{Segment});
+}
+
+void extend(Instant &Expiry, Instant Wanted) {
+  if (Expiry < Wanted)
+    Expiry = Wanted;
+}
+
+/// Keeps the whole chain behind a turn as long as the turn.
+void extendChain(LedgerState &State, const std::optional<TurnId> &Last,
+                 Instant Wanted) {
+  std::optional<TurnId> Next = Last;
+  while (Next) {
+    const auto Found = State.Turns.find(*Next);
+    if (Found == State.Turns.end())
+      return;
+    extend(Found->second.ExpiresAt, Wanted);
+    Next = Found->second.Previous;
+  }
+}
+
+bool isSuperseded(const TokenClaim &Present, const TokenClaim &Offered) {
+  return Offered.IsSettled && !Present.IsSettled;
+}
+
+/// Enters records of one batch, one overload for each.
+class RecordIndexer {
+public:
+  RecordIndexer(LedgerContext &Context, std::uint64_t Batch, Instant Expiry,
+                Instant ClaimExpiry)
+      : Context(Context), Batch(Batch), Expiry(Expiry),
+        ClaimExpiry(ClaimExpiry) {}
+
+  /// Each returns whether the batch is needed for the record.
+  bool operator()(const TurnKept &Kept) {
+    LedgerState &State = this->Context.State;
+    const bool IsNew =
+        State.Turns
+            .emplace(Kept.Turn, KeptTurn{Kept.Previous, this->Batch, Expiry})
+            .second;
+    extendChain(State, Kept.Turn, this->Expiry);
+    return IsNew;
+  }
+
+  bool operator()(const TokensClaimed &Claimed) {
+    ProgramClaims &Program = this->Context.State.Programs[Claimed.Program];
+    extend(Program.ExpiresAt, this->ClaimExpiry);
+    StoredClaim &Entry = Program.Claims[Claimed.Claim.Turn];
+    const bool IsNew = Entry.Batch == 0 && !Entry.Claim.IsSettled;
+    if (!IsNew && !isSuperseded(Entry.Claim, Claimed.Claim))
+      return false;
+    if (Entry.Batch != 0)
+      releaseBatch(this->Context, Entry.Batch);
+    Entry = StoredClaim{Claimed.Claim, this->Batch};
+    return true;
+  }
+
+private:
+  LedgerContext &Context;
+  const std::uint64_t Batch;
+  const Instant Expiry;
+  const Instant ClaimExpiry;
+};
+
+} // namespace
+
+void indexBatch(LedgerContext &Context, const LedgerBatch &Batch,
+                RecordPlace Place, Milliseconds Age) {
+  LedgerState &State = Context.State;
+  const std::uint64_t Number = State.NextBatch++;
+  // One more than its records, so that it stays while they are entered.
+  State.Stored[Number] = StoredBatch{Place, 1};
+  ++State.BatchesInSegment[Place.Segment];
+  const Milliseconds Kept = Batch.Retention + State.Options.RetentionMargin;
+  RecordIndexer Index(Context, Number, State.Now + (Kept - Age),
+                      State.Now + (Kept * ClaimRetentionFactor - Age));
+  for (const LedgerRecord &Each : Batch.Records) {
+    if (std::visit(Index, Each))
+      ++State.Stored[Number].LiveRecords;
+  }
+  releaseBatch(Context, Number);
+}
+
+void noteClaim(LedgerState &State, const TokensClaimed &Record,
+               Milliseconds Retention) {
+  ProgramClaims &Program = State.Programs[Record.Program];
+  extend(Program.ExpiresAt,
+         State.Now + (Retention + State.Options.RetentionMargin) *
+                         ClaimRetentionFactor);
+  Program.Claims.emplace(Record.Claim.Turn, StoredClaim{Record.Claim, 0});
+}
+
+LedgerBatch withoutKnown(const LedgerState &State, LedgerBatch Batch) {
+  const auto IsKnown = [&State](const LedgerRecord &Record) {
+    if (const auto *Turn = std::get_if<TurnKept>(&Record))
+      return State.Turns.count(Turn->Turn) > 0;
+    const auto &Claimed = std::get<TokensClaimed>(Record);
+    const auto Program = State.Programs.find(Claimed.Program);
+    if (Program == State.Programs.end())
+      return false;
+    const auto Present = Program->second.Claims.find(Claimed.Claim.Turn);
+    return Present != Program->second.Claims.end() &&
+           Present->second.Batch != 0 &&
+           !isSuperseded(Present->second.Claim, Claimed.Claim);
+  };
+  Batch.Records.erase(
+      std::remove_if(Batch.Records.begin(), Batch.Records.end(), IsKnown),
+      Batch.Records.end());
+  return Batch;
+}
+
+std::vector<TokenClaim> claimsOf(const LedgerState &State,
+                                 const ProgramId &Program) {
+  std::vector<TokenClaim> Claims;
+  const auto Found = State.Programs.find(Program);
+  if (Found == State.Programs.end())
+    return Claims;
+  for (const auto &[Turn, Entry] : Found->second.Claims)
+    Claims.push_back(Entry.Claim);
+  return Claims;
+}
+
+void sweepRecords(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  if (State.Now - State.SweptAt < State.Options.SweepInterval)
+    return;
+  State.SweptAt = State.Now;
+  for (auto Turn = State.Turns.begin(); Turn != State.Turns.end();) {
+    if (State.Now < Turn->second.ExpiresAt) {
+      ++Turn;
+      continue;
+    }
+    releaseBatch(Context, Turn->second.Batch);
+    Turn = State.Turns.erase(Turn);
+  }
+  for (auto Each = State.Programs.begin(); Each != State.Programs.end();) {
+    if (State.Now < Each->second.ExpiresAt) {
+      ++Each;
+      continue;
+    }
+    for (const auto &[Turn, Entry] : Each->second.Claims)
+      releaseBatch(Context, Entry.Batch);
+    Each = State.Programs.erase(Each);
+  }
+}
+
+KnownChain chainOf(const LedgerState &State, const TurnId &Last) {
+  KnownChain Chain;
+  std::optional<TurnId> Next = Last;
+  while (Next) {
+    const auto Found = State.Turns.find(*Next);
+    if (Found == State.Turns.end()) {
+      Chain.MissingTurn = Next;
+      break;
+    }
+    const StoredBatch &Batch = State.Stored.at(Found->second.Batch);
+    Chain.Turns.emplace_back(*Next, Batch.Place);
+    Next = Found->second.Previous;
+  }
+  std::reverse(Chain.Turns.begin(), Chain.Turns.end());
+  return Chain;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -0,0 +1,256 @@
+#include "tanagerlanding/decision/ledger/LedgerReducer.h"
+
+#include "LedgerContext.h"
+#include "LedgerMembership.h"
+#include "LedgerRecords.h"
+
+namespace tanagerlanding {
+
+namespace {
+
+Fingerprint fingerprintOf(const TurnId &Turn) {
+  return Fingerprint(hashBytes(Turn.Value));
+}
+
+/// Answers an open, with the history where it was asked for and is known.
+void sendOpened(LedgerContext &Context, const HostId &Peer,
+                const OpenTurn &Asked) {
+  LedgerState &State = Context.State;
+  TurnOpened Reply;
+  Reply.Operation = Asked.Operation;
+  Reply.Holder = State.Self.Holder;
+  Reply.Claims = claimsOf(State, Asked.Program);
+  Reply.KnowsPrevious =
+      Asked.Previous && State.Turns.count(*Asked.Previous) > 0;
+  if (!Reply.KnowsPrevious || !Asked.WantsHistory) {
+    Context.send(Peer, std::move(Reply));
+    return;
+  }
+  KnownChain Chain = chainOf(State, *Asked.Previous);
+  Reply.MissingTurn = Chain.MissingTurn;
+  Context.add(SendHistory{Peer, std::move(Reply), std::move(Chain.Turns)});
+}
+
+/// Sends the reply to an operation whose batch is durable.
+class ReplySender {
+public:
+  ReplySender(LedgerContext &Context, const HostId &Peer)
+      : Context(Context), Peer(Peer) {}
+
+  void operator()(const std::monostate &) {}
+  void operator()(const OpenTurn &Asked) {
+    sendOpened(this->Context, this->Peer, Asked);
+  }
+  void operator()(const CloseTurn &Asked) {
+    this->Context.send(this->Peer,
+                       TurnClosed{Asked.Operation,
+                                  this->Context.State.Self.Holder});
+  }
+
+private:
+  LedgerContext &Context;
+  const HostId &Peer;
+};
+
+LedgerOperationId operationOf(const PendingBatch &Pending) {
+  if (const auto *Open = std::get_if<OpenTurn>(&Pending.Asked))
+    return Open->Operation;
+  if (const auto *Close = std::get_if<CloseTurn>(&Pending.Asked))
+    return Close->Operation;
+  return LedgerOperationId();
+}
+
+/// Handles messages, one overload for each that a replica takes.
+class PeerMessageHandler {
+public:
+  PeerMessageHandler(LedgerContext &Context, const HostId &Peer)
+      : Context(Context), Peer(Peer) {}
+
+  void operator()(const OpenTurn &Asked) {
+    if (this->refuseForView(Asked.View, Asked.Operation))
+      return;
+    if (!Asked.Claimed) {
+      sendOpened(this->Context, this->Peer, Asked);
+      return;
+    }
+    const TokensClaimed Record{
+        Asked.Program,
+        TokenClaim{fingerprintOf(Asked.Turn), *Asked.Claimed, false}};
+    noteClaim(this->Context.State, Record, Asked.Retention);
+    this->persist(Asked, Asked.View, Asked.Retention, {Record});
+  }
+
+  void operator()(const CloseTurn &Asked) {
+    if (this->refuseForView(Asked.View, Asked.Operation))
+      return;
+    std::vector<LedgerRecord> Records;
+    if (Asked.Used)
+      Records.push_back(TokensClaimed{
+          Asked.Program,
+          TokenClaim{fingerprintOf(Asked.Turn), *Asked.Used, true}});
+    if (Asked.IsKept)
+      Records.push_back(
+          TurnKept{Asked.Turn, Asked.Previous, Asked.Input, Asked.Output});
+    this->persist(Asked, Asked.View, Asked.Retention, std::move(Records));
+  }
+
+  void operator()(const ViewOffer &Offer) {
+    adoptView(this->Context, Offer.View);
+  }
+  void operator()(const PullRecords &Asked) {
+    answerPull(this->Context, this->Peer, Asked);
+  }
+  void operator()(const RecordsPage &Page) {
+    takeRecordsPage(this->Context, this->Peer, Page);
+  }
+  /// Other messages are not for a replica.
+  template <typename Other> void operator()(const Other &) {}
+
+private:
+  /// A replica that has seen a newer view takes nothing under an older one:
+  /// its records may have been copied already.
+  bool refuseForView(ViewVersion Asked, LedgerOperationId Operation) {
+    const LedgerState &State = this->Context.State;
+    const bool IsMember =
+        containsHolder(State.View.allMembers(), State.Self.Holder);
+    if (!(Asked < State.View.Version) && IsMember)
+      return false;
+    this->Context.count("ledger_refusals_total", "view");
+    this->Context.send(this->Peer, LedgerRefused{Operation, State.Self.Holder,
+                                                 State.View});
+    return true;
+  }
+
+  template <typename Operation>
+  void persist(const Operation &Asked, ViewVersion View, Milliseconds Retention,
+               std::vector<LedgerRecord> Records) {
+    LedgerState &State = this->Context.State;
+    LedgerBatch Batch;
+    Batch.Retention = Retention;
+    Batch.Records = std::move(Records);
+    const std::uint64_t Ticket = State.NextTicket++;
+    State.Pending[Ticket] = PendingBatch{this->Peer, Asked, View, Batch};
+    this->Context.add(PersistLedgerBatch{Ticket, std::move(Batch)});
+  }
+
+  LedgerContext &Context;
+  const HostId &Peer;
+};
+
+/// Handles events, one overload for each.
+class LedgerEventHandler {
+public:
+  explicit LedgerEventHandler(LedgerContext &Context)
+      : Context(Context), State(Context.State) {}
+
+  void operator()(const LedgerTimePassed &Event) {
+    this->State.Now = Event.Now;
+    sweepRecords(this->Context);
+    continuePull(this->Context);
+    reviewMembership(this->Context);
+  }
+
+  void operator()(const LedgerPeerSaid &Event) {
+    std::visit(PeerMessageHandler(this->Context, Event.Peer), Event.Body);
+  }
+
+  void operator()(const LedgerBatchStored &Event) {
+    const auto Found = this->State.Pending.find(Event.Ticket);
+    if (Found == this->State.Pending.end())
+      return;
+    const PendingBatch Pending = std::move(Found->second);
+    this->State.Pending.erase(Found);
+    indexBatch(this->Context, Pending.Batch, Event.Place, Milliseconds(0));
+    if (Pending.Peer)
+      std::visit(ReplySender(this->Context, *Pending.Peer), Pending.Asked);
+    if (this->State.Pull && this->State.Pull->Unstored.erase(Event.Ticket) > 0)
+      completePull(this->Context);
+  }
+
+  void operator()(const LedgerBatchFailed &Event) {
+    const auto Found = this->State.Pending.find(Event.Ticket);
+    if (Found == this->State.Pending.end())
+      return;
+    const PendingBatch Pending = std::move(Found->second);
+    this->State.Pending.erase(Found);
+    this->Context.count("ledger_refusals_total", "disk");
+    // A pull that can't be stored never completes: this replica stays out.
+    if (Pending.Peer)
+      this->Context.send(*Pending.Peer,
+                         LedgerRefused{operationOf(Pending),
+                                       this->State.Self.Holder,
+                                       this->State.View});
+  }
+
+  void operator()(const LedgerBatchRecovered &Event) {
+    indexBatch(this->Context, Event.Batch, Event.Place, Event.Age);
+  }
+
+  void operator()(const LedgerViewSeen &Event) {
+    if (this->State.ViewRevision < Event.At)
+      this->State.ViewRevision = Event.At;
+    adoptView(this->Context, Event.View);
+    reviewMembership(this->Context);
+  }
+
+  void operator()(const ReplicaRegistered &Event) {
+    this->State.Registered[Event.Member.Host] =
+        RegisteredReplica{Event.Member};
+    reviewMembership(this->Context);
+  }
+
+  void operator()(const ReplicaUnregistered &Event) {
+    this->State.Registered.erase(Event.Host);
+    reviewMembership(this->Context);
+  }
+
+  void operator()(const ReplicaSynced &Event) {
+    this->State.Synced[Event.Holder] = Event.View;
+    reviewMembership(this->Context);
+  }
+
+  void operator()(const RetirementAsked &Event) {
+    if (Event.IsWanted)
+      this->State.Retiring.insert(Event.Host);
+    else
+      this->State.Retiring.erase(Event.Host);
+    if (!Event.IsWanted && Event.Host == this->State.Self.Host) {
+      this->State.HasToldRetiring = false;
+      this->State.HasToldRetired = false;
+    }
+    reviewMembership(this->Context);
+  }
+
+  void operator()(const RetirementReportFailed &Event) {
+    // Told again with the next review.
+    if (Event.IsCompleted)
+      this->State.HasToldRetired = false;
+    else
+      this->State.HasToldRetiring = false;
+  }
+
+  void operator()(const LedgerServiceRead &) {
+    if (!this->State.HasReadService)
+      this->State.ServiceReadAt = this->State.Now;
+    this->State.HasReadService = true;
+    // Registrations that lapsed with the service get time to come back.
+    for (auto &[Holder, Since] : this->State.MissingSince)
+      Since = this->State.Now;
+    reviewMembership(this->Context);
+  }
+
+private:
+  LedgerContext &Context;
+  LedgerState &State;
+};
+
+} // namespace
+
+std::vector<LedgerEffect> reduce(LedgerState &State, const LedgerEvent &Event) {
+  std::vector<LedgerEffect> Effects;
+  LedgerContext Context(State, Effects);
+  std::visit(LedgerEventHandler(Context), Event);
+  return Effects;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -0,0 +1,464 @@
+#include "Attempts.h"
+
+#include "Placement.h"
+#include "Turns.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+constexpr std::uint16_t FirstSuccess = 200;
+constexpr std::uint16_t FirstRedirect = 300;
+/// A target's connections are shared by all relays; one keeps this part of
+/// them unused at the most.
+constexpr std::uint32_t IdleShare = 16;
+/// Statuses by which the system promises that a request has not run; a target
+/// that uses them without saying so may have run it.
+constexpr std::uint16_t PromisingStatuses[] = {408, 421, 429, 503};
+
+bool isSuccess(const TargetAnswerHead &Head) {
+  return Head.Status >= FirstSuccess && Head.Status < FirstRedirect;
+}
+
+/// Returns whether an answer may be passed on as the target's own.
+bool isTrustworthy(const TargetAnswerHead &Head) {
+  if (isSuccess(Head))
+    return Head.IsSigned;
+  return std::find(std::begin(PromisingStatuses), std::end(PromisingStatuses),
+                   Head.Status) == std::end(PromisingStatuses);
+}
+
+bool isStreamed(const RelayCall &Call) {
+  return Call.Route.IsStreaming && Call.Head && isSuccess(*Call.Head) &&
+         Call.Head->IsEventStream;
+}
+
+std::string pathOf(const std::string &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+/// Host names come with or without the port.
+std::string hostOf(const std::string &Authority) {
+  return Authority.substr(0, Authority.find(':'));
+}
+
+/// Returns the service for a request. A program's turns stay with one.
+ServiceName pickService(const RelayRoute &Route, const CallerRequest &Asked) {
+  std::uint64_t Total = 0;
+  for (const WeightedService &Each : Route.Services)
+    Total += Each.Weight;
+  if (Total == 0)
+    return Route.Services.front().Service;
+  const std::string &Key =
+      Asked.Program ? Asked.Program->Program.Value : Asked.Id.Value;
+  std::uint64_t Point = hashBytes(Key) % Total;
+  for (const WeightedService &Each : Route.Services) {
+    if (Point < Each.Weight)
+      return Each.Service;
+    Point -= Each.Weight;
+  }
+  return Route.Services.back().Service;
+}
+
+/// Returns how many unused connections to a target may be kept.
+std::uint32_t idleLimitOf(const RelayState &State,
+                          const ServiceName &Service) {
+  const auto Found = State.Configuration->Services.find(Service);
+  if (Found == State.Configuration->Services.end())
+    return 1;
+  return std::max(1U, Found->second.ConnectionLimit / IdleShare);
+}
+
+RelayCall *callOf(RelayContext &Context, RelayAttemptId Attempt) {
+  const auto Request = Context.State.Attempts.find(Attempt);
+  if (Request == Context.State.Attempts.end())
+    return nullptr;
+  const auto Call = Context.State.Calls.find(Request->second);
+  return Call == Context.State.Calls.end() ? nullptr : &Call->second;
+}
+
+/// Ends the present attempt's bookkeeping.
+void releaseAttempt(RelayContext &Context, RelayCall &Call) {
+  if (Call.Attempt.Value == 0)
+    return;
+  Context.State.Attempts.erase(Call.Attempt);
+  removeOutstanding(Context.State, Call.Target);
+  Call.Attempt = RelayAttemptId();
+}
+
+void cancelAttempt(RelayContext &Context, RelayCall &Call) {
+  if (Call.Attempt.Value == 0)
+    return;
+  Context.add(CancelTargetAttempt{Call.Attempt});
+  releaseAttempt(Context, Call);
+}
+
+void removeCall(RelayContext &Context, RelayCall &Call) {
+  releaseAttempt(Context, Call);
+  Context.State.Opens.erase(Call.Ledger.Operation);
+  const RequestId Request = Call.Request;
+  Context.State.Calls.erase(Request);
+}
+
+/// Ends a call whose answer has begun and can't be completed.
+void breakCall(RelayContext &Context, RelayCall &Call, const char *Cause) {
+  cancelAttempt(Context, Call);
+  closeTurn(Context, Call, false);
+  Context.logCall("answer_broken_off", Call,
+                  {{"cause", Cause},
+                   {"target", Call.Target.Value},
+                   {"events", std::to_string(Call.EventsSent)}});
+  Context.count("relay_broken_answers_total", Cause);
+  Context.add(BreakAnswer{Call.Request});
+  removeCall(Context, Call);
+}
+
+/// Passes a whole answer on.
+void deliverWhole(RelayContext &Context, RelayCall &Call) {
+  closeTurn(Context, Call, false);
+  Context.logCall("answered", Call,
+                  {{"status", std::to_string(Call.Head->Status)},
+                   {"target", Call.Target.Value}});
+  if (!Call.IsAnswering)
+    Context.add(BeginAnswer{Call.Request, *Call.Head, Call.Held.size()});
+  if (!Call.Held.empty())
+    Context.add(ContinueAnswer{Call.Request, std::move(Call.Held)});
+  Context.add(FinishAnswer{Call.Request});
+  removeCall(Context, Call);
+}
+
+/// Handles a stream whose last event has come.
+void completeStream(RelayContext &Context, RelayCall &Call) {
+  releaseAttempt(Context, Call);
+  if (!Call.IsAnswering) {
+    Call.IsAnswering = true;
+    Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
+  }
+  const auto Operation = closeTurn(Context, Call, Call.Route.KeepsHistory);
+  // A turn counts from the end of its answer, so that the end waits until the
+  // turn is durable. A claim alone need not be: until then it counts in full.
+  if (!Operation || !Call.Route.KeepsHistory) {
+    finishCall(Context, Call);
+    return;
+  }
+  Call.Phase = RelayPhase::Closing;
+  Context.State.Closes.at(*Operation).Waiting = Call.Request;
+}
+
+bool hasTimeLeft(const RelayContext &Context, const RelayCall &Call) {
+  return Context.now() < Call.Deadline;
+}
+
+/// Handles an attempt that the target did not run.
+void handleNotRun(RelayContext &Context, RelayCall &Call, const char *Cause) {
+  releaseAttempt(Context, Call);
+  Call.Head.reset();
+  Call.Held.clear();
+  ++Call.RefusedSends;
+  Context.logCall("attempt_not_run", Call,
+                  {{"target", Call.Target.Value},
+                   {"cause", Cause},
+                   {"refused_sends", std::to_string(Call.RefusedSends)}});
+  Context.count("relay_attempts_not_run_total", Cause);
+  if (Call.IsAnswering && !hasTimeLeft(Context, Call)) {
+    breakCall(Context, Call, "deadline");
+    return;
+  }
+  if (Call.RefusedSends > Context.State.Options.RefusedSends) {
+    refuseCall(Context, Call, RelayRefusalReason::Overloaded);
+    return;
+  }
+  dispatchCall(Context, Call);
+}
+
+/// Handles an attempt whose outcome nobody knows.
+void handleUnknown(RelayContext &Context, RelayCall &Call, const char *Cause) {
+  releaseAttempt(Context, Call);
+  avoidTarget(Context.State, Call.Target);
+  Call.Head.reset();
+  Call.Held.clear();
+  Call.Splitter = EventSplitter();
+  ++Call.MayHaveRun;
+  const bool MayRetry = Call.Route.mayRepeat() &&
+                        Call.MayHaveRun < Call.Route.Attempts &&
+                        hasTimeLeft(Context, Call);
+  Context.logCall("attempt_outcome_unknown", Call,
+                  {{"target", Call.Target.Value},
+                   {"cause", Cause},
+                   {"events", std::to_string(Call.EventsSent)},
+                   {"retry", MayRetry ? "yes" : "no"}});
+  Context.count("relay_attempts_unknown_total", Cause);
+  if (MayRetry)
+    dispatchCall(Context, Call);
+  else if (Call.IsAnswering)
+    breakCall(Context, Call, Cause);
+  else
+    refuseCall(Context, Call, RelayRefusalReason::TargetFailed);
+}
+
+void handleComplete(RelayContext &Context, RelayCall &Call) {
+  if (!Call.Head) {
+    handleUnknown(Context, Call, "no_head");
+    return;
+  }
+  if (Call.Head->IsOtherTarget || Call.Head->IsNotRun) {
+    const bool IsOther = Call.Head->IsOtherTarget;
+    if (IsOther)
+      avoidTarget(Context.State, Call.Target);
+    handleNotRun(Context, Call, IsOther ? "other_target" : "target_refused");
+    return;
+  }
+  clearFailures(Context.State, Call.Target);
+  if (!isTrustworthy(*Call.Head)) {
+    handleUnknown(Context, Call, "unsigned_answer");
+    return;
+  }
+  if (!isStreamed(Call))
+    deliverWhole(Context, Call);
+  else if (Call.Splitter.hasPartialEvent())
+    handleUnknown(Context, Call, "partial_event");
+  else
+    completeStream(Context, Call);
+}
+
+void passEvents(RelayContext &Context, RelayCall &Call,
+                const std::string &Bytes) {
+  std::string Whole;
+  for (const StreamEvent &Each : Call.Splitter.append(Bytes)) {
+    Whole += Each.Bytes;
+    if (Each.Id)
+      Call.LastEventId = *Each.Id;
+    if (!Each.HasData)
+      continue;
+    ++Call.EventsSent;
+    if (Call.Route.KeepsHistory)
+      Call.Output += Each.Data + '\n';
+  }
+  if (Whole.empty())
+    return;
+  if (!Call.IsAnswering) {
+    Call.IsAnswering = true;
+    Context.logCall("stream_started", Call, {{"target", Call.Target.Value}});
+    Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
+  }
+  Context.add(ContinueAnswer{Call.Request, std::move(Whole)});
+}
+
+void holdBytes(RelayContext &Context, RelayCall &Call,
+               const std::string &Bytes) {
+  Call.Held += Bytes;
+  const bool MayPassOn = !Call.Head->IsNotRun && !Call.Head->IsOtherTarget &&
+                         isTrustworthy(*Call.Head);
+  if (Call.Held.size() < Context.State.Options.HeldAnswerBytes || !MayPassOn)
+    return;
+  if (!Call.IsAnswering)
+    Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
+  Call.IsAnswering = true;
+  Context.add(ContinueAnswer{Call.Request, std::move(Call.Held)});
+  Call.Held.clear();
+}
+
+/// Whether what was sent so far may have run at a target.
+Execution executionOf(const RelayCall &Call) {
+  return Call.MayHaveRun > 0 ? Execution::Unknown : Execution::NotRun;
+}
+
+Milliseconds retryAfterFor(const RelayState &State, RelayRefusalReason Reason) {
+  switch (Reason) {
+  case RelayRefusalReason::NotConfigured:
+  case RelayRefusalReason::LedgerUnavailable:
+  case RelayRefusalReason::NoTarget:
+  case RelayRefusalReason::Overloaded:
+    return State.Options.RetryAfter;
+  default:
+    return Milliseconds(0);
+  }
+}
+
+void refuseUnadmitted(RelayContext &Context, RequestId Request,
+                      const CallerRequest &Asked, RelayRefusalReason Reason) {
+  const RelayRefusal Refusal{Reason, Execution::NotRun,
+                             retryAfterFor(Context.State, Reason)};
+  Context.log("request_refused",
+              {{"request", Asked.Id.Value},
+               {"reason", toString(Reason)},
+               {"host", Asked.Host},
+               {"path", pathOf(Asked.Target)},
+               {"config", Context.State.Configuration
+                              ? std::to_string(
+                                    Context.State.Configuration->Version.Value)
+                              : std::string("none")}});
+  Context.count("relay_refusals_total", toString(Reason));
+  Context.add(RefuseCaller{Request, Refusal});
+}
+
+} // namespace
+
+void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked) {
+  RelayState &State = Context.State;
+  if (!State.Configuration) {
+    refuseUnadmitted(Context, Request, Asked,
+                     RelayRefusalReason::NotConfigured);
+    return;
+  }
+  const RelayRoute *Route = findRoute(*State.Configuration, hostOf(Asked.Host),
+                                      pathOf(Asked.Target));
+  if (!Route || Route->Services.empty()) {
+    refuseUnadmitted(Context, Request, Asked, RelayRefusalReason::NoRoute);
+    return;
+  }
+  RelayCall Call;
+  Call.Request = Request;
+  Call.Route = *Route;
+  Call.Service = pickService(*Route, Asked);
+  Call.Version = State.Configuration->Version;
+  const auto Service = State.Configuration->Services.find(Call.Service);
+  if (Service != State.Configuration->Services.end())
+    Call.TokensPerEvent = Service->second.TokensPerEvent;
+  Call.Arrived = State.Now;
+  Call.Deadline =
+      State.Now + std::min(Route->Timeout,
+                           Asked.TimeLeft.value_or(Route->Timeout));
+  Call.Asked = std::move(Asked);
+  RelayCall &Admitted = State.Calls[Request] = std::move(Call);
+  if (!hasTimeLeft(Context, Admitted))
+    refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
+  else if (needsLedger(Admitted))
+    openTurn(Context, Admitted);
+  else
+    dispatchCall(Context, Admitted);
+}
+
+void dispatchCall(RelayContext &Context, RelayCall &Call) {
+  RelayState &State = Context.State;
+  const auto Chosen = chooseTarget(State, Call);
+  if (!Chosen) {
+    const bool IsFull = Chosen.error() == PlacementFailure::Overloaded;
+    refuseCall(Context, Call,
+               IsFull ? RelayRefusalReason::Overloaded
+                      : RelayRefusalReason::NoTarget);
+    return;
+  }
+  const RelayTarget &Target = State.Targets.at(Chosen.value());
+  Call.Phase = RelayPhase::Running;
+  Call.Attempt = RelayAttemptId(State.NextAttempt++);
+  Call.Target = Chosen.value();
+  Call.SentAt = State.Now;
+  Call.Tried.insert(Call.Target);
+  State.Attempts[Call.Attempt] = Call.Request;
+  SendAttempt Send;
+  Send.Attempt = Call.Attempt;
+  Send.Request = Call.Request;
+  Send.Target = Target.Entry;
+  Send.IdleLimit = idleLimitOf(State, Call.Service);
+  Send.TimeLeft = Call.Deadline - State.Now;
+  Send.History = Call.Ledger.History;
+  if (Call.EventsSent > 0)
+    Send.ResumeAfter = Call.LastEventId;
+  Context.logCall("attempt_sent", Call,
+                  {{"target", Call.Target.Value},
+                   {"service", Call.Service.Value},
+                   {"outstanding", std::to_string(Target.Outstanding)},
+                   {"others", std::to_string(Target.OthersLoad)},
+                   {"left_ms", RelayContext::millis(Send.TimeLeft)}});
+  addOutstanding(State, Call.Target);
+  Context.add(std::move(Send));
+}
+
+void refuseCall(RelayContext &Context, RelayCall &Call,
+                RelayRefusalReason Reason) {
+  if (Call.IsAnswering) {
+    breakCall(Context, Call, toString(Reason));
+    return;
+  }
+  cancelAttempt(Context, Call);
+  closeTurn(Context, Call, false);
+  const RelayRefusal Refusal{Reason, executionOf(Call),
+                             retryAfterFor(Context.State, Reason)};
+  Context.logCall("request_refused", Call,
+                  {{"reason", toString(Reason)},
+                   {"execution", toString(Refusal.Ran)},
+                   {"retry_after_ms", RelayContext::millis(Refusal.RetryAfter)},
+                   {"target", Call.Target.Value}});
+  Context.count("relay_refusals_total", toString(Reason));
+  Context.add(RefuseCaller{Call.Request, Refusal});
+  removeCall(Context, Call);
+}
+
+void finishCall(RelayContext &Context, RelayCall &Call) {
+  Context.logCall("answered", Call,
+                  {{"status", std::to_string(Call.Head->Status)},
+                   {"target", Call.Target.Value},
+                   {"events", std::to_string(Call.EventsSent)}});
+  Context.add(FinishAnswer{Call.Request});
+  removeCall(Context, Call);
+}
+
+void handleHead(RelayContext &Context, const AttemptHeadCame &Event) {
+  RelayCall *Call = callOf(Context, Event.Attempt);
+  if (!Call)
+    return;
+  Call->Head = Event.Head;
+  if (Event.Head.Load)
+    noteLoad(Context.State, Call->Target, *Event.Head.Load);
+}
+
+void handleBytes(RelayContext &Context, const AttemptBytesCame &Event) {
+  RelayCall *Call = callOf(Context, Event.Attempt);
+  if (!Call || !Call->Head)
+    return;
+  if (isStreamed(*Call) && isTrustworthy(*Call->Head))
+    passEvents(Context, *Call, Event.Bytes);
+  else
+    holdBytes(Context, *Call, Event.Bytes);
+}
+
+void handleEnd(RelayContext &Context, const AttemptEnded &Event) {
+  RelayCall *Call = callOf(Context, Event.Attempt);
+  if (!Call)
+    return;
+  switch (Event.Ended) {
+  case AttemptEnded::Kind::Complete:
+    handleComplete(Context, *Call);
+    return;
+  case AttemptEnded::Kind::NeverSent:
+    avoidTarget(Context.State, Call->Target);
+    handleNotRun(Context, *Call, "unreachable");
+    return;
+  case AttemptEnded::Kind::Broken:
+    handleUnknown(Context, *Call, "broken_connection");
+    return;
+  }
+}
+
+void handleCallerGone(RelayContext &Context, RequestId Request) {
+  const auto Found = Context.State.Calls.find(Request);
+  if (Found == Context.State.Calls.end())
+    return;
+  RelayCall &Call = Found->second;
+  cancelAttempt(Context, Call);
+  if (Call.Phase != RelayPhase::Closing)
+    closeTurn(Context, Call, false);
+  Context.logCall("caller_gone", Call,
+                  {{"target", Call.Target.Value},
+                   {"events", std::to_string(Call.EventsSent)}});
+  removeCall(Context, Call);
+}
+
+void reviewDeadlines(RelayContext &Context) {
+  std::vector<RequestId> Late;
+  for (const auto &[Request, Call] : Context.State.Calls) {
+    if (!hasTimeLeft(Context, Call))
+      Late.push_back(Request);
+  }
+  for (const RequestId Request : Late) {
+    RelayCall &Call = Context.State.Calls.at(Request);
+    if (Call.Attempt.Value != 0)
+      ++Call.MayHaveRun;
+    refuseCall(Context, Call, RelayRefusalReason::DeadlinePassed);
+  }
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/relay/Directory.cpp
@@ -0,0 +1,100 @@
+#include "Directory.h"
+
+namespace tanagerlanding {
+
+namespace {
+
+void unlist(RelayState &State, const RelayTarget &Target) {
+  const auto Listed = State.TargetsByService.find(Target.Entry.Service);
+  if (Listed == State.TargetsByService.end())
+    return;
+  Listed->second.erase(Target.Entry.Id);
+  if (Listed->second.empty())
+    State.TargetsByService.erase(Listed);
+}
+
+void forget(RelayContext &Context, const TargetId &Id) {
+  const auto Found = Context.State.Targets.find(Id);
+  unlist(Context.State, Found->second);
+  Context.State.Targets.erase(Found);
+  Context.log("target_forgotten", {{"target", Id.Value}});
+}
+
+} // namespace
+
+void adoptConfiguration(RelayContext &Context,
+                        const RelayConfiguration &Configuration) {
+  RelayState &State = Context.State;
+  const bool IsOlder =
+      State.Configuration &&
+      !(State.Configuration->Version < Configuration.Version);
+  Context.log(IsOlder ? "configuration_ignored" : "configuration_adopted",
+              {{"version", std::to_string(Configuration.Version.Value)},
+               {"routes", std::to_string(Configuration.Routes.size())}});
+  if (!IsOlder)
+    State.Configuration = Configuration;
+}
+
+void takeTarget(RelayContext &Context, const RegisteredTarget &Entry) {
+  RelayState &State = Context.State;
+  const auto Found = State.Targets.find(Entry.Id);
+  const bool IsNew = Found == State.Targets.end();
+  const bool IsRestarted =
+      !IsNew && Found->second.Entry.BornMillis != Entry.BornMillis;
+  if (!IsNew)
+    unlist(State, Found->second);
+  RelayTarget &Target = State.Targets[Entry.Id];
+  const bool IsChanged = IsNew || IsRestarted || Target.MissingSince ||
+                         Target.Entry.IsLeaving != Entry.IsLeaving;
+  Target.Entry = Entry;
+  Target.MissingSince.reset();
+  // A new run knows nothing of the failures of the one before.
+  if (IsRestarted) {
+    Target.Failures = 0;
+    Target.AvoidUntil = Instant();
+    Target.OthersLoad = 0;
+  }
+  State.TargetsByService[Entry.Service].insert(Entry.Id);
+  if (IsChanged)
+    Context.log("target_registered",
+                {{"target", Entry.Id.Value},
+                 {"service", Entry.Service.Value},
+                 {"address",
+                  Entry.Address + ":" + std::to_string(Entry.Port)},
+                 {"leaving", Entry.IsLeaving ? "yes" : "no"},
+                 {"restarted", IsRestarted ? "yes" : "no"}});
+}
+
+void loseTarget(RelayContext &Context, const TargetId &Id) {
+  RelayState &State = Context.State;
+  const auto Found = State.Targets.find(Id);
+  if (Found == State.Targets.end())
+    return;
+  const bool MayComeBack =
+      !State.IsServiceReachable ||
+      State.Now - State.ServiceRegainedAt < State.Options.MissingTargetGrace;
+  Context.log("target_unregistered", {{"target", Id.Value},
+                                      {"may_return", MayComeBack ? "yes" : "no"}});
+  if (!MayComeBack) {
+    forget(Context, Id);
+    return;
+  }
+  if (!Found->second.MissingSince)
+    Found->second.MissingSince = State.Now;
+}
+
+void forgetMissingTargets(RelayContext &Context) {
+  RelayState &State = Context.State;
+  if (!State.IsServiceReachable ||
+      State.Now - State.ServiceRegainedAt < State.Options.MissingTargetGrace)
+    return;
+  std::vector<TargetId> Gone;
+  for (const auto &[Id, Target] : State.Targets) {
+    if (Target.MissingSince)
+      Gone.push_back(Id);
+  }
+  for (const TargetId &Id : Gone)
+    forget(Context, Id);
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/relay/RelayContext.h
@@ -0,0 +1,60 @@
+/// \file
+/// What every handler of the relay's reducer works on.
+#ifndef TANAGERLANDING_DECISION_RELAY_RELAYCONTEXT_H
+#define TANAGERLANDING_DECISION_RELAY_RELAYCONTEXT_H
+
+#include "tanagerlanding/decision/relay/RelayReducer.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tanagerlanding {
+
+/// The state, and the effects gathered for one event.
+class RelayContext {
+public:
+  using Fields = std::vector<std::pair<std::string, std::string>>;
+
+  RelayContext(RelayState &State, std::vector<RelayEffect> &Effects)
+      : State(State), Effects(Effects) {}
+
+  void send(const HolderId &Holder, Message Body) {
+    this->Effects.push_back(SendReplica{Holder, std::move(Body)});
+  }
+
+  void log(const char *Event, Fields Values) {
+    this->Effects.push_back(LogLine{Event, std::move(Values)});
+  }
+
+  /// Logs a decision about one request.
+  void logCall(const char *Event, const RelayCall &Call, Fields Values) {
+    Fields All = {{"request", Call.Asked.Id.Value},
+                  {"route", Call.Route.Name.Value},
+                  {"config", std::to_string(Call.Version.Value)},
+                  {"age_ms", millis(this->State.Now - Call.Arrived)}};
+    All.insert(All.end(), Values.begin(), Values.end());
+    this->log(Event, std::move(All));
+  }
+
+  void count(const char *Name, const char *Cause) {
+    this->Effects.push_back(CountMetric{Name, Cause});
+  }
+
+  template <typename Effect> void add(Effect Each) {
+    this->Effects.push_back(std::move(Each));
+  }
+
+  Instant now() const { return this->State.Now; }
+
+  static std::string millis(Milliseconds Value) {
+    return std::to_string(Value.count());
+  }
+
+  RelayState &State;
+  std::vector<RelayEffect> &Effects;
+};
+
+} // namespace tanagerlanding
+
+#endif
--- /dev/null
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -0,0 +1,139 @@
+#include "tanagerlanding/decision/relay/RelayReducer.h"
+
+#include "Attempts.h"
+#include "Directory.h"
+#include "RelayContext.h"
+#include "Turns.h"
+
+namespace tanagerlanding {
+
+namespace {
+
+/// Stops in steps: the balancer is told first, then nothing new is taken, then
+/// the process ends once nothing is under way.
+void reviewDraining(RelayContext &Context) {
+  RelayState &State = Context.State;
+  if (!State.IsDraining || State.HasAskedExit)
+    return;
+  const Milliseconds Passed = State.Now - State.DrainSince;
+  if (State.Options.DrainAccept <= Passed && !State.HasStoppedAccepting) {
+    State.HasStoppedAccepting = true;
+    Context.log("accepting_stopped",
+                {{"calls", std::to_string(State.Calls.size())}});
+    Context.add(StopAccepting{});
+  }
+  const bool IsIdle = State.HasStoppedAccepting && State.Calls.empty() &&
+                      State.Closes.empty();
+  const bool IsOverdue = State.Options.DrainLimit <= Passed;
+  if (!IsIdle && !IsOverdue)
+    return;
+  State.HasAskedExit = true;
+  Context.log("relay_stopped",
+              {{"cut_calls", std::to_string(State.Calls.size())},
+               {"passed_ms", RelayContext::millis(Passed)}});
+  Context.add(ExitRelay{});
+}
+
+/// Handles events, one overload for each.
+class RelayEventHandler {
+public:
+  explicit RelayEventHandler(RelayContext &Context)
+      : Context(Context), State(Context.State) {}
+
+  void operator()(const RelayTimePassed &Event) {
+    this->State.Now = Event.Now;
+    reviewDeadlines(this->Context);
+    reviewLedger(this->Context);
+    forgetMissingTargets(this->Context);
+    reviewDraining(this->Context);
+  }
+
+  void operator()(const CallerAsked &Event) {
+    admitCall(this->Context, Event.Request, Event.Asked);
+  }
+
+  void operator()(const CallerGone &Event) {
+    handleCallerGone(this->Context, Event.Request);
+  }
+
+  void operator()(const AttemptHeadCame &Event) {
+    handleHead(this->Context, Event);
+  }
+
+  void operator()(const AttemptBytesCame &Event) {
+    handleBytes(this->Context, Event);
+  }
+
+  void operator()(const AttemptEnded &Event) {
+    handleEnd(this->Context, Event);
+  }
+
+  void operator()(const RelayConfigured &Event) {
+    adoptConfiguration(this->Context, Event.Configuration);
+  }
+
+  void operator()(const TargetRegistered &Event) {
+    takeTarget(this->Context, Event.Entry);
+  }
+
+  void operator()(const TargetUnregistered &Event) {
+    loseTarget(this->Context, Event.Id);
+  }
+
+  void operator()(const DirectoryLost &) {
+    this->State.IsServiceReachable = false;
+    this->Context.log("directory_lost", {});
+  }
+
+  void operator()(const DirectoryRegained &) {
+    if (this->State.IsServiceReachable)
+      return;
+    this->State.IsServiceReachable = true;
+    this->State.ServiceRegainedAt = this->State.Now;
+    this->Context.log("directory_regained", {});
+  }
+
+  void operator()(const RelayViewSeen &Event) {
+    adoptRelayView(this->Context, Event.View);
+  }
+
+  void operator()(const ReplicaConnected &Event) {
+    connectReplica(this->Context, Event.Holder);
+  }
+
+  void operator()(const ReplicaDisconnected &Event) {
+    disconnectReplica(this->Context, Event.Holder);
+  }
+
+  void operator()(const ReplicaSaid &Event) {
+    handleReplica(this->Context, Event.Holder, Event.Body);
+  }
+
+  void operator()(const RelayTerminationAsked &) {
+    if (this->State.IsDraining)
+      return;
+    this->State.IsDraining = true;
+    this->State.DrainSince = this->State.Now;
+    this->Context.log("draining_started",
+                      {{"calls", std::to_string(this->State.Calls.size())}});
+  }
+
+private:
+  RelayContext &Context;
+  RelayState &State;
+};
+
+} // namespace
+
+std::vector<RelayEffect> reduce(RelayState &State, const RelayEvent &Event) {
+  std::vector<RelayEffect> Effects;
+  RelayContext Context(State, Effects);
+  std::visit(RelayEventHandler(Context), Event);
+  return Effects;
+}
+
+bool isRelayReady(const RelayState &State) {
+  return State.Configuration.has_value() && !State.IsDraining;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -0,0 +1,41 @@
+#include "tanagerlanding/decision/relay/CallerRequest.h"
+
+namespace tanagerlanding {
+
+const char *toString(RelayRefusalReason Reason) {
+  switch (Reason) {
+  case RelayRefusalReason::Malformed:
+    return "malformed";
+  case RelayRefusalReason::HeadersTooLarge:
+    return "headers_too_large";
+  case RelayRefusalReason::BodyTooLarge:
+    return "body_too_large";
+  case RelayRefusalReason::HeadersLate:
+    return "headers_late";
+  case RelayRefusalReason::NotConfigured:
+    return "not_configured";
+  case RelayRefusalReason::NoRoute:
+    return "no_route";
+  case RelayRefusalReason::UnknownTurn:
+    return "unknown_turn";
+  case RelayRefusalReason::BudgetExhausted:
+    return "budget_exhausted";
+  case RelayRefusalReason::LedgerUnavailable:
+    return "ledger_unavailable";
+  case RelayRefusalReason::NoTarget:
+    return "no_target";
+  case RelayRefusalReason::Overloaded:
+    return "overloaded";
+  case RelayRefusalReason::Draining:
+    return "draining";
+  case RelayRefusalReason::Quarantined:
+    return "quarantined";
+  case RelayRefusalReason::TargetFailed:
+    return "target_failed";
+  case RelayRefusalReason::DeadlinePassed:
+    return "deadline_passed";
+  }
+  return "unknown";
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/relay/Turns.cpp
@@ -0,0 +1,452 @@
+#include "Turns.h"
+
+#include "Attempts.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+/// A close that nobody waits for is given up after this time; until a replica
+/// has it the claim counts in full, which is safe.
+constexpr Milliseconds CloseLimit{10000};
+
+Fingerprint fingerprintOf(const CallerRequest &Asked) {
+  return Fingerprint(hashBytes(Asked.Id.Value));
+}
+
+std::size_t countIn(const std::set<HolderId> &Holders,
+                    const std::vector<LedgerMember> &Members) {
+  return static_cast<std::size_t>(std::count_if(
+      Members.begin(), Members.end(), [&](const LedgerMember &Each) {
+        return Holders.count(Each.Holder) > 0;
+      }));
+}
+
+/// Returns whether enough replicas have written.
+bool isWritten(const LedgerView &View, const std::set<HolderId> &Holders) {
+  return countIn(Holders, View.Current) >= View.writeQuorum(View.Current) &&
+         countIn(Holders, View.Next) >= View.writeQuorum(View.Next);
+}
+
+/// Returns whether enough replicas have answered for the answer to be certain.
+bool isRead(const LedgerView &View, const std::set<HolderId> &Holders) {
+  return countIn(Holders, View.Current) >= View.readQuorum();
+}
+
+bool hasClaim(const RelayCall &Call) {
+  return Call.Asked.Program && Call.Asked.Program->Budget;
+}
+
+std::optional<TurnId> previousOf(const RelayCall &Call) {
+  return Call.Route.KeepsHistory ? Call.Asked.Previous : std::nullopt;
+}
+
+ProgramId programOf(const RelayCall &Call) {
+  return Call.Asked.Program ? Call.Asked.Program->Program : ProgramId();
+}
+
+/// Returns the replica whose history is the cheapest to get: one in this zone.
+std::optional<HolderId> pickHistorySource(const RelayState &State,
+                                          const std::set<HolderId> &Tried) {
+  std::optional<HolderId> Best;
+  for (const LedgerMember &Each : State.View.Current) {
+    if (State.Connected.count(Each.Holder) == 0 ||
+        Tried.count(Each.Holder) > 0)
+      continue;
+    if (Each.Zone == State.Zone)
+      return Each.Holder;
+    if (!Best)
+      Best = Each.Holder;
+  }
+  return Best;
+}
+
+/// Asks all replicas. The first time, the turn's tokens are claimed and one
+/// replica is asked for the history.
+void sendOpen(RelayContext &Context, RelayCall &Call, bool IsFirst) {
+  RelayState &State = Context.State;
+  TurnLedger &Ledger = Call.Ledger;
+  State.Opens.erase(Ledger.Operation);
+  Ledger.Operation = LedgerOperationId(State.NextOperation++);
+  Ledger.AskedAt = State.Now;
+  Ledger.Answered.clear();
+  Ledger.Refused.clear();
+  State.Opens[Ledger.Operation] = Call.Request;
+  OpenTurn Open;
+  Open.Operation = Ledger.Operation;
+  Open.View = State.View.Version;
+  Open.Turn = Call.Asked.Id;
+  Open.Program = programOf(Call);
+  Open.Previous = previousOf(Call);
+  Open.Retention = Call.Route.Retention;
+  if (IsFirst && hasClaim(Call)) {
+    Open.Claimed = Call.Asked.MostTokens;
+    Ledger.HasClaim = true;
+  }
+  const bool NeedsHistory = IsFirst && Open.Previous;
+  const auto Source =
+      NeedsHistory ? pickHistorySource(State, {}) : std::nullopt;
+  if (NeedsHistory) {
+    Ledger.HistoryAsked = Source.value_or(HolderId());
+    Ledger.HistoryAskedAt = State.Now;
+    Ledger.HistoryNeeded = Open.Previous;
+    Ledger.HistoryTried = {Ledger.HistoryAsked};
+    Ledger.History.clear();
+  }
+  for (const LedgerMember &Each : State.View.allMembers()) {
+    if (State.Connected.count(Each.Holder) == 0)
+      continue;
+    Open.WantsHistory = Source && Each.Holder == *Source;
+    Context.send(Each.Holder, Open);
+  }
+}
+
+/// Returns whether replicas that may still answer can make up a quorum.
+bool canSucceed(const RelayState &State, const RelayCall &Call) {
+  std::set<HolderId> Possible = Call.Ledger.Answered;
+  for (const HolderId &Each : State.Connected) {
+    if (Call.Ledger.Refused.count(Each) == 0)
+      Possible.insert(Each);
+  }
+  if (!isRead(State.View, Possible))
+    return false;
+  return !Call.Ledger.HasClaim || isWritten(State.View, Possible);
+}
+
+/// Returns the tokens that other turns of the program have claimed.
+TokenCount claimedByOthers(const RelayCall &Call) {
+  TokenCount Sum;
+  for (const auto &[Turn, Claim] : Call.Ledger.Claims) {
+    if (!(Turn == fingerprintOf(Call.Asked)))
+      Sum = Sum + Claim.Tokens;
+  }
+  return Sum;
+}
+
+void mergeClaims(TurnLedger &Ledger, const std::vector<TokenClaim> &Claims) {
+  for (const TokenClaim &Each : Claims) {
+    TokenClaim &Known = Ledger.Claims[Each.Turn];
+    if (!Known.IsSettled)
+      Known = Each;
+  }
+}
+
+/// Asks the next replica for the missing part of the history, or refuses.
+void collectHistory(RelayContext &Context, RelayCall &Call) {
+  RelayState &State = Context.State;
+  TurnLedger &Ledger = Call.Ledger;
+  Call.Phase = RelayPhase::Collecting;
+  const auto Source = pickHistorySource(State, Ledger.HistoryTried);
+  if (!Source) {
+    refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
+    return;
+  }
+  Ledger.HistoryAsked = *Source;
+  Ledger.HistoryAskedAt = State.Now;
+  Ledger.HistoryTried.insert(*Source);
+  OpenTurn Read;
+  Read.Operation = Ledger.Operation;
+  Read.View = State.View.Version;
+  Read.Turn = Call.Asked.Id;
+  Read.Program = programOf(Call);
+  Read.Previous = Ledger.HistoryNeeded;
+  Read.WantsHistory = true;
+  Read.Retention = Call.Route.Retention;
+  State.Opens[Ledger.Operation] = Call.Request;
+  Context.send(*Source, Read);
+}
+
+/// Goes on with a turn whose claim and previous turn are certain.
+void proceed(RelayContext &Context, RelayCall &Call) {
+  TurnLedger &Ledger = Call.Ledger;
+  if (!Ledger.HistoryNeeded) {
+    Context.State.Opens.erase(Ledger.Operation);
+    dispatchCall(Context, Call);
+    return;
+  }
+  // The replica that was asked first may still be sending.
+  Call.Phase = RelayPhase::Collecting;
+  const bool HasAnswered = Ledger.Answered.count(Ledger.HistoryAsked) > 0 ||
+                           Ledger.Refused.count(Ledger.HistoryAsked) > 0;
+  if (HasAnswered)
+    collectHistory(Context, Call);
+}
+
+/// Decides on a turn once enough replicas have answered.
+void evaluateOpen(RelayContext &Context, RelayCall &Call) {
+  RelayState &State = Context.State;
+  TurnLedger &Ledger = Call.Ledger;
+  const bool IsClaiming = Call.Phase == RelayPhase::Opening && Ledger.HasClaim;
+  const bool IsCertain = isRead(State.View, Ledger.Answered) &&
+                         (!IsClaiming || isWritten(State.View, Ledger.Answered));
+  if (!IsCertain) {
+    if (!canSucceed(State, Call))
+      refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
+    return;
+  }
+  if (previousOf(Call) && Ledger.KnowPrevious.empty()) {
+    refuseCall(Context, Call, RelayRefusalReason::UnknownTurn);
+    return;
+  }
+  if (hasClaim(Call)) {
+    const TokenCount Budget = *Call.Asked.Program->Budget;
+    const TokenCount Taken = claimedByOthers(Call);
+    if (!(Taken < Budget)) {
+      Context.logCall("budget_exhausted", Call,
+                      {{"program", programOf(Call).Value},
+                       {"budget", std::to_string(Budget.Value)},
+                       {"claimed", std::to_string(Taken.Value)}});
+      refuseCall(Context, Call, RelayRefusalReason::BudgetExhausted);
+      return;
+    }
+    // Claims made at the same moment may each have reached replicas that the
+    // other's answers did not come from. A second reading begins after this
+    // claim is durable, so that of any two turns one sees the other.
+    const TokenCount Margin{Call.Asked.MostTokens.Value *
+                            State.Options.BudgetMarginClaims};
+    if (Call.Phase == RelayPhase::Opening && Budget < Taken + Margin) {
+      Call.Phase = RelayPhase::Confirming;
+      sendOpen(Context, Call, false);
+      return;
+    }
+  }
+  proceed(Context, Call);
+}
+
+void takeHistory(RelayCall &Call, const TurnOpened &Reply) {
+  TurnLedger &Ledger = Call.Ledger;
+  if (!Reply.History || !Ledger.HistoryNeeded ||
+      !(Reply.Holder == Ledger.HistoryAsked))
+    return;
+  Ledger.History = *Reply.History + Ledger.History;
+  Ledger.HistoryNeeded = Reply.MissingTurn;
+  if (Reply.MissingTurn)
+    Ledger.HistoryTried = {Reply.Holder};
+}
+
+void handleOpened(RelayContext &Context, const HolderId &Holder,
+                  const TurnOpened &Reply) {
+  RelayState &State = Context.State;
+  const auto Request = State.Opens.find(Reply.Operation);
+  if (Request == State.Opens.end())
+    return;
+  RelayCall &Call = State.Calls.at(Request->second);
+  TurnLedger &Ledger = Call.Ledger;
+  const bool WasCollecting = Call.Phase == RelayPhase::Collecting;
+  mergeClaims(Ledger, Reply.Claims);
+  if (Reply.KnowsPrevious)
+    Ledger.KnowPrevious.insert(Holder);
+  takeHistory(Call, Reply);
+  Ledger.Answered.insert(Holder);
+  if (!WasCollecting) {
+    evaluateOpen(Context, Call);
+    return;
+  }
+  if (!Ledger.HistoryNeeded)
+    proceed(Context, Call);
+  else if (Holder == Ledger.HistoryAsked)
+    collectHistory(Context, Call);
+}
+
+void sendClose(RelayContext &Context, PendingClose &Close) {
+  RelayState &State = Context.State;
+  Close.Message.View = State.View.Version;
+  for (const LedgerMember &Each : State.View.allMembers()) {
+    if (State.Connected.count(Each.Holder) > 0 &&
+        Close.Confirmed.count(Each.Holder) == 0)
+      Context.send(Each.Holder, Close.Message);
+  }
+}
+
+/// Ends a close that enough replicas have confirmed.
+void completeClose(RelayContext &Context, LedgerOperationId Operation) {
+  RelayState &State = Context.State;
+  const auto Found = State.Closes.find(Operation);
+  if (!isWritten(State.View, Found->second.Confirmed))
+    return;
+  const auto Waiting = Found->second.Waiting;
+  State.Closes.erase(Found);
+  if (!Waiting)
+    return;
+  const auto Call = State.Calls.find(*Waiting);
+  if (Call != State.Calls.end())
+    finishCall(Context, Call->second);
+}
+
+void handleClosed(RelayContext &Context, const HolderId &Holder,
+                  const TurnClosed &Reply) {
+  const auto Found = Context.State.Closes.find(Reply.Operation);
+  if (Found == Context.State.Closes.end())
+    return;
+  Found->second.Confirmed.insert(Holder);
+  completeClose(Context, Reply.Operation);
+}
+
+void handleRefused(RelayContext &Context, const HolderId &Holder,
+                   const LedgerRefused &Reply) {
+  RelayState &State = Context.State;
+  if (State.View.Version < Reply.View.Version) {
+    adoptRelayView(Context, Reply.View);
+    return;
+  }
+  const auto Request = State.Opens.find(Reply.Operation);
+  if (Request == State.Opens.end())
+    return;
+  RelayCall &Call = State.Calls.at(Request->second);
+  Call.Ledger.Refused.insert(Holder);
+  if (Call.Phase != RelayPhase::Collecting)
+    evaluateOpen(Context, Call);
+  else if (Holder == Call.Ledger.HistoryAsked)
+    collectHistory(Context, Call);
+}
+
+/// Handles messages, one overload for each that a relay takes.
+class ReplicaMessageHandler {
+public:
+  ReplicaMessageHandler(RelayContext &Context, const HolderId &Holder)
+      : Context(Context), Holder(Holder) {}
+
+  void operator()(const TurnOpened &Reply) {
+    handleOpened(this->Context, this->Holder, Reply);
+  }
+  void operator()(const TurnClosed &Reply) {
+    handleClosed(this->Context, this->Holder, Reply);
+  }
+  void operator()(const LedgerRefused &Reply) {
+    handleRefused(this->Context, this->Holder, Reply);
+  }
+  void operator()(const ViewOffer &Offer) {
+    adoptRelayView(this->Context, Offer.View);
+  }
+  /// Other messages are not for a relay.
+  template <typename Other> void operator()(const Other &) {}
+
+private:
+  RelayContext &Context;
+  const HolderId &Holder;
+};
+
+/// Returns calls that wait for the ledger before they may run.
+std::vector<RequestId> waitingCalls(const RelayState &State) {
+  std::vector<RequestId> Waiting;
+  for (const auto &[Operation, Request] : State.Opens)
+    Waiting.push_back(Request);
+  return Waiting;
+}
+
+} // namespace
+
+bool needsLedger(const RelayCall &Call) {
+  return hasClaim(Call) || previousOf(Call).has_value();
+}
+
+void openTurn(RelayContext &Context, RelayCall &Call) {
+  Call.Phase = RelayPhase::Opening;
+  if (!canSucceed(Context.State, Call)) {
+    refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
+    return;
+  }
+  sendOpen(Context, Call, true);
+}
+
+std::optional<LedgerOperationId> closeTurn(RelayContext &Context,
+                                           RelayCall &Call, bool IsKept) {
+  RelayState &State = Context.State;
+  TurnLedger &Ledger = Call.Ledger;
+  const bool HasOpenClaim = Ledger.HasClaim && !Ledger.IsSettled;
+  if (!HasOpenClaim && !IsKept)
+    return std::nullopt;
+  Ledger.IsSettled = true;
+  PendingClose Close;
+  Close.Since = State.Now;
+  Close.Message.Operation = LedgerOperationId(State.NextOperation++);
+  Close.Message.Program = programOf(Call);
+  Close.Message.Turn = Call.Asked.Id;
+  Close.Message.Retention = Call.Route.Retention;
+  if (HasOpenClaim)
+    Close.Message.Used =
+        TokenCount{Call.EventsSent * Call.TokensPerEvent.Value};
+  if (IsKept) {
+    Close.Message.IsKept = true;
+    Close.Message.Previous = previousOf(Call);
+    Close.Message.Input = std::move(Call.Asked.Body);
+    Close.Message.Output = std::move(Call.Output);
+  }
+  const LedgerOperationId Operation = Close.Message.Operation;
+  PendingClose &Kept = State.Closes[Operation] = std::move(Close);
+  sendClose(Context, Kept);
+  return Operation;
+}
+
+void handleReplica(RelayContext &Context, const HolderId &Holder,
+                   const Message &Body) {
+  std::visit(ReplicaMessageHandler(Context, Holder), Body);
+}
+
+void connectReplica(RelayContext &Context, const HolderId &Holder) {
+  RelayState &State = Context.State;
+  State.Connected.insert(Holder);
+  Context.log("replica_connected", {{"holder", Holder.Value}});
+  for (auto &[Operation, Close] : State.Closes) {
+    if (Close.Confirmed.count(Holder) == 0)
+      Context.send(Holder, Close.Message);
+  }
+}
+
+void disconnectReplica(RelayContext &Context, const HolderId &Holder) {
+  RelayState &State = Context.State;
+  State.Connected.erase(Holder);
+  Context.log("replica_disconnected", {{"holder", Holder.Value}});
+  for (const RequestId Request : waitingCalls(State)) {
+    const auto Found = State.Calls.find(Request);
+    if (Found == State.Calls.end())
+      continue;
+    if (Found->second.Phase != RelayPhase::Collecting)
+      evaluateOpen(Context, Found->second);
+    else if (Found->second.Ledger.HistoryAsked == Holder)
+      collectHistory(Context, Found->second);
+  }
+}
+
+void adoptRelayView(RelayContext &Context, const LedgerView &View) {
+  RelayState &State = Context.State;
+  if (!(State.View.Version < View.Version))
+    return;
+  State.View = View;
+  Context.log("ledger_view_adopted",
+              {{"version", std::to_string(View.Version.Value)},
+               {"current", std::to_string(View.Current.size())},
+               {"next", std::to_string(View.Next.size())}});
+  Context.add(ConnectReplicas{View.allMembers()});
+  for (const RequestId Request : waitingCalls(State)) {
+    const auto Found = State.Calls.find(Request);
+    if (Found != State.Calls.end())
+      openTurn(Context, Found->second);
+  }
+  for (auto &[Operation, Close] : State.Closes)
+    sendClose(Context, Close);
+}
+
+void reviewLedger(RelayContext &Context) {
+  RelayState &State = Context.State;
+  for (const RequestId Request : waitingCalls(State)) {
+    const auto Found = State.Calls.find(Request);
+    if (Found == State.Calls.end())
+      continue;
+    RelayCall &Call = Found->second;
+    const TurnLedger &Ledger = Call.Ledger;
+    if (State.Options.LedgerLimit <= State.Now - Ledger.AskedAt)
+      refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
+    else if (Call.Phase == RelayPhase::Collecting &&
+             State.Options.HistoryLimit <= State.Now - Ledger.HistoryAskedAt)
+      collectHistory(Context, Call);
+  }
+  for (auto Each = State.Closes.begin(); Each != State.Closes.end();) {
+    const bool IsOld = CloseLimit <= State.Now - Each->second.Since;
+    Each = IsOld ? State.Closes.erase(Each) : std::next(Each);
+  }
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/decision/src/relay/Turns.h
@@ -0,0 +1,36 @@
+/// \file
+/// The ledger's part in turns: claims, history, and durable ends.
+#ifndef TANAGERLANDING_DECISION_RELAY_TURNS_H
+#define TANAGERLANDING_DECISION_RELAY_TURNS_H
+
+#include "RelayContext.h"
+
+namespace tanagerlanding {
+
+/// Returns whether a call needs the ledger before it may run.
+bool needsLedger(const RelayCall &Call);
+
+/// Asks the ledger for the claim and the previous turn. The call goes on, or
+/// is refused, when enough replicas have answered.
+void openTurn(RelayContext &Context, RelayCall &Call);
+
+/// Settles a turn's claim with what was handed out, and keeps the turn where
+/// IsKept. Returns the operation, if there is anything to write.
+std::optional<LedgerOperationId> closeTurn(RelayContext &Context,
+                                           RelayCall &Call, bool IsKept);
+
+void handleReplica(RelayContext &Context, const HolderId &Holder,
+                   const Message &Body);
+void connectReplica(RelayContext &Context, const HolderId &Holder);
+void disconnectReplica(RelayContext &Context, const HolderId &Holder);
+
+/// Takes a view that is newer than the present one.
+void adoptRelayView(RelayContext &Context, const LedgerView &View);
+
+/// Refuses turns that the ledger leaves without an answer, and gives closes
+/// up that nobody waits for any more.
+void reviewLedger(RelayContext &Context);
+
+} // namespace tanagerlanding
+
+#endif
--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -1,12 +1,29 @@
 #include "tanagerlanding/engine/HttpClient.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace tanagerlanding {
 
 namespace {
 
 constexpr int PollMillis = 500;
+/// A peer that takes or answers nothing for about this long is gone, also
+/// where its end of the connection never said so.
+constexpr long KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr unsigned UserTimeoutMillis = 2500;
+
+/// Sets what libcurl has no options for.
+int prepareSocket(void *, curl_socket_t Socket, curlsocktype) {
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes,
+             sizeof(KeepAliveProbes));
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMillis,
+             sizeof(UserTimeoutMillis));
+  return CURL_SOCKOPT_OK;
+}
 
 /// Returns how a transfer with this result ended.
 HttpOutcome::Kind kindOf(CURLcode Code) {
@@ -113,6 +130,10 @@
   curl_easy_setopt(Easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(Easy, CURLOPT_PROXY, "");
   curl_easy_setopt(Easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, KeepAliveIdleSeconds);
+  curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(Request.Timeout.count()));
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
--- a/packages/gateway/include/tanagerlanding/gateway.h
+++ b/packages/gateway/include/tanagerlanding/gateway.h
@@ -6,5 +6,6 @@
 
 #include "tanagerlanding/gateway/CallRequest.h"
 #include "tanagerlanding/gateway/HttpGateway.h"
+#include "tanagerlanding/gateway/StatusServer.h"
 
 #endif
--- /dev/null
+++ b/packages/gateway/src/StatusServer.cpp
@@ -0,0 +1,76 @@
+#include "tanagerlanding/gateway/StatusServer.h"
+
+#include <pistache/endpoint.h>
+
+#include <cerrno>
+#include <csignal>
+
+namespace tanagerlanding {
+
+namespace {
+
+namespace Http = Pistache::Http;
+
+/// Answers the two questions; the library makes a copy for each thread.
+class StatusHandler : public Http::Handler {
+public:
+  HTTP_PROTOTYPE(StatusHandler)
+
+  explicit StatusHandler(std::shared_ptr<StatusServer::Sources> Asked)
+      : Asked(std::move(Asked)) {}
+
+  void onRequest(const Http::Request &Request,
+                 Http::ResponseWriter Response) override {
+    if (Request.resource() == "/ready") {
+      Response.send(this->Asked->IsReady() ? Http::Code::Ok
+                                           : Http::Code::Service_Unavailable);
+      return;
+    }
+    if (Request.resource() == "/metrics") {
+      Response.send(Http::Code::Ok, this->Asked->MetricsText());
+      return;
+    }
+    Response.send(Http::Code::Not_Found);
+  }
+
+private:
+  std::shared_ptr<StatusServer::Sources> Asked;
+};
+
+} // namespace
+
+/// The library's server.
+struct StatusServer::Server {
+  Server(const std::string &Address, std::uint16_t Port, Sources Asked)
+      : Where(Address + ":" + std::to_string(Port)),
+        Shared(std::make_shared<Sources>(std::move(Asked))),
+        Endpoint(Pistache::Address(Address, Port)) {}
+
+  const std::string Where;
+  std::shared_ptr<Sources> Shared;
+  Http::Endpoint Endpoint;
+};
+
+StatusServer::StatusServer(const std::string &Address, std::uint16_t Port,
+                           Sources Asked)
+    : Running(std::make_unique<Server>(Address, Port, std::move(Asked))) {}
+
+StatusServer::~StatusServer() { this->Running->Endpoint.shutdown(); }
+
+Result<void, SystemError> StatusServer::start() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    this->Running->Endpoint.init(
+        Http::Endpoint::options().threads(1).flags(
+            Pistache::Tcp::Options::ReuseAddr |
+            Pistache::Tcp::Options::NoDelay));
+    this->Running->Endpoint.setHandler(
+        Http::make_handler<StatusHandler>(this->Running->Shared));
+    this->Running->Endpoint.serveThreaded();
+  } catch (const std::runtime_error &) {
+    return SystemError{"serve status on " + this->Running->Where, errno};
+  }
+  return success();
+}
+
+} // namespace tanagerlanding
--- a/packages/journal/include/tanagerlanding/journal.h
+++ b/packages/journal/include/tanagerlanding/journal.h
@@ -6,5 +6,6 @@
 
 #include "tanagerlanding/journal/JournalFolder.h"
 #include "tanagerlanding/journal/JournalWriter.h"
+#include "tanagerlanding/journal/SegmentFolder.h"
 
 #endif
--- a/packages/journal/include/tanagerlanding/journal/JournalFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/JournalFolder.h
@@ -1,15 +1,13 @@
 /// \file
-/// Segment files in a data folder.
+/// The journals of shards in a data folder.
 #ifndef TANAGERLANDING_JOURNAL_JOURNALFOLDER_H
 #define TANAGERLANDING_JOURNAL_JOURNALFOLDER_H
 
 #include "tanagerlanding/decision/HolderReducer.h"
+#include "tanagerlanding/journal/SegmentFolder.h"
 
 #include <cstdint>
 #include <map>
-#include <memory>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -17,21 +15,19 @@
 
 /// Keeps batches of records and fences of shards in append-only segments.
 ///
-/// open() reads what is there and cuts a torn end off. appendBatch() and
-/// appendFence() write; nothing is durable before sync(). Segments in which
-/// no batch is needed any more are deleted by dropEpochs(). Not for several
-/// threads at once; see JournalWriter.
+/// open() reads what is there. appendBatch() and appendFence() write; nothing
+/// is durable before sync(). Segments in which no batch is needed any more are
+/// deleted by dropEpochs(). Not for several threads at once; see
+/// JournalWriter.
 class JournalFolder {
 public:
   explicit JournalFolder(std::string Path);
-  ~JournalFolder();
   JournalFolder(const JournalFolder &) = delete;
   JournalFolder &operator=(const JournalFolder &) = delete;
 
   /// Reads the folder, and makes it with a new holder id where it is empty.
-  /// Returns the state that a holder begins with. Fails where the system
-  /// does, and with ErrorNumber 0 where a segment other than the last is
-  /// damaged.
+  /// Returns the state that a holder begins with. Fails as
+  /// SegmentFolder::open() does.
   Result<HolderState, SystemError> open();
 
   /// Writes a batch, which may have no records.
@@ -41,7 +37,7 @@
   Result<void, SystemError> appendFence(ShardId Shard, Epoch Fence);
 
   /// Makes all that was written durable.
-  Result<void, SystemError> sync();
+  Result<void, SystemError> sync() { return this->Folder.sync(); }
 
   /// Returns the records of one epoch, in order.
   Result<std::vector<Record>, SystemError> readEpoch(ShardId Shard,
@@ -51,32 +47,17 @@
   void dropEpochs(ShardId Shard, Epoch Below);
 
   /// Returns the number of segments.
-  std::size_t segmentCount() const { return this->Segments.size(); }
+  std::size_t segmentCount() const { return this->Folder.segments().size(); }
 
 private:
-  struct Place {
-    std::uint64_t Segment = 0;
-    std::uint64_t Offset = 0;
-    std::uint32_t Length = 0;
-  };
   using EpochKey = std::pair<ShardId, Epoch>;
 
-  Result<void, SystemError> readHolderId();
-  Result<void, SystemError> readSegment(std::uint64_t Number, bool IsLast);
-  bool takeFrame(const std::string &Payload, Place At);
-  Result<Place, SystemError> write(const std::string &Payload);
-  Result<void, SystemError> startSegment(std::uint64_t Number);
-  Result<void, SystemError> syncFolder() const;
-  std::string segmentPath(std::uint64_t Number) const;
+  bool takePayload(const std::string &Payload, RecordPlace At);
   void deleteUnused();
 
-  const std::string Path;
+  SegmentFolder Folder;
   HolderState Recovered;
-  int File = -1;
-  std::uint64_t Current = 0;
-  std::uint64_t CurrentBytes = 0;
-  std::set<std::uint64_t> Segments;
-  std::map<EpochKey, std::vector<Place>> Batches;
+  std::map<EpochKey, std::vector<RecordPlace>> Batches;
   /// The last fence of each shard, which must not be lost with its segment.
   std::map<ShardId, std::pair<Epoch, std::uint64_t>> Fences;
 };
--- /dev/null
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -0,0 +1,269 @@
+#include "tanagerlanding/journal/SegmentFolder.h"
+
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <fcntl.h>
+#include <flatbuffers/base.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace tanagerlanding {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/// A frame: payload length (4 bytes), payload hash (8 bytes), payload.
+constexpr std::size_t HeadBytes = 12;
+constexpr std::size_t HashOffset = 4;
+constexpr const char *HolderFile = "holder-id";
+constexpr const char *SegmentPrefix = "segment-";
+constexpr const char *TemporarySuffix = ".new";
+constexpr int FileMode = 0644;
+
+SystemError lastError(const std::string &Operation) {
+  return SystemError{Operation, errno};
+}
+
+std::string frameOf(const std::string &Payload) {
+  std::string Frame(HeadBytes, '\0');
+  flatbuffers::WriteScalar(Frame.data(),
+                           static_cast<std::uint32_t>(Payload.size()));
+  flatbuffers::WriteScalar(Frame.data() + HashOffset, hashBytes(Payload));
+  return Frame + Payload;
+}
+
+/// Returns the payload that begins at Offset, or nothing where it is torn.
+std::optional<std::string> payloadAt(const std::string &Bytes,
+                                     std::size_t Offset) {
+  if (Bytes.size() - Offset < HeadBytes)
+    return std::nullopt;
+  const char *Head = Bytes.data() + Offset;
+  const auto Length = flatbuffers::ReadScalar<std::uint32_t>(Head);
+  const auto Hash = flatbuffers::ReadScalar<std::uint64_t>(Head + HashOffset);
+  if (Bytes.size() - Offset - HeadBytes < Length)
+    return std::nullopt;
+  std::string Payload = Bytes.substr(Offset + HeadBytes, Length);
+  if (hashBytes(Payload) != Hash)
+    return std::nullopt;
+  return Payload;
+}
+
+Result<void, SystemError> writeAll(int File, const std::string &Bytes) {
+  std::size_t Done = 0;
+  while (Done < Bytes.size()) {
+    const ssize_t Count =
+        ::write(File, Bytes.data() + Done, Bytes.size() - Done);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0)
+      return lastError("write segment");
+    Done += static_cast<std::size_t>(Count);
+  }
+  return success();
+}
+
+std::optional<std::string> readWhole(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return std::nullopt;
+  std::ostringstream Bytes;
+  Bytes << File.rdbuf();
+  return Bytes.str();
+}
+
+} // namespace
+
+SegmentFolder::SegmentFolder(std::string Path, std::uint64_t SegmentBytes)
+    : Path(std::move(Path)), SegmentBytes(SegmentBytes) {}
+
+SegmentFolder::~SegmentFolder() {
+  if (this->File >= 0)
+    ::close(this->File);
+}
+
+std::string SegmentFolder::segmentPath(std::uint64_t Number) const {
+  return this->Path + "/" + SegmentPrefix + std::to_string(Number);
+}
+
+Result<void, SystemError> SegmentFolder::open(const Visitor &Visit) {
+  std::error_code Error;
+  fs::create_directories(this->Path, Error);
+  if (Error)
+    return SystemError{"create " + this->Path, Error.value()};
+  if (auto Read = this->readHolderId(); !Read)
+    return Read.error();
+
+  for (const fs::directory_entry &Entry : fs::directory_iterator(this->Path)) {
+    const std::string Name = Entry.path().filename().string();
+    const std::string Start(SegmentPrefix);
+    if (Name.compare(0, Start.size(), Start) == 0)
+      this->Segments.insert(std::stoull(Name.substr(Start.size())));
+  }
+  for (const std::uint64_t Number : this->Segments) {
+    const bool IsLast = Number == *this->Segments.rbegin();
+    if (auto Read = this->readSegment(Number, IsLast, Visit); !Read)
+      return Read.error();
+  }
+  const std::uint64_t Next =
+      this->Segments.empty() ? 1 : *this->Segments.rbegin() + 1;
+  return this->startSegment(Next);
+}
+
+Result<void, SystemError> SegmentFolder::readHolderId() {
+  const std::string Known = this->readFile(HolderFile);
+  if (!Known.empty()) {
+    this->Holder = HolderId(Known);
+    return success();
+  }
+  const std::string Fresh =
+      boost::uuids::to_string(boost::uuids::random_generator()());
+  if (auto Written = this->writeFile(HolderFile, Fresh); !Written)
+    return Written;
+  this->Holder = HolderId(Fresh);
+  return success();
+}
+
+std::string SegmentFolder::readFile(const std::string &Name) const {
+  return readWhole(this->Path + "/" + Name).value_or(std::string());
+}
+
+Result<void, SystemError>
+SegmentFolder::writeFile(const std::string &Name,
+                         const std::string &Bytes) const {
+  const std::string Final = this->Path + "/" + Name;
+  const std::string Temporary = Final + TemporarySuffix;
+  const int Handle =
+      ::open(Temporary.c_str(), O_CREAT | O_WRONLY | O_TRUNC, FileMode);
+  if (Handle < 0)
+    return lastError("create " + Temporary);
+  const auto Written = writeAll(Handle, Bytes);
+  const bool IsSynced = ::fsync(Handle) == 0;
+  ::close(Handle);
+  if (!Written)
+    return Written.error();
+  if (!IsSynced || ::rename(Temporary.c_str(), Final.c_str()) != 0)
+    return lastError("write " + Final);
+  return this->syncFolder();
+}
+
+Result<void, SystemError>
+SegmentFolder::readSegment(std::uint64_t Number, bool IsLast,
+                           const Visitor &Visit) {
+  const std::string Name = this->segmentPath(Number);
+  const auto Bytes = readWhole(Name);
+  if (!Bytes)
+    return lastError("read " + Name);
+  std::size_t Offset = 0;
+  while (Offset < Bytes->size()) {
+    const auto Payload = payloadAt(*Bytes, Offset);
+    const auto Length =
+        Payload ? static_cast<std::uint32_t>(Payload->size()) : 0;
+    const RecordPlace At{Number, Offset + HeadBytes, Length};
+    if (!Payload || !Visit(*Payload, At)) {
+      // What was torn in the last segment was never acknowledged.
+      if (!IsLast)
+        return SystemError{"damaged " + Name, 0};
+      return this->cutSegment(Name, Offset);
+    }
+    Offset += HeadBytes + Length;
+  }
+  return success();
+}
+
+/// The cut is durable before another segment is begun, as a torn end is taken
+/// for damage in any but the last one.
+Result<void, SystemError>
+SegmentFolder::cutSegment(const std::string &Name, std::uint64_t Bytes) const {
+  const int Handle = ::open(Name.c_str(), O_WRONLY);
+  if (Handle < 0)
+    return lastError("open " + Name);
+  const bool IsCut = ::ftruncate(Handle, static_cast<off_t>(Bytes)) == 0 &&
+                     ::fsync(Handle) == 0;
+  ::close(Handle);
+  if (!IsCut)
+    return lastError("truncate " + Name);
+  return success();
+}
+
+Result<void, SystemError> SegmentFolder::startSegment(std::uint64_t Number) {
+  if (this->File >= 0) {
+    if (::fdatasync(this->File) != 0)
+      return lastError("sync segment");
+    ::close(this->File);
+    this->File = -1;
+  }
+  const std::string Name = this->segmentPath(Number);
+  this->File = ::open(Name.c_str(), O_CREAT | O_WRONLY | O_APPEND, FileMode);
+  if (this->File < 0)
+    return lastError("create " + Name);
+  this->Segments.insert(Number);
+  this->Current = Number;
+  this->CurrentBytes = 0;
+  return this->syncFolder();
+}
+
+Result<void, SystemError> SegmentFolder::rotate() {
+  return this->startSegment(this->Current + 1);
+}
+
+Result<void, SystemError> SegmentFolder::syncFolder() const {
+  const int Handle = ::open(this->Path.c_str(), O_RDONLY | O_DIRECTORY);
+  if (Handle < 0)
+    return lastError("open " + this->Path);
+  const bool IsSynced = ::fsync(Handle) == 0;
+  ::close(Handle);
+  if (!IsSynced)
+    return lastError("sync " + this->Path);
+  return success();
+}
+
+Result<RecordPlace, SystemError>
+SegmentFolder::append(const std::string &Payload) {
+  if (this->CurrentBytes >= this->SegmentBytes || this->File < 0) {
+    if (auto Started = this->rotate(); !Started)
+      return Started.error();
+  }
+  if (auto Written = writeAll(this->File, frameOf(Payload)); !Written) {
+    // Part of the frame may be there; what follows must not lie behind it.
+    if (::ftruncate(this->File, static_cast<off_t>(this->CurrentBytes)) != 0) {
+      ::close(this->File);
+      this->File = -1;
+    }
+    return Written.error();
+  }
+  const RecordPlace At{this->Current, this->CurrentBytes + HeadBytes,
+                       static_cast<std::uint32_t>(Payload.size())};
+  this->CurrentBytes += HeadBytes + Payload.size();
+  return At;
+}
+
+Result<void, SystemError> SegmentFolder::sync() {
+  if (::fdatasync(this->File) != 0)
+    return lastError("sync segment");
+  return success();
+}
+
+Result<std::string, SystemError> SegmentFolder::read(RecordPlace At) const {
+  const std::string Name = this->segmentPath(At.Segment);
+  std::ifstream File(Name, std::ios::binary);
+  std::string Payload(At.Length, '\0');
+  File.seekg(static_cast<std::streamoff>(At.Offset));
+  if (!File.read(Payload.data(), At.Length))
+    return lastError("read " + Name);
+  return Payload;
+}
+
+void SegmentFolder::remove(std::uint64_t Segment) {
+  if (Segment == this->Current)
+    return;
+  ::unlink(this->segmentPath(Segment).c_str());
+  this->Segments.erase(Segment);
+}
+
+} // namespace tanagerlanding
--- a/packages/platform/include/tanagerlanding/platform/ConfigurationClient.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/ConfigurationClient.h
@@ -1,10 +1,10 @@
 /// \file
 /// Reading and changing the accepted configuration.
-#ifndef TANAGERLANDING_PLATFORM_CONFIGURATIONCLIENT_H
-#define TANAGERLANDING_PLATFORM_CONFIGURATIONCLIENT_H
+#ifndef TANAGERLANDING_KEYVALUE_CONFIGURATIONCLIENT_H
+#define TANAGERLANDING_KEYVALUE_CONFIGURATIONCLIENT_H
 
-#include "tanagerlanding/platform/ConfigurationStore.h"
-#include "tanagerlanding/platform/KeyValueClient.h"
+#include "tanagerlanding/keyvalue/ConfigurationStore.h"
+#include "tanagerlanding/keyvalue/KeyValueClient.h"
 
 #include <optional>
 #include <string>
--- a/packages/platform/include/tanagerlanding/platform/ConfigurationStore.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/ConfigurationStore.h
@@ -1,7 +1,7 @@
 /// \file
 /// The accepted configuration as a value of the key-value service.
-#ifndef TANAGERLANDING_PLATFORM_CONFIGURATIONSTORE_H
-#define TANAGERLANDING_PLATFORM_CONFIGURATIONSTORE_H
+#ifndef TANAGERLANDING_KEYVALUE_CONFIGURATIONSTORE_H
+#define TANAGERLANDING_KEYVALUE_CONFIGURATIONSTORE_H
 
 #include "tanagerlanding/basics.h"
 
--- a/packages/platform/include/tanagerlanding/platform/ShardTableStore.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/ShardTableStore.h
@@ -1,10 +1,10 @@
 /// \file
 /// Rows of the shard table as values of the key-value service.
-#ifndef TANAGERLANDING_PLATFORM_SHARDTABLESTORE_H
-#define TANAGERLANDING_PLATFORM_SHARDTABLESTORE_H
+#ifndef TANAGERLANDING_KEYVALUE_SHARDTABLESTORE_H
+#define TANAGERLANDING_KEYVALUE_SHARDTABLESTORE_H
 
 #include "tanagerlanding/decision/ShardTable.h"
-#include "tanagerlanding/platform/KeyValueClient.h"
+#include "tanagerlanding/keyvalue/KeyValueClient.h"
 
 #include <optional>
 #include <string>
--- a/packages/platform/src/ConfigurationClient.cpp
+++ b/packages/keyvalue/src/ConfigurationClient.cpp
@@ -1,4 +1,4 @@
-#include "tanagerlanding/platform/ConfigurationClient.h"
+#include "tanagerlanding/keyvalue/ConfigurationClient.h"
 
 #include "tanagerlanding/runtime/Identity.h"
 
--- a/packages/platform/src/ConfigurationStore.cpp
+++ b/packages/keyvalue/src/ConfigurationStore.cpp
@@ -1,4 +1,4 @@
-#include "tanagerlanding/platform/ConfigurationStore.h"
+#include "tanagerlanding/keyvalue/ConfigurationStore.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/src/KeyValueClient.cpp
+++ b/packages/keyvalue/src/EtcdDialect.cpp
@@ -1,4 +1,4 @@
-#include "tanagerlanding/platform/KeyValueClient.h"
+#include "tanagerlanding/keyvalue/KeyValueDialect.h"
 
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/binary_from_base64.hpp>
@@ -14,7 +14,6 @@
 
 using Json = nlohmann::json;
 
-constexpr Milliseconds CallTimeout{2000};
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::size_t QuantumChars = 4;
 constexpr std::size_t QuantumBytes = 3;
@@ -75,6 +74,62 @@
   return Answer;
 }
 
+/// Encodes operations, one overload for each.
+struct EtcdEncoder {
+  using Encoded = Result<KeyValueCall, PlatformError>;
+
+  Encoded operator()(const ReadRange &Asked) const {
+    const Json Body = {{"key", encodeBase64(Asked.Prefix)},
+                       {"range_end", encodeBase64(prefixEnd(Asked.Prefix))}};
+    return KeyValueCall{"POST", "/v3/kv/range", Body.dump()};
+  }
+
+  Encoded operator()(const ConditionalWrite &Asked) const {
+    Json Compare = Json::array();
+    Json Failure = Json::array();
+    for (const KeyCondition &Each : Asked.Conditions) {
+      const std::string Name = encodeBase64(Each.Key);
+      Compare.push_back({{"key", Name},
+                         {"target", "MOD"},
+                         {"result", "EQUAL"},
+                         {"mod_revision", std::to_string(Each.Expected.Value)}});
+      Failure.push_back({{"request_range", {{"key", Name}}}});
+    }
+    Json Success = Json::array();
+    for (const KeyWrite &Each : Asked.Writes)
+      Success.push_back({{"request_put",
+                          {{"key", encodeBase64(Each.Key)},
+                           {"value", encodeBase64(Each.Value)}}}});
+    const Json Body = {
+        {"compare", Compare}, {"success", Success}, {"failure", Failure}};
+    return KeyValueCall{"POST", "/v3/kv/txn", Body.dump()};
+  }
+
+  // The entries poll; no caller watches or leases through this gateway.
+  Encoded operator()(const WatchRange &) const {
+    return PlatformError{PlatformError::Kind::Unsupported};
+  }
+  Encoded operator()(const GrantLease &) const {
+    return PlatformError{PlatformError::Kind::Unsupported};
+  }
+  Encoded operator()(const RenewLease &) const {
+    return PlatformError{PlatformError::Kind::Unsupported};
+  }
+};
+
+Result<KeyValueReply, PlatformError>
+decodeEtcdReply(const KeyValueOperation &Operation,
+                const HttpOutcome &Outcome) {
+  const Json Answer = answerOf(Outcome);
+  if (!Answer.is_object())
+    return errorOf(Outcome);
+  if (std::holds_alternative<ConditionalWrite>(Operation))
+    return KeyValueReply(writeAnswerOf(Answer));
+  RangePage Page;
+  Page.Items = keyValuesOf(Answer);
+  return KeyValueReply(std::move(Page));
+}
+
 } // namespace
 
 std::string encodeBase64(const std::string &Bytes) {
@@ -107,55 +162,13 @@
   return Bytes;
 }
 
-KeyValueClient::KeyValueClient(EventLoop &Loop, std::string Url)
-    : Client(Loop), Url(std::move(Url)) {}
-
-void KeyValueClient::call(const std::string &Path, const std::string &Body,
-                          HttpClient::DoneCallback Done) {
-  ++this->Calls;
-  HttpRequest Request;
-  Request.Method = "POST";
-  Request.Url = this->Url + Path;
-  Request.Body = Body;
-  Request.Timeout = CallTimeout;
-  Request.withHeader("Content-Type: application/json");
-  this->Client.start(std::move(Request), {}, std::move(Done));
-}
-
-void KeyValueClient::readPrefix(const std::string &Prefix, ReadCallback Done) {
-  const Json Body = {{"key", encodeBase64(Prefix)},
-                     {"range_end", encodeBase64(prefixEnd(Prefix))}};
-  this->call("/v3/kv/range", Body.dump(),
-             [Done = std::move(Done)](const HttpOutcome &Outcome) {
-               const Json Answer = answerOf(Outcome);
-               if (Answer.is_object())
-                 Done(keyValuesOf(Answer));
-               else
-                 Done(errorOf(Outcome));
-             });
-}
-
-void KeyValueClient::writeIfUnchanged(const std::string &Key,
-                                      const std::string &Value,
-                                      Revision Expected, WriteCallback Done) {
-  const std::string Name = encodeBase64(Key);
-  const Json Body = {
-      {"compare",
-       {{{"key", Name},
-         {"target", "MOD"},
-         {"result", "EQUAL"},
-         {"mod_revision", std::to_string(Expected.Value)}}}},
-      {"success",
-       {{{"request_put", {{"key", Name}, {"value", encodeBase64(Value)}}}}}},
-      {"failure", {{{"request_range", {{"key", Name}}}}}}};
-  this->call("/v3/kv/txn", Body.dump(),
-             [Done = std::move(Done)](const HttpOutcome &Outcome) {
-               const Json Answer = answerOf(Outcome);
-               if (Answer.is_object())
-                 Done(writeAnswerOf(Answer));
-               else
-                 Done(errorOf(Outcome));
-             });
+KeyValueDialect makeEtcdDialect() {
+  KeyValueDialect Dialect;
+  Dialect.Encode = [](const KeyValueOperation &Operation) {
+    return std::visit(EtcdEncoder{}, Operation);
+  };
+  Dialect.Decode = decodeEtcdReply;
+  return Dialect;
 }
 
 } // namespace tanagerlanding
--- /dev/null
+++ b/packages/keyvalue/src/KeyValueClient.cpp
@@ -0,0 +1,75 @@
+#include "tanagerlanding/keyvalue/KeyValueClient.h"
+
+namespace tanagerlanding {
+
+namespace {
+
+/// Answers of the service come in milliseconds; a call that takes this long
+/// has lost its answer.
+constexpr Milliseconds CallTimeout{2000};
+
+/// Returns how long a call may take.
+Milliseconds timeoutOf(const KeyValueOperation &Operation) {
+  const auto *Watch = std::get_if<WatchRange>(&Operation);
+  return Watch ? Watch->Wait + CallTimeout : CallTimeout;
+}
+
+} // namespace
+
+KeyValueClient::KeyValueClient(EventLoop &Loop, std::string Url)
+    : KeyValueClient(Loop, std::move(Url), makeEtcdDialect()) {}
+
+KeyValueClient::KeyValueClient(EventLoop &Loop, std::string Url,
+                               KeyValueDialect Dialect)
+    : Client(Loop), Url(std::move(Url)), Dialect(std::move(Dialect)) {}
+
+void KeyValueClient::call(const KeyValueOperation &Operation,
+                          ReplyCallback Done) {
+  const auto Encoded = this->Dialect.Encode(Operation);
+  if (!Encoded) {
+    Done(Encoded.error());
+    return;
+  }
+  ++this->Calls;
+  HttpRequest Request;
+  Request.Method = Encoded.value().Method;
+  Request.Url = this->Url + Encoded.value().Path;
+  Request.Body = Encoded.value().Body;
+  Request.Timeout = timeoutOf(Operation);
+  if (!Request.Body.empty())
+    Request.withHeader("Content-Type: application/json");
+  this->Client.start(std::move(Request), {},
+                     [this, Operation, Done = std::move(Done)](
+                         const HttpOutcome &Outcome) {
+                       Done(this->Dialect.Decode(Operation, Outcome));
+                     });
+}
+
+void KeyValueClient::readPrefix(const std::string &Prefix, ReadCallback Done) {
+  this->call(ReadRange{Prefix, {}}, [Done = std::move(Done)](auto Reply) {
+    if (!Reply) {
+      Done(Reply.error());
+      return;
+    }
+    Done(std::move(std::get<RangePage>(Reply.value()).Items));
+  });
+}
+
+void KeyValueClient::writeIfUnchanged(const std::string &Key,
+                                      const std::string &Value,
+                                      Revision Expected, WriteCallback Done) {
+  this->write(ConditionalWrite{{{Key, Expected}}, {{Key, Value, LeaseId()}}},
+              std::move(Done));
+}
+
+void KeyValueClient::write(ConditionalWrite Operation, WriteCallback Done) {
+  this->call(Operation, [Done = std::move(Done)](auto Reply) {
+    if (!Reply) {
+      Done(Reply.error());
+      return;
+    }
+    Done(std::move(std::get<WriteAnswer>(Reply.value())));
+  });
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/keyvalue/src/LedgerStore.cpp
@@ -0,0 +1,114 @@
+#include "tanagerlanding/keyvalue/LedgerStore.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanagerlanding {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const std::string ViewName = "view";
+const std::string ReplicaFolder = "replicas/";
+const std::string SyncedFolder = "synced/";
+
+/// Returns what follows a folder of the ledger in a key.
+std::optional<std::string> nameIn(const std::string &Folder,
+                                  const std::string &Key) {
+  const std::string Start = LedgerPrefix + Folder;
+  if (Key.compare(0, Start.size(), Start) != 0 || Key.size() == Start.size())
+    return std::nullopt;
+  return Key.substr(Start.size());
+}
+
+Json toJson(const LedgerMember &Member) {
+  return {{"holder", Member.Holder.Value},
+          {"host", Member.Host.Value},
+          {"address", Member.Address},
+          {"port", Member.Port},
+          {"zone", Member.Zone.Value}};
+}
+
+Json toJson(const std::vector<LedgerMember> &Members) {
+  Json List = Json::array();
+  for (const LedgerMember &Each : Members)
+    List.push_back(toJson(Each));
+  return List;
+}
+
+LedgerMember memberOf(const Json &Object) {
+  return LedgerMember{HolderId(Object.at("holder")), HostId(Object.at("host")),
+                      Object.at("address"), Object.at("port"),
+                      ZoneId(Object.at("zone"))};
+}
+
+std::vector<LedgerMember> membersOf(const Json &List) {
+  std::vector<LedgerMember> Members;
+  for (const Json &Each : List)
+    Members.push_back(memberOf(Each));
+  return Members;
+}
+
+} // namespace
+
+const std::string LedgerPrefix = "tanagerlanding/ledger/";
+
+std::string ledgerViewKey() { return LedgerPrefix + ViewName; }
+
+std::string replicaKey(const HostId &Host) {
+  return LedgerPrefix + ReplicaFolder + Host.Value;
+}
+
+std::string syncedKey(const HolderId &Holder) {
+  return LedgerPrefix + SyncedFolder + Holder.Value;
+}
+
+std::optional<HostId> hostOfReplicaKey(const std::string &Key) {
+  const auto Name = nameIn(ReplicaFolder, Key);
+  if (!Name)
+    return std::nullopt;
+  return HostId(*Name);
+}
+
+std::optional<HolderId> holderOfSyncedKey(const std::string &Key) {
+  const auto Name = nameIn(SyncedFolder, Key);
+  if (!Name)
+    return std::nullopt;
+  return HolderId(*Name);
+}
+
+std::string encodeLedgerView(const LedgerView &View) {
+  const Json Object = {{"version", View.Version.Value},
+                       {"tolerated", View.Tolerated},
+                       {"current", toJson(View.Current)},
+                       {"next", toJson(View.Next)}};
+  return Object.dump();
+}
+
+std::optional<LedgerView> decodeLedgerView(const std::string &Text) {
+  try {
+    const Json Object = Json::parse(Text);
+    LedgerView View;
+    View.Version = ViewVersion(Object.at("version").get<std::uint64_t>());
+    View.Tolerated = Object.at("tolerated");
+    View.Current = membersOf(Object.at("current"));
+    View.Next = membersOf(Object.at("next"));
+    return View;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string encodeLedgerMember(const LedgerMember &Member) {
+  return toJson(Member).dump();
+}
+
+std::optional<LedgerMember> decodeLedgerMember(const std::string &Text) {
+  try {
+    return memberOf(Json::parse(Text));
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace tanagerlanding
--- a/packages/platform/src/ShardTableStore.cpp
+++ b/packages/keyvalue/src/ShardTableStore.cpp
@@ -1,4 +1,4 @@
-#include "tanagerlanding/platform/ShardTableStore.h"
+#include "tanagerlanding/keyvalue/ShardTableStore.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -0,0 +1,307 @@
+#include "tanagerlanding/ledger/LedgerProcess.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+constexpr Milliseconds TickInterval{100};
+/// Well within the hub's idle limit.
+constexpr Milliseconds HeartbeatInterval{800};
+constexpr Milliseconds FlushLimit{300};
+
+} // namespace
+
+/// Performs effects, one overload for each.
+class LedgerProcess::EffectPerformer {
+public:
+  explicit EffectPerformer(LedgerProcess &Owner) : Owner(Owner) {}
+
+  void operator()(const PersistLedgerBatch &Effect) {
+    this->Owner.Writer->submit(Effect);
+  }
+
+  void operator()(const PersistLedgerView &Effect) {
+    const auto Written = this->Owner.Folder.writeView(Effect.View);
+    if (!Written) {
+      // Without it a restart might serve under a view that was left: this
+      // process ends, and the others go on.
+      logEvent("ledger_view_write_failed",
+               {{"operation", Written.error().Operation},
+                {"errno", std::to_string(Written.error().ErrorNumber)}});
+      this->Owner.Loop.stop();
+      return;
+    }
+    this->Owner.connectPeers();
+  }
+
+  void operator()(const SendHistory &Effect) {
+    const auto History = this->Owner.Folder.readHistory(Effect.Turns);
+    TurnOpened Reply = Effect.Reply;
+    if (History)
+      Reply.History = History.value();
+    else
+      this->logReadFailure(History.error());
+    this->Owner.sendTo(Effect.Peer, Reply);
+  }
+
+  void operator()(const SendRecords &Effect) {
+    RecordsPage Page = Effect.Head;
+    for (const RecordPlace &At : Effect.Batches) {
+      auto Batch = this->Owner.Folder.readBatch(At);
+      if (!Batch) {
+        this->logReadFailure(Batch.error());
+        return;
+      }
+      Page.Batches.push_back(std::move(Batch.value()));
+    }
+    this->Owner.sendTo(Effect.Peer, Page);
+  }
+
+  void operator()(const DropSegment &Effect) {
+    this->Owner.Folder.remove(Effect.Segment);
+  }
+  void operator()(const WriteLedgerView &Effect) {
+    this->Owner.writeView(Effect);
+  }
+  void operator()(const WriteSynced &Effect) {
+    this->Owner.Registration.tellSynced(Effect.View);
+  }
+  void operator()(const TellRetirement &Effect) {
+    this->Owner.tellRetirement(Effect.IsCompleted);
+  }
+  void operator()(const SendHost &Effect) {
+    this->Owner.sendTo(Effect.Host, Effect.Body);
+  }
+  void operator()(const LogLine &Effect) {
+    logEvent(Effect.Event, Effect.Fields);
+  }
+  void operator()(const CountMetric &Effect) {
+    this->Owner.Measured.count(Effect.Name, Effect.Cause);
+  }
+
+private:
+  void logReadFailure(const SystemError &Error) {
+    logEvent("ledger_read_failed",
+             {{"operation", Error.Operation},
+              {"errno", std::to_string(Error.ErrorNumber)}});
+  }
+
+  LedgerProcess &Owner;
+};
+
+LedgerProcess::LedgerProcess(const LedgerSettings &Settings,
+                             DirectoryProtocol Directory,
+                             KeyValueDialect Dialect)
+    : Settings(Settings), Directory(std::move(Directory)), Timers(Loop),
+      Hub(Loop, *this), Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
+      LedgerKeys(Loop, Service, LedgerPrefix, *this),
+      RetirementKeys(Loop, Service, this->Directory.RetirementPrefix, *this),
+      Registration(Loop, Service), Folder(Settings.DataFolder),
+      Instance(makeUniqueId()) {}
+
+LedgerProcess::~LedgerProcess() = default;
+
+Result<void, SystemError> LedgerProcess::openFolder() {
+  const std::int64_t Present = wallClockMillis();
+  this->State.Now = this->Loop.now();
+  const auto Opened =
+      this->Folder.open([&](LedgerBatch Batch, RecordPlace Place) {
+        const Milliseconds Age(
+            std::max<std::int64_t>(0, Present - Batch.WrittenAtMillis));
+        this->apply(LedgerBatchRecovered{Place, std::move(Batch), Age});
+      });
+  if (!Opened)
+    return Opened;
+  this->State.View = this->Folder.readView();
+  this->State.Tolerated = this->Settings.Tolerated;
+  this->State.Self = LedgerMember{this->Folder.holder(), this->Settings.Host,
+                                  this->Settings.Peers.Address,
+                                  this->Settings.Peers.Port,
+                                  this->Settings.Zone};
+  this->Writer = std::make_unique<LedgerWriter>(
+      this->Folder, [this](std::vector<LedgerEvent> Events) {
+        this->Loop.post([this, Events = std::move(Events)] {
+          for (const LedgerEvent &Each : Events)
+            this->apply(Each);
+        });
+      });
+  return success();
+}
+
+Result<void, SystemError> LedgerProcess::run() {
+  // Nothing that this role is told at its start can change while it runs.
+  this->Loop.onReload([this] {
+    logEvent("settings_reload_ignored", {{"host", this->Settings.Host.Value}});
+  });
+  this->Loop.onTermination([this] {
+    logEvent("ledger_stopping", {{"host", this->Settings.Host.Value}});
+    this->Hub.flush(FlushLimit, [this] { this->Loop.stop(); });
+  });
+  if (auto Opened = this->openFolder(); !Opened)
+    return Opened;
+  logEvent("ledger_started",
+           {{"host", this->Settings.Host.Value},
+            {"holder", this->State.Self.Holder.Value},
+            {"turns", std::to_string(this->State.Turns.size())},
+            {"view", std::to_string(this->State.View.Version.Value)}});
+  if (auto Listening = this->Hub.listen(this->Settings.Peers.Address,
+                                        this->Settings.Peers.Port);
+      !Listening)
+    return Listening;
+  this->connectPeers();
+  this->Timers.subscribe(TickInterval, [this](Instant Now) {
+    this->apply(LedgerTimePassed{Now});
+  });
+  this->Timers.subscribe(HeartbeatInterval, [this](Instant) {
+    for (const auto &[Host, Link] : this->Links)
+      this->Hub.send(Link, Heartbeat{});
+  });
+  this->Registration.start(this->State.Self);
+  this->LedgerKeys.start();
+  this->RetirementKeys.start();
+  this->Loop.run();
+  this->Writer.reset();
+  logEvent("ledger_ended", {{"host", this->Settings.Host.Value}});
+  return success();
+}
+
+void LedgerProcess::apply(const LedgerEvent &Event) {
+  this->State.Now = this->Loop.now();
+  EffectPerformer Perform(*this);
+  for (const LedgerEffect &Effect : reduce(this->State, Event))
+    std::visit(Perform, Effect);
+}
+
+/// Replicas reach each other for copying records.
+void LedgerProcess::connectPeers() {
+  std::map<std::pair<std::string, std::uint16_t>, HostId> Wanted;
+  for (const LedgerMember &Each : this->State.View.allMembers()) {
+    if (!(Each.Host == this->Settings.Host))
+      Wanted[{Each.Address, Each.Port}] = Each.Host;
+  }
+  for (const auto &[Where, Host] : this->Dialled) {
+    if (Wanted.count(Where) == 0)
+      this->Hub.dropConnected(Where.first, Where.second);
+  }
+  this->Dialled = Wanted;
+  for (const auto &[Where, Host] : Wanted)
+    this->Hub.keepConnected(Where.first, Where.second);
+}
+
+void LedgerProcess::onOpened(ConnectionId Id) {
+  Hello Greeting;
+  Greeting.Host = this->Settings.Host;
+  Greeting.Instance = this->Instance;
+  Greeting.Holder = this->State.Self.Holder;
+  this->Hub.send(Id, Greeting);
+}
+
+void LedgerProcess::onMessage(ConnectionId Id, Message Body) {
+  if (const auto *Greeting = std::get_if<Hello>(&Body)) {
+    this->Hosts[Id] = Greeting->Host;
+    this->Links[Greeting->Host] = Id;
+    return;
+  }
+  const auto Host = this->Hosts.find(Id);
+  if (Host == this->Hosts.end())
+    return;
+  // Answers take the connection over which they were asked for.
+  this->Links[Host->second] = Id;
+  this->apply(LedgerPeerSaid{Host->second, std::move(Body)});
+}
+
+void LedgerProcess::onClosed(ConnectionId Id) {
+  const auto Found = this->Hosts.find(Id);
+  if (Found == this->Hosts.end())
+    return;
+  const auto Link = this->Links.find(Found->second);
+  if (Link != this->Links.end() && Link->second == Id)
+    this->Links.erase(Link);
+  this->Hosts.erase(Found);
+}
+
+void LedgerProcess::sendTo(const HostId &Host, const Message &Body) {
+  const auto Link = this->Links.find(Host);
+  if (Link != this->Links.end())
+    this->Hub.send(Link->second, Body);
+}
+
+void LedgerProcess::onKeysChanged(const std::string &Prefix,
+                                  const std::vector<KeyChange> &Changes) {
+  for (const KeyChange &Each : Changes) {
+    if (Prefix == LedgerPrefix) {
+      this->takeLedgerKey(Each);
+      continue;
+    }
+    const HostId Host(Each.Item.Key.substr(Prefix.size()));
+    this->apply(RetirementAsked{Host, !Each.IsDeleted});
+  }
+}
+
+void LedgerProcess::takeLedgerKey(const KeyChange &Change) {
+  const std::string &Key = Change.Item.Key;
+  if (Key == ledgerViewKey()) {
+    const auto View = decodeLedgerView(Change.Item.Value);
+    if (View)
+      this->apply(LedgerViewSeen{*View, Change.Item.ModRevision});
+    else
+      logEvent("ledger_view_invalid",
+               {{"revision", std::to_string(Change.Item.ModRevision.Value)}});
+    return;
+  }
+  if (const auto Host = hostOfReplicaKey(Key)) {
+    const auto Member = decodeLedgerMember(Change.Item.Value);
+    if (Change.IsDeleted || !Member)
+      this->apply(ReplicaUnregistered{*Host});
+    else
+      this->apply(ReplicaRegistered{*Member});
+    return;
+  }
+  const auto Holder = holderOfSyncedKey(Key);
+  if (Holder && !Change.IsDeleted)
+    this->apply(ReplicaSynced{
+        *Holder, ViewVersion(std::strtoull(Change.Item.Value.c_str(), nullptr,
+                                           10))});
+}
+
+void LedgerProcess::onServiceRegained(const std::string &Prefix) {
+  if (Prefix != LedgerPrefix)
+    return;
+  logEvent("directory_regained", {});
+  this->apply(LedgerServiceRead{});
+}
+
+void LedgerProcess::onServiceLost(const std::string &Prefix) {
+  if (Prefix == LedgerPrefix)
+    logEvent("directory_lost", {});
+}
+
+void LedgerProcess::writeView(const WriteLedgerView &Effect) {
+  const LedgerView View = Effect.View;
+  this->Service.writeIfUnchanged(
+      ledgerViewKey(), encodeLedgerView(View), Effect.Expected,
+      [this, View](auto Answer) {
+        // A lost answer or a lost race shows in the watch.
+        if (Answer && Answer.value().Succeeded)
+          this->apply(LedgerViewSeen{View, Answer.value().At});
+      });
+}
+
+void LedgerProcess::tellRetirement(bool IsCompleted) {
+  const std::string Key =
+      this->Directory.RetirementStatusPrefix + this->Settings.Host.Value;
+  ConditionalWrite Write;
+  Write.Writes.push_back(
+      {Key, this->Directory.EncodeRetirement(IsCompleted), LeaseId()});
+  this->Service.write(std::move(Write), [this, IsCompleted](auto Answer) {
+    if (Answer && Answer.value().Succeeded)
+      return;
+    logEvent("retirement_report_failed",
+             {{"completed", IsCompleted ? "yes" : "no"}});
+    this->apply(RetirementReportFailed{IsCompleted});
+  });
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/relay/src/AttemptClient.cpp
@@ -0,0 +1,336 @@
+#include "tanagerlanding/relay/AttemptClient.h"
+
+#include "HttpHead.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <regex>
+
+namespace tanagerlanding {
+
+namespace {
+
+using boost::asio::ip::tcp;
+namespace http = boost::beast::http;
+
+/// A target in reach takes a connection within some milliseconds; a packet
+/// that was dropped is sent again only after a second.
+constexpr Milliseconds ConnectLimit{300};
+/// Data that stays unacknowledged this long means that the path is gone.
+constexpr unsigned UserTimeoutMillis = 2000;
+/// An unused connection is kept this long where the target doesn't tell.
+constexpr Milliseconds DefaultIdle{4000};
+/// A connection is given up this long before its target does, so that no
+/// request crosses the close.
+constexpr Milliseconds IdleMargin{700};
+constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr unsigned FirstFinalStatus = 200;
+
+/// Returns the seconds of "timeout=N" in a Keep-Alive header.
+std::optional<Milliseconds> keepAliveOf(boost::beast::string_view Value) {
+  static const std::regex Timeout("timeout=([0-9]{1,6})");
+  std::match_results<const char *> Found;
+  if (!std::regex_search(Value.begin(), Value.end(), Found, Timeout))
+    return std::nullopt;
+  return std::chrono::seconds(std::stol(Found[1].str()));
+}
+
+void prepareSocket(tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &UserTimeoutMillis, sizeof(UserTimeoutMillis));
+}
+
+} // namespace
+
+/// A connection to a target.
+struct AttemptClient::Connection {
+  explicit Connection(boost::asio::io_context &Context)
+      : Socket(Context), ConnectTimer(Context) {}
+
+  tcp::socket Socket;
+  boost::asio::steady_timer ConnectTimer;
+  Endpoint Where;
+  boost::beast::flat_buffer Input;
+  std::unique_ptr<http::response_parser<http::string_body>> Parser;
+  /// The request under way; its attempt is 0 while the connection is unused.
+  Request Asked;
+  std::string Head;
+  bool IsOpen = false;
+  bool IsWriting = false;
+  bool HasHead = false;
+  /// Whether the answer being read belongs to another request.
+  bool IsSkipping = false;
+  Milliseconds KeepAlive = DefaultIdle;
+  Instant UnusedSince;
+};
+
+AttemptClient::AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
+                           Listener &Heard)
+    : Loop(Loop), Protocol(Protocol), Heard(Heard) {}
+
+AttemptClient::~AttemptClient() = default;
+
+void AttemptClient::send(Request Asked) {
+  boost::system::error_code Error;
+  const auto Ip = boost::asio::ip::make_address(Asked.Address, Error);
+  const RelayAttemptId Attempt = Asked.Attempt;
+  if (Error) {
+    this->Loop.post([this, Attempt] {
+      this->Heard.onAttemptEnd(Attempt, AttemptEnded::Kind::NeverSent);
+    });
+    return;
+  }
+  const Endpoint Where(Ip, Asked.Port);
+  Link Target = this->takeIdle(Where);
+  const bool IsReused = Target != nullptr;
+  if (!IsReused)
+    Target = std::make_shared<Connection>(this->Loop.context());
+  Target->Where = Where;
+  Target->Asked = std::move(Asked);
+  this->Active[Attempt] = Target;
+  if (IsReused)
+    this->start(Target);
+  else
+    this->connect(Target);
+}
+
+AttemptClient::Link AttemptClient::takeIdle(const Endpoint &Where) {
+  const auto Found = this->Idle.find(Where);
+  if (Found == this->Idle.end())
+    return nullptr;
+  // The one used last is the least likely to have been closed.
+  const Link Newest = Found->second.back();
+  const Milliseconds Unused = this->Loop.now() - Newest->UnusedSince;
+  if (Unused + IdleMargin < Newest->KeepAlive) {
+    Found->second.pop_back();
+    if (Found->second.empty())
+      this->Idle.erase(Found);
+    return Newest;
+  }
+  const std::list<Link> Stale = Found->second;
+  for (const Link &Each : Stale)
+    this->drop(Each);
+  return nullptr;
+}
+
+void AttemptClient::connect(const Link &Target) {
+  Target->ConnectTimer.expires_after(ConnectLimit);
+  Target->ConnectTimer.async_wait([this, Target](const auto &Error) {
+    if (!Error && !Target->IsOpen)
+      this->fail(Target, AttemptEnded::Kind::NeverSent);
+  });
+  Target->Socket.async_connect(
+      Target->Where, [this, Target](const auto &Error) {
+        if (this->Active.count(Target->Asked.Attempt) == 0)
+          return;
+        Target->ConnectTimer.cancel();
+        if (Error) {
+          this->fail(Target, AttemptEnded::Kind::NeverSent);
+          return;
+        }
+        Target->IsOpen = true;
+        prepareSocket(Target->Socket);
+        this->read(Target);
+        this->start(Target);
+      });
+}
+
+void AttemptClient::start(const Link &Target) {
+  const bool HasBody = !Target->Asked.Body.empty() ||
+                       Target->Asked.Method == "POST" ||
+                       Target->Asked.Method == "PUT";
+  const BodyForm Body{HasBody ? BodyForm::Kind::Length : BodyForm::Kind::None,
+                      Target->Asked.Body.size()};
+  Target->Head = writeRequestHead(Target->Asked.Method, Target->Asked.Target,
+                                  Target->Asked.Headers, Body);
+  Target->HasHead = false;
+  Target->IsSkipping = false;
+  Target->IsWriting = true;
+  const std::array<boost::asio::const_buffer, 2> Parts = {
+      boost::asio::buffer(Target->Head),
+      boost::asio::buffer(Target->Asked.Body)};
+  boost::asio::async_write(Target->Socket, Parts,
+                           [this, Target](const auto &Error, std::size_t) {
+                             Target->IsWriting = false;
+                             // A target may answer before it has read the
+                             // whole body, so that its answer still counts.
+                             if (Error && !Target->HasHead &&
+                                 Target->Asked.Attempt.Value != 0)
+                               this->fail(Target, AttemptEnded::Kind::Broken);
+                           });
+}
+
+void AttemptClient::read(const Link &Target) {
+  Target->Socket.async_read_some(
+      Target->Input.prepare(ReadBytes),
+      [this, Target](const boost::system::error_code &Error,
+                     std::size_t Count) {
+        Target->Input.commit(Count);
+        this->handleRead(Target, Error);
+      });
+}
+
+void AttemptClient::handleRead(const Link &Target,
+                              const boost::system::error_code &Error) {
+  if (!Target->IsOpen)
+    return;
+  if (Target->Asked.Attempt.Value == 0) {
+    // Closed by the target, or bytes that belong to no request.
+    this->drop(Target);
+    return;
+  }
+  if (Error) {
+    this->handleEnd(Target, Error == boost::asio::error::eof);
+    return;
+  }
+  this->parse(Target);
+  if (Target->IsOpen)
+    this->read(Target);
+}
+
+void AttemptClient::parse(const Link &Target) {
+  while (Target->IsOpen && Target->Asked.Attempt.Value != 0 &&
+         Target->Input.size() > 0) {
+    if (!Target->Parser) {
+      Target->Parser =
+          std::make_unique<http::response_parser<http::string_body>>();
+      Target->Parser->eager(true);
+      Target->Parser->body_limit(boost::none);
+      Target->Parser->skip(Target->Asked.Method == "HEAD");
+    }
+    boost::system::error_code Error;
+    const std::size_t Used = Target->Parser->put(Target->Input.data(), Error);
+    Target->Input.consume(Used);
+    if (Error && Error != http::error::need_more) {
+      this->fail(Target, AttemptEnded::Kind::Broken);
+      return;
+    }
+    if (!Target->Parser->is_header_done())
+      return;
+    if (!Target->HasHead && !Target->IsSkipping && !this->takeHead(Target))
+      return;
+    if (!Target->Parser)
+      continue;
+    std::string Bytes;
+    Bytes.swap(Target->Parser->get().body());
+    const bool IsDone = Target->Parser->is_done();
+    if (Target->IsSkipping) {
+      if (!IsDone)
+        return;
+      Target->IsSkipping = false;
+      Target->Parser.reset();
+      continue;
+    }
+    if (!Bytes.empty())
+      this->Heard.onAttemptBytes(Target->Asked.Attempt, std::move(Bytes));
+    if (!Target->IsOpen || Target->Asked.Attempt.Value == 0)
+      return;
+    if (IsDone) {
+      this->complete(Target);
+      return;
+    }
+    if (Error == http::error::need_more)
+      return;
+  }
+}
+
+bool AttemptClient::takeHead(const Link &Target) {
+  const auto &Message = Target->Parser->get();
+  if (Message.result_int() < FirstFinalStatus) {
+    Target->Parser.reset();
+    return true;
+  }
+  const DecodedTargetHead Decoded = this->Protocol.DecodeTargetHead(
+      static_cast<std::uint16_t>(Message.result_int()),
+      endToEndFields(Message.base()));
+  if (Decoded.Answers && !(*Decoded.Answers == Target->Asked.Expected)) {
+    Target->IsSkipping = true;
+    return true;
+  }
+  // Only a refusal may come without an id: nothing of it is passed on.
+  const bool IsRefusal =
+      Decoded.Head.IsNotRun || Decoded.Head.IsOtherTarget;
+  if (!Decoded.Answers && !IsRefusal) {
+    this->fail(Target, AttemptEnded::Kind::Broken);
+    return false;
+  }
+  if (const auto Told = keepAliveOf(Message[http::field::keep_alive]))
+    Target->KeepAlive = *Told;
+  Target->HasHead = true;
+  this->Heard.onAttemptHead(Target->Asked.Attempt, Decoded.Head);
+  return Target->IsOpen && Target->Asked.Attempt.Value != 0;
+}
+
+void AttemptClient::handleEnd(const Link &Target, bool IsCleanEnd) {
+  if (!IsCleanEnd || !Target->Parser || !Target->HasHead) {
+    this->fail(Target, AttemptEnded::Kind::Broken);
+    return;
+  }
+  boost::system::error_code Error;
+  Target->Parser->put_eof(Error);
+  if (Error || !Target->Parser->is_done()) {
+    this->fail(Target, AttemptEnded::Kind::Broken);
+    return;
+  }
+  this->fail(Target, AttemptEnded::Kind::Complete);
+}
+
+void AttemptClient::complete(const Link &Target) {
+  const bool MayReuse = Target->Parser->keep_alive() && !Target->IsWriting &&
+                        Target->Input.size() == 0;
+  const RelayAttemptId Attempt = Target->Asked.Attempt;
+  const std::uint32_t IdleLimit = Target->Asked.IdleLimit;
+  this->Active.erase(Attempt);
+  Target->Parser.reset();
+  Target->Asked = Request();
+  std::list<Link> &Unused = this->Idle[Target->Where];
+  if (MayReuse && Unused.size() < IdleLimit) {
+    Target->UnusedSince = this->Loop.now();
+    Unused.push_back(Target);
+  } else {
+    this->drop(Target);
+  }
+  this->Heard.onAttemptEnd(Attempt, AttemptEnded::Kind::Complete);
+}
+
+void AttemptClient::fail(const Link &Target, AttemptEnded::Kind Ended) {
+  const RelayAttemptId Attempt = Target->Asked.Attempt;
+  if (this->Active.erase(Attempt) == 0)
+    return;
+  this->drop(Target);
+  this->Heard.onAttemptEnd(Attempt, Ended);
+}
+
+void AttemptClient::cancel(RelayAttemptId Attempt) {
+  const auto Found = this->Active.find(Attempt);
+  if (Found == this->Active.end())
+    return;
+  const Link Target = Found->second;
+  this->Active.erase(Found);
+  this->drop(Target);
+}
+
+void AttemptClient::drop(const Link &Target) {
+  Target->IsOpen = false;
+  Target->Asked.Attempt = RelayAttemptId();
+  Target->ConnectTimer.cancel();
+  boost::system::error_code Ignored;
+  Target->Socket.close(Ignored);
+  const auto Found = this->Idle.find(Target->Where);
+  if (Found == this->Idle.end())
+    return;
+  Found->second.remove(Target);
+  if (Found->second.empty())
+    this->Idle.erase(Found);
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/relay/src/HttpHead.cpp
@@ -0,0 +1,105 @@
+#include "HttpHead.h"
+
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <sstream>
+#include <vector>
+
+namespace tanagerlanding {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::iequals;
+using boost::beast::string_view;
+
+constexpr unsigned HttpVersion = 11;
+/// Fields of one connection, and those that say where a body ends.
+constexpr const char *ConnectionFields[] = {
+    "Connection",         "Keep-Alive", "Proxy-Connection", "TE",
+    "Transfer-Encoding",  "Trailer",    "Upgrade",          "Content-Length",
+    "Proxy-Authenticate", "Expect",
+};
+
+bool isConnectionField(string_view Name) {
+  return std::any_of(
+      std::begin(ConnectionFields), std::end(ConnectionFields),
+      [&](const char *Each) { return iequals(Name, Each); });
+}
+
+/// Returns whether the message's own Connection header names a field.
+bool isNamedByConnection(const http::fields &Fields, string_view Name) {
+  const auto Range = Fields.equal_range(http::field::connection);
+  return std::any_of(Range.first, Range.second, [&](const auto &Each) {
+    return http::token_list(Each.value()).exists(Name);
+  });
+}
+
+void addBodyFields(http::fields &Fields, BodyForm Body) {
+  if (Body.Form == BodyForm::Kind::Length)
+    Fields.insert(http::field::content_length, std::to_string(Body.Bytes));
+  else if (Body.Form == BodyForm::Kind::Chunks)
+    Fields.insert(http::field::transfer_encoding, "chunked");
+}
+
+template <typename Buffers> std::string toText(const Buffers &Parts) {
+  return boost::beast::buffers_to_string(Parts);
+}
+
+template <typename Head> std::string toText(const Head &Written, int) {
+  std::ostringstream Out;
+  Out << Written;
+  return Out.str();
+}
+
+} // namespace
+
+HeaderFields endToEndFields(const http::fields &Fields) {
+  HeaderFields Kept;
+  for (const auto &Each : Fields) {
+    if (!isConnectionField(Each.name_string()) &&
+        !isNamedByConnection(Fields, Each.name_string()))
+      Kept.emplace_back(Each.name_string(), Each.value());
+  }
+  return Kept;
+}
+
+std::string writeAnswerHead(std::uint16_t Status, const HeaderFields &Headers,
+                            BodyForm Body, bool ShouldClose) {
+  http::response_header<> Head;
+  Head.version(HttpVersion);
+  Head.result(Status);
+  for (const auto &[Name, Value] : Headers)
+    Head.insert(Name, Value);
+  addBodyFields(Head, Body);
+  if (ShouldClose)
+    Head.insert(http::field::connection, "close");
+  return toText(Head, 0);
+}
+
+std::string writeRequestHead(const std::string &Method,
+                             const std::string &Target,
+                             const HeaderFields &Headers, BodyForm Body) {
+  http::request_header<> Head;
+  Head.version(HttpVersion);
+  Head.method_string(Method);
+  Head.target(Target);
+  for (const auto &[Name, Value] : Headers)
+    Head.insert(Name, Value);
+  addBodyFields(Head, Body);
+  return toText(Head, 0);
+}
+
+std::string writeChunk(const std::string &Bytes) {
+  return toText(http::make_chunk(boost::asio::buffer(Bytes)));
+}
+
+std::string writeLastChunk() { return toText(http::make_chunk_last()); }
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/relay/src/RelayProcess.cpp
@@ -0,0 +1,316 @@
+#include "tanagerlanding/relay/RelayProcess.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace tanagerlanding {
+
+namespace {
+
+/// Deadlines and limits are hundreds of milliseconds; this is their precision.
+constexpr Milliseconds TickInterval{25};
+/// Well within the hub's idle limit.
+constexpr Milliseconds HeartbeatInterval{800};
+constexpr Milliseconds MetricsInterval{2000};
+constexpr Milliseconds FlushPause{5};
+/// What is left of the grace before the kill for the process's own end.
+constexpr Milliseconds StopMargin{700};
+
+} // namespace
+
+/// Performs effects, one overload for each.
+class RelayProcess::EffectPerformer {
+public:
+  explicit EffectPerformer(RelayProcess &Owner) : Owner(Owner) {}
+
+  void operator()(const RefuseCaller &Effect) {
+    this->Owner.Callers.refuse(Effect.Request, Effect.Refusal);
+  }
+  void operator()(const BeginAnswer &Effect) {
+    this->Owner.Callers.begin(Effect.Request, Effect.Head, Effect.BodyBytes);
+  }
+  void operator()(const ContinueAnswer &Effect) {
+    this->Owner.Callers.send(Effect.Request, Effect.Bytes);
+  }
+  void operator()(const FinishAnswer &Effect) {
+    this->Owner.Callers.finish(Effect.Request);
+  }
+  void operator()(const BreakAnswer &Effect) {
+    this->Owner.Callers.breakOff(Effect.Request);
+  }
+  void operator()(const SendAttempt &Effect) {
+    const auto Call = this->Owner.State.Calls.find(Effect.Request);
+    if (Call == this->Owner.State.Calls.end())
+      return;
+    const CallerRequest &Asked = Call->second.Asked;
+    AttemptClient::Request Request;
+    Request.Attempt = Effect.Attempt;
+    Request.Address = Effect.Target.Address;
+    Request.Port = Effect.Target.Port;
+    Request.Method = Asked.Method;
+    Request.Target = Asked.Target;
+    Request.Headers = this->Owner.Protocols.Relay.EncodeAttempt(Asked, Effect);
+    Request.Body = Effect.History + Asked.Body;
+    Request.Expected = Asked.Id;
+    Request.IdleLimit = Effect.IdleLimit;
+    this->Owner.Targets.send(std::move(Request));
+  }
+  void operator()(const CancelTargetAttempt &Effect) {
+    this->Owner.Targets.cancel(Effect.Attempt);
+  }
+  void operator()(const SendReplica &Effect) {
+    const auto Link = this->Owner.Links.find(Effect.Holder);
+    if (Link != this->Owner.Links.end())
+      this->Owner.Hub.send(Link->second, Effect.Body);
+  }
+  void operator()(const ConnectReplicas &Effect) {
+    this->Owner.connectReplicas(Effect.Members);
+  }
+  void operator()(const StopAccepting &) {
+    this->Owner.Callers.stopAccepting();
+  }
+  void operator()(const ExitRelay &) { this->Owner.finishWhenFlushed(); }
+  void operator()(const LogLine &Effect) {
+    logEvent(Effect.Event, Effect.Fields);
+  }
+  void operator()(const CountMetric &Effect) {
+    this->Owner.Measured.count(Effect.Name, Effect.Cause);
+  }
+
+private:
+  RelayProcess &Owner;
+};
+
+RelayProcess::RelayProcess(const RelaySettings &Settings,
+                           DeploymentProtocols Protocols)
+    : Settings(Settings), Protocols(std::move(Protocols)), Timers(Loop),
+      Hub(Loop, *this),
+      Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
+      OperatorKeys(Loop, Service, this->Protocols.Directory.OperatorPrefix,
+                   *this),
+      TargetKeys(Loop, Service, this->Protocols.Directory.TargetPrefix, *this),
+      LedgerKeys(Loop, Service, ledgerViewKey(), *this),
+      Callers(Loop, this->Protocols.Relay, *this),
+      Targets(Loop, this->Protocols.Relay, *this),
+      Status(Settings.Status.Address, Settings.Status.Port,
+             {[this] { return this->IsReady.load(); },
+              [this] { return this->Measured.render(); }}),
+      Instance(makeUniqueId()) {
+  this->State.Self = Settings.Host;
+  this->State.Zone = Settings.Zone;
+  this->State.Random.seed(makeSeed());
+  // Operation numbers of an earlier run of this process must not meet its
+  // late answers.
+  this->State.NextOperation = makeSeed() / 2;
+  this->State.Options.DrainLimit = Settings.StopGrace - StopMargin;
+}
+
+RelayProcess::~RelayProcess() = default;
+
+Result<void, SystemError> RelayProcess::run() {
+  logEvent("relay_started", {{"host", this->Settings.Host.Value},
+                             {"zone", this->Settings.Zone.Value},
+                             {"instance", this->Instance.Value}});
+  // Nothing that this role is told at its start can change while it runs.
+  this->Loop.onReload([this] {
+    logEvent("settings_reload_ignored", {{"host", this->Settings.Host.Value}});
+  });
+  this->Loop.onTermination([this] {
+    this->Callers.startDraining();
+    this->apply(RelayTerminationAsked{});
+  });
+  if (auto Listening = this->Callers.listen(this->Settings.Callers.Address,
+                                            this->Settings.Callers.Port);
+      !Listening)
+    return Listening;
+  if (auto Serving = this->Status.start(); !Serving)
+    return Serving;
+  this->Timers.subscribe(TickInterval, [this](Instant Now) {
+    this->apply(RelayTimePassed{Now});
+  });
+  this->Timers.subscribe(HeartbeatInterval, [this](Instant) {
+    for (const auto &[Holder, Link] : this->Links)
+      this->Hub.send(Link, Heartbeat{});
+  });
+  this->Timers.subscribe(MetricsInterval,
+                         [this](Instant) { this->publishMetrics(); });
+  this->OperatorKeys.start();
+  this->TargetKeys.start();
+  this->LedgerKeys.start();
+  this->Loop.run();
+  logEvent("relay_ended", {{"host", this->Settings.Host.Value}});
+  return success();
+}
+
+void RelayProcess::apply(const RelayEvent &Event) {
+  // Time has passed since the last tick, and deadlines are counted from the
+  // event.
+  this->State.Now = this->Loop.now();
+  EffectPerformer Perform(*this);
+  for (const RelayEffect &Effect : reduce(this->State, Event))
+    std::visit(Perform, Effect);
+  this->IsReady = isRelayReady(this->State);
+}
+
+void RelayProcess::onCallerRequest(RequestId Request, CallerRequest Asked) {
+  this->apply(CallerAsked{Request, std::move(Asked)});
+}
+
+void RelayProcess::onCallerGone(RequestId Request) {
+  this->apply(CallerGone{Request});
+}
+
+void RelayProcess::onAttemptHead(RelayAttemptId Attempt,
+                                const TargetAnswerHead &Head) {
+  this->apply(AttemptHeadCame{Attempt, Head});
+}
+
+void RelayProcess::onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) {
+  this->apply(AttemptBytesCame{Attempt, std::move(Bytes)});
+}
+
+void RelayProcess::onAttemptEnd(RelayAttemptId Attempt,
+                               AttemptEnded::Kind Ended) {
+  this->apply(AttemptEnded{Attempt, Ended});
+}
+
+void RelayProcess::connectReplicas(const std::vector<LedgerMember> &Members) {
+  std::map<std::pair<std::string, std::uint16_t>, LedgerMember> Wanted;
+  for (const LedgerMember &Each : Members)
+    Wanted[{Each.Address, Each.Port}] = Each;
+  for (const auto &[Where, Member] : this->Dialled) {
+    if (Wanted.count(Where) == 0)
+      this->Hub.dropConnected(Where.first, Where.second);
+  }
+  this->Dialled = Wanted;
+  for (const auto &[Where, Member] : Wanted)
+    this->Hub.keepConnected(Where.first, Where.second);
+}
+
+void RelayProcess::onOpened(ConnectionId Id) {
+  Hello Greeting;
+  Greeting.Host = this->Settings.Host;
+  Greeting.Instance = this->Instance;
+  this->Hub.send(Id, Greeting);
+}
+
+void RelayProcess::onMessage(ConnectionId Id, Message Body) {
+  if (const auto *Greeting = std::get_if<Hello>(&Body)) {
+    if (!Greeting->Holder)
+      return;
+    this->Links[*Greeting->Holder] = Id;
+    this->Holders[Id] = *Greeting->Holder;
+    this->apply(ReplicaConnected{*Greeting->Holder});
+    return;
+  }
+  const auto Holder = this->Holders.find(Id);
+  if (Holder != this->Holders.end())
+    this->apply(ReplicaSaid{Holder->second, std::move(Body)});
+}
+
+void RelayProcess::onClosed(ConnectionId Id) {
+  const auto Found = this->Holders.find(Id);
+  if (Found == this->Holders.end())
+    return;
+  const HolderId Holder = Found->second;
+  this->Holders.erase(Found);
+  const auto Link = this->Links.find(Holder);
+  // A newer connection to the same replica may be open already.
+  if (Link == this->Links.end() || !(Link->second == Id))
+    return;
+  this->Links.erase(Link);
+  this->apply(ReplicaDisconnected{Holder});
+}
+
+void RelayProcess::onKeysChanged(const std::string &Prefix,
+                                 const std::vector<KeyChange> &Changes) {
+  for (const KeyChange &Each : Changes) {
+    if (Prefix == this->Protocols.Directory.TargetPrefix)
+      this->takeTarget(Each);
+    else if (Prefix == this->Protocols.Directory.OperatorPrefix)
+      this->takeConfiguration(Each);
+    else
+      this->takeLedgerKey(Each);
+  }
+}
+
+void RelayProcess::takeConfiguration(const KeyChange &Change) {
+  if (Change.IsDeleted ||
+      Change.Item.Key != this->Protocols.Directory.ConfigurationKey)
+    return;
+  const auto Decoded =
+      this->Protocols.Directory.DecodeConfiguration(Change.Item.Value);
+  if (!Decoded) {
+    for (const SettingsFault &Fault : Decoded.error())
+      logEvent("configuration_invalid",
+               {{"path", Fault.Path}, {"expected", Fault.Expected}});
+    return;
+  }
+  this->Callers.setLimits(Decoded.value().Limits);
+  this->apply(RelayConfigured{Decoded.value()});
+}
+
+void RelayProcess::takeTarget(const KeyChange &Change) {
+  const TargetId Id(Change.Item.Key.substr(
+      this->Protocols.Directory.TargetPrefix.size()));
+  if (Change.IsDeleted) {
+    this->apply(TargetUnregistered{Id});
+    return;
+  }
+  const auto Decoded =
+      this->Protocols.Directory.DecodeTarget(Id, Change.Item.Value);
+  if (Decoded) {
+    this->apply(TargetRegistered{Decoded.value()});
+    return;
+  }
+  // The entry names no target to use; one known under this id is no more.
+  for (const SettingsFault &Fault : Decoded.error())
+    logEvent("target_entry_invalid", {{"target", Id.Value},
+                                      {"path", Fault.Path},
+                                      {"expected", Fault.Expected}});
+  this->apply(TargetUnregistered{Id});
+}
+
+void RelayProcess::takeLedgerKey(const KeyChange &Change) {
+  if (Change.IsDeleted || Change.Item.Key != ledgerViewKey())
+    return;
+  const auto View = decodeLedgerView(Change.Item.Value);
+  if (View)
+    this->apply(RelayViewSeen{*View});
+  else
+    logEvent("ledger_view_invalid",
+             {{"revision", std::to_string(Change.Item.ModRevision.Value)}});
+}
+
+void RelayProcess::onServiceRegained(const std::string &Prefix) {
+  if (Prefix == this->Protocols.Directory.TargetPrefix)
+    this->apply(DirectoryRegained{});
+}
+
+void RelayProcess::onServiceLost(const std::string &Prefix) {
+  if (Prefix == this->Protocols.Directory.TargetPrefix)
+    this->apply(DirectoryLost{});
+}
+
+void RelayProcess::publishMetrics() {
+  this->Measured.set("relay_calls",
+                     static_cast<double>(this->State.Calls.size()));
+  this->Measured.set("relay_targets",
+                     static_cast<double>(this->State.Targets.size()));
+  this->Measured.set("platform_calls",
+                     static_cast<double>(this->Service.callCount()));
+  this->Measured.set("control_sent_bytes",
+                     static_cast<double>(this->Hub.sentBytes()));
+}
+
+void RelayProcess::finishWhenFlushed() {
+  if (this->Callers.isFlushed()) {
+    this->Hub.flush(StopMargin / 2, [this] { this->Loop.stop(); });
+    return;
+  }
+  auto Timer =
+      std::make_shared<boost::asio::steady_timer>(this->Loop.context());
+  Timer->expires_after(FlushPause);
+  Timer->async_wait([this, Timer](const auto &) { this->finishWhenFlushed(); });
+}
+
+} // namespace tanagerlanding
--- a/packages/runtime/include/tanagerlanding/runtime/EventLoop.h
+++ b/packages/runtime/include/tanagerlanding/runtime/EventLoop.h
@@ -34,6 +34,9 @@
   /// Has Task run on the loop when SIGTERM or SIGINT arrives.
   void onTermination(std::function<void()> Task);
 
+  /// Has Task run on the loop when SIGHUP arrives.
+  void onReload(std::function<void()> Task);
+
   /// Returns the time since the loop was made, on a monotonic clock.
   Instant now() const;
 
@@ -42,10 +45,13 @@
 
 private:
   void awaitSignal();
+  void awaitReload();
 
   boost::asio::io_context Context;
   boost::asio::signal_set Signals;
+  boost::asio::signal_set ReloadSignal;
   std::function<void()> TerminationTask;
+  std::function<void()> ReloadTask;
   std::chrono::steady_clock::time_point StartedAt;
 };
 
--- a/packages/runtime/include/tanagerlanding/runtime/Log.h
+++ b/packages/runtime/include/tanagerlanding/runtime/Log.h
@@ -11,7 +11,7 @@
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
 
-/// Sends log lines to standard error from now on.
+/// Sends log lines to standard output from now on.
 void startLog(const char *Program);
 
 /// Writes one line: event=NAME and the fields. Values with blanks, quotes or
--- a/packages/runtime/src/EventLoop.cpp
+++ b/packages/runtime/src/EventLoop.cpp
@@ -6,7 +6,7 @@
 namespace tanagerlanding {
 
 EventLoop::EventLoop()
-    : Signals(Context), StartedAt(std::chrono::steady_clock::now()) {}
+    : Signals(Context), ReloadSignal(Context), StartedAt(std::chrono::steady_clock::now()) {}
 
 void EventLoop::run() {
   this->Context.restart();
@@ -27,6 +27,12 @@
   this->awaitSignal();
 }
 
+void EventLoop::onReload(std::function<void()> Task) {
+  this->ReloadTask = std::move(Task);
+  this->ReloadSignal.add(SIGHUP);
+  this->awaitReload();
+}
+
 Instant EventLoop::now() const {
   const auto Passed = std::chrono::steady_clock::now() - this->StartedAt;
   return Instant{std::chrono::duration_cast<Milliseconds>(Passed)};
@@ -41,4 +47,13 @@
   });
 }
 
+void EventLoop::awaitReload() {
+  this->ReloadSignal.async_wait([this](const auto &Error, int) {
+    if (Error)
+      return;
+    this->ReloadTask();
+    this->awaitReload();
+  });
+}
+
 } // namespace tanagerlanding
--- a/packages/runtime/src/Log.cpp
+++ b/packages/runtime/src/Log.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 void startLog(const char *Program) {
-  FLAGS_logtostderr = true;
+  FLAGS_logtostdout = true;
   google::InitGoogleLogging(Program);
 }
 
--- /dev/null
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -0,0 +1,288 @@
+#include "LedgerConversions.h"
+
+#include <memory>
+
+namespace tanagerlanding {
+
+namespace {
+
+std::optional<TurnId> optionalTurn(bool IsPresent, const std::string &Text) {
+  if (!IsPresent)
+    return std::nullopt;
+  return TurnId(Text);
+}
+
+std::string textOf(const std::optional<TurnId> &Turn) {
+  return Turn ? Turn->Value : std::string();
+}
+
+std::vector<std::unique_ptr<wire::LedgerMemberRowT>>
+toRows(const std::vector<LedgerMember> &Members) {
+  std::vector<std::unique_ptr<wire::LedgerMemberRowT>> Rows;
+  for (const LedgerMember &Each : Members) {
+    auto Row = std::make_unique<wire::LedgerMemberRowT>();
+    Row->holder = Each.Holder.Value;
+    Row->host = Each.Host.Value;
+    Row->address = Each.Address;
+    Row->port = Each.Port;
+    Row->zone = Each.Zone.Value;
+    Rows.push_back(std::move(Row));
+  }
+  return Rows;
+}
+
+std::vector<LedgerMember>
+fromRows(const std::vector<std::unique_ptr<wire::LedgerMemberRowT>> &Rows) {
+  std::vector<LedgerMember> Members;
+  for (const auto &Row : Rows)
+    Members.push_back(LedgerMember{HolderId(Row->holder), HostId(Row->host),
+                                   Row->address, Row->port, ZoneId(Row->zone)});
+  return Members;
+}
+
+std::unique_ptr<wire::LedgerViewTableT> toWire(const LedgerView &View) {
+  auto Table = std::make_unique<wire::LedgerViewTableT>();
+  Table->version = View.Version.Value;
+  Table->tolerated = View.Tolerated;
+  Table->current = toRows(View.Current);
+  Table->next = toRows(View.Next);
+  return Table;
+}
+
+/// An absent table reads as the empty view, which is older than any other.
+LedgerView fromWire(const std::unique_ptr<wire::LedgerViewTableT> &Table) {
+  LedgerView View;
+  if (!Table)
+    return View;
+  View.Version = ViewVersion(Table->version);
+  View.Tolerated = Table->tolerated;
+  View.Current = fromRows(Table->current);
+  View.Next = fromRows(Table->next);
+  return View;
+}
+
+wire::ClaimRow toRow(const TokenClaim &Claim) {
+  return wire::ClaimRow(Claim.Turn.Value, Claim.Tokens.Value, Claim.IsSettled);
+}
+
+TokenClaim fromRow(const wire::ClaimRow &Row) {
+  return TokenClaim{Fingerprint(Row.turn()), TokenCount{Row.tokens()},
+                    Row.settled()};
+}
+
+/// Encodes records, one overload for each.
+struct RecordEncoder {
+  void operator()(const TurnKept &Kept) const {
+    wire::RecordTurnT Table;
+    Table.turn = Kept.Turn.Value;
+    Table.has_previous = Kept.Previous.has_value();
+    Table.previous = textOf(Kept.Previous);
+    Table.input = Kept.Input;
+    Table.output = Kept.Output;
+    this->Row.body.Set(std::move(Table));
+  }
+
+  void operator()(const TokensClaimed &Claimed) const {
+    wire::RecordClaimT Table;
+    Table.program = Claimed.Program.Value;
+    Table.claim = std::make_unique<wire::ClaimRow>(toRow(Claimed.Claim));
+    this->Row.body.Set(std::move(Table));
+  }
+
+  wire::LedgerRecordRowT &Row;
+};
+
+std::optional<LedgerRecord> recordOf(const wire::LedgerRecordRowT &Row) {
+  if (const auto *Turn = Row.body.AsRecordTurn())
+    return TurnKept{TurnId(Turn->turn),
+                    optionalTurn(Turn->has_previous, Turn->previous),
+                    Turn->input, Turn->output};
+  const auto *Claim = Row.body.AsRecordClaim();
+  if (Claim && Claim->claim)
+    return TokensClaimed{ProgramId(Claim->program), fromRow(*Claim->claim)};
+  return std::nullopt;
+}
+
+} // namespace
+
+wire::LedgerBatchT toTable(const LedgerBatch &Body) {
+  wire::LedgerBatchT Table;
+  Table.written_at_ms = Body.WrittenAtMillis;
+  Table.retention_ms = Body.Retention.count();
+  for (const LedgerRecord &Each : Body.Records) {
+    auto Row = std::make_unique<wire::LedgerRecordRowT>();
+    std::visit(RecordEncoder{*Row}, Each);
+    Table.records.push_back(std::move(Row));
+  }
+  return Table;
+}
+
+LedgerBatch fromTable(const wire::LedgerBatchT &Table) {
+  LedgerBatch Body;
+  Body.WrittenAtMillis = Table.written_at_ms;
+  Body.Retention = Milliseconds(Table.retention_ms);
+  for (const auto &Row : Table.records) {
+    if (auto Record = recordOf(*Row))
+      Body.Records.push_back(std::move(*Record));
+  }
+  return Body;
+}
+
+wire::OpenTurnT toTable(const OpenTurn &Body) {
+  wire::OpenTurnT Table;
+  Table.operation = Body.Operation.Value;
+  Table.view = Body.View.Value;
+  Table.turn = Body.Turn.Value;
+  Table.program = Body.Program.Value;
+  Table.has_claim = Body.Claimed.has_value();
+  Table.claimed = Body.Claimed.value_or(TokenCount{}).Value;
+  Table.has_previous = Body.Previous.has_value();
+  Table.previous = textOf(Body.Previous);
+  Table.wants_history = Body.WantsHistory;
+  Table.retention_ms = Body.Retention.count();
+  return Table;
+}
+
+OpenTurn fromTable(const wire::OpenTurnT &Table) {
+  OpenTurn Body;
+  Body.Operation = LedgerOperationId(Table.operation);
+  Body.View = ViewVersion(Table.view);
+  Body.Turn = TurnId(Table.turn);
+  Body.Program = ProgramId(Table.program);
+  if (Table.has_claim)
+    Body.Claimed = TokenCount{Table.claimed};
+  Body.Previous = optionalTurn(Table.has_previous, Table.previous);
+  Body.WantsHistory = Table.wants_history;
+  Body.Retention = Milliseconds(Table.retention_ms);
+  return Body;
+}
+
+wire::TurnOpenedT toTable(const TurnOpened &Body) {
+  wire::TurnOpenedT Table;
+  Table.operation = Body.Operation.Value;
+  Table.holder = Body.Holder.Value;
+  Table.knows_previous = Body.KnowsPrevious;
+  Table.has_history = Body.History.has_value();
+  Table.history = Body.History.value_or(std::string());
+  Table.has_missing = Body.MissingTurn.has_value();
+  Table.missing = textOf(Body.MissingTurn);
+  for (const TokenClaim &Each : Body.Claims)
+    Table.claims.push_back(toRow(Each));
+  return Table;
+}
+
+TurnOpened fromTable(const wire::TurnOpenedT &Table) {
+  TurnOpened Body;
+  Body.Operation = LedgerOperationId(Table.operation);
+  Body.Holder = HolderId(Table.holder);
+  Body.KnowsPrevious = Table.knows_previous;
+  if (Table.has_history)
+    Body.History = Table.history;
+  Body.MissingTurn = optionalTurn(Table.has_missing, Table.missing);
+  for (const wire::ClaimRow &Row : Table.claims)
+    Body.Claims.push_back(fromRow(Row));
+  return Body;
+}
+
+wire::CloseTurnT toTable(const CloseTurn &Body) {
+  wire::CloseTurnT Table;
+  Table.operation = Body.Operation.Value;
+  Table.view = Body.View.Value;
+  Table.program = Body.Program.Value;
+  Table.has_used = Body.Used.has_value();
+  Table.used = Body.Used.value_or(TokenCount{}).Value;
+  Table.turn = Body.Turn.Value;
+  Table.kept = Body.IsKept;
+  Table.has_previous = Body.Previous.has_value();
+  Table.previous = textOf(Body.Previous);
+  Table.input = Body.Input;
+  Table.output = Body.Output;
+  Table.retention_ms = Body.Retention.count();
+  return Table;
+}
+
+CloseTurn fromTable(const wire::CloseTurnT &Table) {
+  CloseTurn Body;
+  Body.Operation = LedgerOperationId(Table.operation);
+  Body.View = ViewVersion(Table.view);
+  Body.Program = ProgramId(Table.program);
+  if (Table.has_used)
+    Body.Used = TokenCount{Table.used};
+  Body.Turn = TurnId(Table.turn);
+  Body.IsKept = Table.kept;
+  Body.Previous = optionalTurn(Table.has_previous, Table.previous);
+  Body.Input = Table.input;
+  Body.Output = Table.output;
+  Body.Retention = Milliseconds(Table.retention_ms);
+  return Body;
+}
+
+wire::TurnClosedT toTable(const TurnClosed &Body) {
+  wire::TurnClosedT Table;
+  Table.operation = Body.Operation.Value;
+  Table.holder = Body.Holder.Value;
+  return Table;
+}
+
+TurnClosed fromTable(const wire::TurnClosedT &Table) {
+  return TurnClosed{LedgerOperationId(Table.operation), HolderId(Table.holder)};
+}
+
+wire::LedgerRefusedT toTable(const LedgerRefused &Body) {
+  wire::LedgerRefusedT Table;
+  Table.operation = Body.Operation.Value;
+  Table.holder = Body.Holder.Value;
+  Table.view = toWire(Body.View);
+  return Table;
+}
+
+LedgerRefused fromTable(const wire::LedgerRefusedT &Table) {
+  return LedgerRefused{LedgerOperationId(Table.operation),
+                       HolderId(Table.holder), fromWire(Table.view)};
+}
+
+wire::ViewOfferT toTable(const ViewOffer &Body) {
+  wire::ViewOfferT Table;
+  Table.view = toWire(Body.View);
+  return Table;
+}
+
+ViewOffer fromTable(const wire::ViewOfferT &Table) {
+  return ViewOffer{fromWire(Table.view)};
+}
+
+wire::PullRecordsT toTable(const PullRecords &Body) {
+  wire::PullRecordsT Table;
+  Table.view = toWire(Body.View);
+  Table.cursor = Body.Cursor;
+  return Table;
+}
+
+PullRecords fromTable(const wire::PullRecordsT &Table) {
+  return PullRecords{fromWire(Table.view), Table.cursor};
+}
+
+wire::RecordsPageT toTable(const RecordsPage &Body) {
+  wire::RecordsPageT Table;
+  Table.view = Body.View.Value;
+  Table.holder = Body.Holder.Value;
+  Table.next_cursor = Body.NextCursor;
+  Table.is_last = Body.IsLast;
+  for (const LedgerBatch &Each : Body.Batches)
+    Table.batches.push_back(
+        std::make_unique<wire::LedgerBatchT>(toTable(Each)));
+  return Table;
+}
+
+RecordsPage fromTable(const wire::RecordsPageT &Table) {
+  RecordsPage Body;
+  Body.View = ViewVersion(Table.view);
+  Body.Holder = HolderId(Table.holder);
+  Body.NextCursor = Table.next_cursor;
+  Body.IsLast = Table.is_last;
+  for (const auto &Each : Table.batches)
+    Body.Batches.push_back(fromTable(*Each));
+  return Body;
+}
+
+} // namespace tanagerlanding
--- /dev/null
+++ b/packages/wire/src/LedgerConversions.h
@@ -0,0 +1,32 @@
+/// \file
+/// Conversions of the ledger's messages to generated tables and back.
+#ifndef TANAGERLANDING_WIRE_LEDGERCONVERSIONS_H
+#define TANAGERLANDING_WIRE_LEDGERCONVERSIONS_H
+
+#include "messages_generated.h"
+#include "tanagerlanding/decision/ledger/LedgerMessages.h"
+
+namespace tanagerlanding {
+
+wire::LedgerBatchT toTable(const LedgerBatch &Body);
+LedgerBatch fromTable(const wire::LedgerBatchT &Table);
+wire::OpenTurnT toTable(const OpenTurn &Body);
+OpenTurn fromTable(const wire::OpenTurnT &Table);
+wire::TurnOpenedT toTable(const TurnOpened &Body);
+TurnOpened fromTable(const wire::TurnOpenedT &Table);
+wire::CloseTurnT toTable(const CloseTurn &Body);
+CloseTurn fromTable(const wire::CloseTurnT &Table);
+wire::TurnClosedT toTable(const TurnClosed &Body);
+TurnClosed fromTable(const wire::TurnClosedT &Table);
+wire::LedgerRefusedT toTable(const LedgerRefused &Body);
+LedgerRefused fromTable(const wire::LedgerRefusedT &Table);
+wire::ViewOfferT toTable(const ViewOffer &Body);
+ViewOffer fromTable(const wire::ViewOfferT &Table);
+wire::PullRecordsT toTable(const PullRecords &Body);
+PullRecords fromTable(const wire::PullRecordsT &Table);
+wire::RecordsPageT toTable(const RecordsPage &Body);
+RecordsPage fromTable(const wire::RecordsPageT &Table);
+
+} // namespace tanagerlanding
+
+#endif
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -1,11 +1,16 @@
 #include "tanagerlanding/wire/MessageCodec.h"
 
 #include "Conversions.h"
+#include "LedgerConversions.h"
 
 namespace tanagerlanding {
 
 namespace {
 
+// The overloads of this file would hide those of LedgerConversions.h.
+using tanagerlanding::fromTable;
+using tanagerlanding::toTable;
+
 wire::HelloT toTable(const Hello &Body) {
   wire::HelloT Table;
   Table.host = Body.Host.Value;
@@ -441,6 +446,24 @@
     return fromTable(*Body.AsReleasePrefixes());
   case wire::Body::LoadReport:
     return fromTable(*Body.AsLoadReport());
+  case wire::Body::LedgerBatch:
+    return fromTable(*Body.AsLedgerBatch());
+  case wire::Body::OpenTurn:
+    return fromTable(*Body.AsOpenTurn());
+  case wire::Body::TurnOpened:
+    return fromTable(*Body.AsTurnOpened());
+  case wire::Body::CloseTurn:
+    return fromTable(*Body.AsCloseTurn());
+  case wire::Body::TurnClosed:
+    return fromTable(*Body.AsTurnClosed());
+  case wire::Body::LedgerRefused:
+    return fromTable(*Body.AsLedgerRefused());
+  case wire::Body::ViewOffer:
+    return fromTable(*Body.AsViewOffer());
+  case wire::Body::PullRecords:
+    return fromTable(*Body.AsPullRecords());
+  case wire::Body::RecordsPage:
+    return fromTable(*Body.AsRecordsPage());
   }
   return std::nullopt;
 }
--- a/tests/standins/keyvalue.cpp
+++ b/tests/standins/keyvalue.cpp
@@ -7,7 +7,7 @@
 /// lose_answers carries writes out but answers with an error. GET /control
 /// tells the calls counted so far.
 #include "StandinServer.h"
-#include "tanagerlanding/platform.h"
+#include "tanagerlanding/keyvalue.h"
 
 #include <nlohmann/json.hpp>
 
