--- a/packages/decision/include/tanagerlanding/decision.h
+++ b/packages/decision/include/tanagerlanding/decision.h
@@ -1,7 +1,7 @@
 /// \file
 /// Package decision: the reducers of the roles (entry, sidecar, copy holder,
-/// relay, ledger replica) with their states, events and effects. Needs package basics only;
-/// does no I/O, reads no clock, starts no thread.
+/// relay, ledger replica) with their states, events and effects. Needs package
+/// basics only; does no I/O, reads no clock, starts no thread.
 #ifndef TANAGERLANDING_DECISION_H
 #define TANAGERLANDING_DECISION_H
 
--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -216,8 +216,8 @@
                  AttemptChunk, AttemptFinished, QueryAttempt, AttemptRunning,
                  ForgetAttempt, CancelAttempt, KeepPrefixes, ReleasePrefixes,
                  LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
-                 TurnClosed, LedgerRefused, ViewOffer, PullRecords,
-                 RecordsPage>;
+                 TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
+                 DirectoryChanges>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -131,6 +131,20 @@
   std::vector<LedgerBatch> Batches;
 };
 
+/// A key of the key-value service as some process last saw it.
+struct DirectoryItem {
+  std::string Key;
+  std::string Value;
+  Revision At;
+  bool IsDeleted = false;
+};
+
+/// Tells what has changed in the key-value service, so that a process learns
+/// of it that can't reach the service, or whose own watch has missed it.
+struct DirectoryChanges {
+  std::vector<DirectoryItem> Items;
+};
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -82,10 +82,10 @@
 
 using RelayEvent =
     std::variant<RelayTimePassed, CallerAsked, CallerGone, AttemptHeadCame,
-                 AttemptBytesCame, AttemptEnded, RelayConfigured, TargetRegistered,
-                 TargetUnregistered, DirectoryLost, DirectoryRegained,
-                 RelayViewSeen, ReplicaConnected, ReplicaDisconnected,
-                 ReplicaSaid, RelayTerminationAsked>;
+                 AttemptBytesCame, AttemptEnded, RelayConfigured,
+                 TargetRegistered, TargetUnregistered, DirectoryLost,
+                 DirectoryRegained, RelayViewSeen, ReplicaConnected,
+                 ReplicaDisconnected, ReplicaSaid, RelayTerminationAsked>;
 
 /// Give a caller the system's own final answer.
 struct RefuseCaller {
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -81,8 +81,7 @@
   }
   // Too few would be left to keep records safely: the retiring ones stay.
   for (const LedgerMember &Each : State.View.Current) {
-    if (Kept.size() < State.Tolerated + 1 &&
-        !containsHolder(Kept, Each.Holder))
+    if (Kept.size() < State.Tolerated + 1 && !containsHolder(Kept, Each.Holder))
       Kept.push_back(Each);
   }
   return Kept;
@@ -184,12 +183,12 @@
   if (!IsDue)
     return;
   State.ProposedAt = State.Now;
-  Context.log("ledger_view_proposed",
-              {{"version", std::to_string(View->Version.Value)},
-               {"current", namesOf(View->Current)},
-               {"next", namesOf(View->Next)},
-               {"expected_revision",
-                std::to_string(State.ViewRevision.Value)}});
+  Context.log(
+      "ledger_view_proposed",
+      {{"version", std::to_string(View->Version.Value)},
+       {"current", namesOf(View->Current)},
+       {"next", namesOf(View->Next)},
+       {"expected_revision", std::to_string(State.ViewRevision.Value)}});
   Context.add(WriteLedgerView{State.ViewRevision, *View});
 }
 
@@ -346,11 +345,10 @@
   }
   // What was taken under an earlier view and is not durable yet may still be
   // acknowledged, so that the last page has to wait for it.
-  const bool HasOlderPending =
-      std::any_of(State.Pending.begin(), State.Pending.end(),
-                  [&](const auto &Entry) {
-                    return Entry.second.View < State.View.Version;
-                  });
+  const bool HasOlderPending = std::any_of(
+      State.Pending.begin(), State.Pending.end(), [&](const auto &Entry) {
+        return Entry.second.View < State.View.Version;
+      });
   Page.Head.IsLast = Each == State.Stored.end() && !HasOlderPending;
   Context.add(std::move(Page));
 }
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -42,9 +42,8 @@
     sendOpened(this->Context, this->Peer, Asked);
   }
   void operator()(const CloseTurn &Asked) {
-    this->Context.send(this->Peer,
-                       TurnClosed{Asked.Operation,
-                                  this->Context.State.Self.Holder});
+    this->Context.send(this->Peer, TurnClosed{Asked.Operation,
+                                              this->Context.State.Self.Holder});
   }
 
 private:
@@ -85,9 +84,9 @@
       return;
     std::vector<LedgerRecord> Records;
     if (Asked.Used)
-      Records.push_back(TokensClaimed{
-          Asked.Program,
-          TokenClaim{fingerprintOf(Asked.Turn), *Asked.Used, true}});
+      Records.push_back(
+          TokensClaimed{Asked.Program, TokenClaim{fingerprintOf(Asked.Turn),
+                                                  *Asked.Used, true}});
     if (Asked.IsKept)
       Records.push_back(
           TurnKept{Asked.Turn, Asked.Previous, Asked.Input, Asked.Output});
@@ -116,8 +115,8 @@
     if (!(Asked < State.View.Version) && IsMember)
       return false;
     this->Context.count("ledger_refusals_total", "view");
-    this->Context.send(this->Peer, LedgerRefused{Operation, State.Self.Holder,
-                                                 State.View});
+    this->Context.send(this->Peer,
+                       LedgerRefused{Operation, State.Self.Holder, State.View});
     return true;
   }
 
@@ -176,10 +175,9 @@
     this->Context.count("ledger_refusals_total", "disk");
     // A pull that can't be stored never completes: this replica stays out.
     if (Pending.Peer)
-      this->Context.send(*Pending.Peer,
-                         LedgerRefused{operationOf(Pending),
-                                       this->State.Self.Holder,
-                                       this->State.View});
+      this->Context.send(*Pending.Peer, LedgerRefused{operationOf(Pending),
+                                                      this->State.Self.Holder,
+                                                      this->State.View});
   }
 
   void operator()(const LedgerBatchRecovered &Event) {
@@ -194,8 +192,7 @@
   }
 
   void operator()(const ReplicaRegistered &Event) {
-    this->State.Registered[Event.Member.Host] =
-        RegisteredReplica{Event.Member};
+    this->State.Registered[Event.Member.Host] = RegisteredReplica{Event.Member};
     reviewMembership(this->Context);
   }
 
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -63,8 +63,7 @@
 }
 
 /// Returns how many unused connections to a target may be kept.
-std::uint32_t idleLimitOf(const RelayState &State,
-                          const ServiceName &Service) {
+std::uint32_t idleLimitOf(const RelayState &State, const ServiceName &Service) {
   const auto Found = State.Configuration->Services.find(Service);
   if (Found == State.Configuration->Services.end())
     return 1;
@@ -286,10 +285,10 @@
                {"reason", toString(Reason)},
                {"host", Asked.Host},
                {"path", pathOf(Asked.Target)},
-               {"config", Context.State.Configuration
-                              ? std::to_string(
-                                    Context.State.Configuration->Version.Value)
-                              : std::string("none")}});
+               {"config",
+                Context.State.Configuration
+                    ? std::to_string(Context.State.Configuration->Version.Value)
+                    : std::string("none")}});
   Context.count("relay_refusals_total", toString(Reason));
   Context.add(RefuseCaller{Request, Refusal});
 }
@@ -303,8 +302,8 @@
                      RelayRefusalReason::NotConfigured);
     return;
   }
-  const RelayRoute *Route = findRoute(*State.Configuration, hostOf(Asked.Host),
-                                      pathOf(Asked.Target));
+  const RelayRoute *Route =
+      findRoute(*State.Configuration, hostOf(Asked.Host), pathOf(Asked.Target));
   if (!Route || Route->Services.empty()) {
     refuseUnadmitted(Context, Request, Asked, RelayRefusalReason::NoRoute);
     return;
@@ -318,9 +317,8 @@
   if (Service != State.Configuration->Services.end())
     Call.TokensPerEvent = Service->second.TokensPerEvent;
   Call.Arrived = State.Now;
-  Call.Deadline =
-      State.Now + std::min(Route->Timeout,
-                           Asked.TimeLeft.value_or(Route->Timeout));
+  Call.Deadline = State.Now + std::min(Route->Timeout,
+                                       Asked.TimeLeft.value_or(Route->Timeout));
   Call.Asked = std::move(Asked);
   RelayCall &Admitted = State.Calls[Request] = std::move(Call);
   if (!hasTimeLeft(Context, Admitted))
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -25,9 +25,8 @@
 void adoptConfiguration(RelayContext &Context,
                         const RelayConfiguration &Configuration) {
   RelayState &State = Context.State;
-  const bool IsOlder =
-      State.Configuration &&
-      !(State.Configuration->Version < Configuration.Version);
+  const bool IsOlder = State.Configuration &&
+                       !(State.Configuration->Version < Configuration.Version);
   Context.log(IsOlder ? "configuration_ignored" : "configuration_adopted",
               {{"version", std::to_string(Configuration.Version.Value)},
                {"routes", std::to_string(Configuration.Routes.size())}});
@@ -59,8 +58,7 @@
     Context.log("target_registered",
                 {{"target", Entry.Id.Value},
                  {"service", Entry.Service.Value},
-                 {"address",
-                  Entry.Address + ":" + std::to_string(Entry.Port)},
+                 {"address", Entry.Address + ":" + std::to_string(Entry.Port)},
                  {"leaving", Entry.IsLeaving ? "yes" : "no"},
                  {"restarted", IsRestarted ? "yes" : "no"}});
 }
@@ -73,8 +71,9 @@
   const bool MayComeBack =
       !State.IsServiceReachable ||
       State.Now - State.ServiceRegainedAt < State.Options.MissingTargetGrace;
-  Context.log("target_unregistered", {{"target", Id.Value},
-                                      {"may_return", MayComeBack ? "yes" : "no"}});
+  Context.log(
+      "target_unregistered",
+      {{"target", Id.Value}, {"may_return", MayComeBack ? "yes" : "no"}});
   if (!MayComeBack) {
     forget(Context, Id);
     return;
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -33,8 +33,7 @@
     return true;
   // The registration may only have lapsed with the service.
   return !State.IsServiceReachable ||
-         State.Now - State.ServiceRegainedAt <
-             State.Options.MissingTargetGrace;
+         State.Now - State.ServiceRegainedAt < State.Options.MissingTargetGrace;
 }
 
 /// Returns what keeps related requests together: a program's turns share their
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -22,8 +22,8 @@
                 {{"calls", std::to_string(State.Calls.size())}});
     Context.add(StopAccepting{});
   }
-  const bool IsIdle = State.HasStoppedAccepting && State.Calls.empty() &&
-                      State.Closes.empty();
+  const bool IsIdle =
+      State.HasStoppedAccepting && State.Calls.empty() && State.Closes.empty();
   const bool IsOverdue = State.Options.DrainLimit <= Passed;
   if (!IsIdle && !IsOverdue)
     return;
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -52,8 +52,7 @@
                                           const std::set<HolderId> &Tried) {
   std::optional<HolderId> Best;
   for (const LedgerMember &Each : State.View.Current) {
-    if (State.Connected.count(Each.Holder) == 0 ||
-        Tried.count(Each.Holder) > 0)
+    if (State.Connected.count(Each.Holder) == 0 || Tried.count(Each.Holder) > 0)
       continue;
     if (Each.Zone == State.Zone)
       return Each.Holder;
@@ -179,8 +178,9 @@
   RelayState &State = Context.State;
   TurnLedger &Ledger = Call.Ledger;
   const bool IsClaiming = Call.Phase == RelayPhase::Opening && Ledger.HasClaim;
-  const bool IsCertain = isRead(State.View, Ledger.Answered) &&
-                         (!IsClaiming || isWritten(State.View, Ledger.Answered));
+  const bool IsCertain =
+      isRead(State.View, Ledger.Answered) &&
+      (!IsClaiming || isWritten(State.View, Ledger.Answered));
   if (!IsCertain) {
     if (!canSucceed(State, Call))
       refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
--- a/packages/gateway/src/StatusServer.cpp
+++ b/packages/gateway/src/StatusServer.cpp
@@ -60,10 +60,8 @@
 Result<void, SystemError> StatusServer::start() {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    this->Running->Endpoint.init(
-        Http::Endpoint::options().threads(1).flags(
-            Pistache::Tcp::Options::ReuseAddr |
-            Pistache::Tcp::Options::NoDelay));
+    this->Running->Endpoint.init(Http::Endpoint::options().threads(1).flags(
+        Pistache::Tcp::Options::ReuseAddr | Pistache::Tcp::Options::NoDelay));
     this->Running->Endpoint.setHandler(
         Http::make_handler<StatusHandler>(this->Running->Shared));
     this->Running->Endpoint.serveThreaded();
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -152,9 +152,9 @@
   return this->syncFolder();
 }
 
-Result<void, SystemError>
-SegmentFolder::readSegment(std::uint64_t Number, bool IsLast,
-                           const Visitor &Visit) {
+Result<void, SystemError> SegmentFolder::readSegment(std::uint64_t Number,
+                                                     bool IsLast,
+                                                     const Visitor &Visit) {
   const std::string Name = this->segmentPath(Number);
   const auto Bytes = readWhole(Name);
   if (!Bytes)
@@ -178,8 +178,8 @@
 
 /// The cut is durable before another segment is begun, as a torn end is taken
 /// for damage in any but the last one.
-Result<void, SystemError>
-SegmentFolder::cutSegment(const std::string &Name, std::uint64_t Bytes) const {
+Result<void, SystemError> SegmentFolder::cutSegment(const std::string &Name,
+                                                    std::uint64_t Bytes) const {
   const int Handle = ::open(Name.c_str(), O_WRONLY);
   if (Handle < 0)
     return lastError("open " + Name);
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/DirectoryProtocol.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/DirectoryProtocol.h
@@ -15,8 +15,6 @@
 struct DirectoryProtocol {
   /// The operators' key with the accepted configuration.
   std::string ConfigurationKey;
-  /// Prefix of all that operators write.
-  std::string OperatorPrefix;
   /// Prefix of the targets' registrations; the rest of a key is the target.
   std::string TargetPrefix;
   /// Prefix under which operators ask for hosts to be emptied.
@@ -32,6 +30,14 @@
       DecodeTarget;
   /// Returns the report of a host that is being emptied, or is empty.
   std::function<std::string(bool IsCompleted)> EncodeRetirement;
+
+  bool isTargetKey(const std::string &Key) const {
+    return Key.compare(0, this->TargetPrefix.size(), this->TargetPrefix) == 0;
+  }
+  bool isRetirementKey(const std::string &Key) const {
+    return Key.compare(0, this->RetirementPrefix.size(),
+                       this->RetirementPrefix) == 0;
+  }
 };
 
 } // namespace tanagerlanding
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyValueOperation.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyValueOperation.h
@@ -64,9 +64,8 @@
   LeaseId Lease;
 };
 
-using KeyValueOperation =
-    std::variant<ReadRange, WatchRange, ConditionalWrite, GrantLease,
-                 RenewLease>;
+using KeyValueOperation = std::variant<ReadRange, WatchRange, ConditionalWrite,
+                                       GrantLease, RenewLease>;
 
 /// One page of keys in order.
 struct RangePage {
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
@@ -1,5 +1,5 @@
 /// \file
-/// A prefix of a key-value service, kept up to date by watching it.
+/// Keys of a key-value service, kept up to date by watching them.
 #ifndef TANAGERLANDING_KEYVALUE_KEYWATCHER_H
 #define TANAGERLANDING_KEYVALUE_KEYWATCHER_H
 
@@ -20,16 +20,24 @@
   public:
     virtual ~Listener() = default;
     /// Changes that arrived together. Deletions carry the key only.
-    virtual void onKeysChanged(const std::string &Prefix,
-                               const std::vector<KeyChange> &Changes) = 0;
+    virtual void onKeysChanged(const std::vector<KeyChange> &Changes) = 0;
     /// The service answers again, or for the first time; what it holds has
     /// been told.
-    virtual void onServiceRegained(const std::string &Prefix) = 0;
+    virtual void onServiceRegained() = 0;
     /// A call failed; what was told may be out of date.
-    virtual void onServiceLost(const std::string &Prefix) = 0;
+    virtual void onServiceLost() = 0;
   };
 
-  KeyWatcher(EventLoop &Loop, KeyValueClient &Service, std::string Prefix,
+  /// What is watched, and how.
+  struct Options {
+    /// Keys that begin with this are told; empty for all.
+    std::string Prefix;
+    /// How long a watch may wait: one that began before a change may miss it
+    /// where the service forgets its history, the next one doesn't.
+    Milliseconds Wait{15000};
+  };
+
+  KeyWatcher(EventLoop &Loop, KeyValueClient &Service, Options Wanted,
              Listener &Heard);
   KeyWatcher(const KeyWatcher &) = delete;
   KeyWatcher &operator=(const KeyWatcher &) = delete;
@@ -37,21 +45,34 @@
   /// Begins to read and watch.
   void start();
 
+  /// Takes changes that another process saw. Those that are known are
+  /// dropped, and so is a deletion of a key that isn't.
+  void offer(const std::vector<KeyChange> &Changes);
+
 private:
   void readPage(std::string After);
   void finishReading();
   void watch();
-  void takeChanges(const WatchPage &Page);
   void handleFailure();
   void markReachable();
 
   EventLoop &Loop;
   KeyValueClient &Service;
-  const std::string Prefix;
+  const Options Wanted;
   Listener &Heard;
   boost::asio::steady_timer Pause;
-  /// The revision of each key as last told.
-  std::map<std::string, Revision> Known;
+  /// A key as last told.
+  struct Seen {
+    Revision At;
+    bool IsDeleted = false;
+  };
+
+  bool isNews(const KeyChange &Change) const;
+  void forgetDeleted();
+
+  /// Deleted keys stay until the watch itself is past their deletion, as
+  /// other processes may still offer an older state.
+  std::map<std::string, Seen> Known;
   std::map<std::string, KeyValue> Reading;
   Revision AsOf;
   bool HasRead = false;
--- a/packages/keyvalue/src/EtcdDialect.cpp
+++ b/packages/keyvalue/src/EtcdDialect.cpp
@@ -89,10 +89,11 @@
     Json Failure = Json::array();
     for (const KeyCondition &Each : Asked.Conditions) {
       const std::string Name = encodeBase64(Each.Key);
-      Compare.push_back({{"key", Name},
-                         {"target", "MOD"},
-                         {"result", "EQUAL"},
-                         {"mod_revision", std::to_string(Each.Expected.Value)}});
+      Compare.push_back(
+          {{"key", Name},
+           {"target", "MOD"},
+           {"result", "EQUAL"},
+           {"mod_revision", std::to_string(Each.Expected.Value)}});
       Failure.push_back({{"request_range", {{"key", Name}}}});
     }
     Json Success = Json::array();
--- a/packages/keyvalue/src/KeyValueClient.cpp
+++ b/packages/keyvalue/src/KeyValueClient.cpp
@@ -38,11 +38,11 @@
   Request.Timeout = timeoutOf(Operation);
   if (!Request.Body.empty())
     Request.withHeader("Content-Type: application/json");
-  this->Client.start(std::move(Request), {},
-                     [this, Operation, Done = std::move(Done)](
-                         const HttpOutcome &Outcome) {
-                       Done(this->Dialect.Decode(Operation, Outcome));
-                     });
+  this->Client.start(
+      std::move(Request), {},
+      [this, Operation, Done = std::move(Done)](const HttpOutcome &Outcome) {
+        Done(this->Dialect.Decode(Operation, Outcome));
+      });
 }
 
 void KeyValueClient::readPrefix(const std::string &Prefix, ReadCallback Done) {
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -4,18 +4,15 @@
 
 namespace {
 
-/// A waiting watch counts as one call, so that longer ones cost less. The
-/// connection's own keep-alive notices a service that falls silent meanwhile.
-constexpr Milliseconds WatchWait{15000};
 /// Between calls that fail: short against the seconds in which changes must
 /// be in force, long against the service's rate limits.
 constexpr Milliseconds RetryPause{200};
 
 } // namespace
 
-KeyWatcher::KeyWatcher(EventLoop &Loop, KeyValueClient &Service,
-                       std::string Prefix, Listener &Heard)
-    : Loop(Loop), Service(Service), Prefix(std::move(Prefix)), Heard(Heard),
+KeyWatcher::KeyWatcher(EventLoop &Loop, KeyValueClient &Service, Options Wanted,
+                       Listener &Heard)
+    : Loop(Loop), Service(Service), Wanted(std::move(Wanted)), Heard(Heard),
       Pause(Loop.context()) {}
 
 void KeyWatcher::start() {
@@ -25,55 +22,53 @@
 
 void KeyWatcher::readPage(std::string After) {
   const bool IsFirst = After.empty();
-  this->Service.call(
-      ReadRange{this->Prefix, std::move(After)}, [this, IsFirst](auto Reply) {
-        if (!Reply) {
-          this->handleFailure();
-          return;
-        }
-        auto &Page = std::get<RangePage>(Reply.value());
-        // Pages are not a snapshot: what changed while they were read is
-        // told again by the watch, which begins at the first page.
-        if (IsFirst)
-          this->AsOf = Page.AsOf;
-        std::string Last;
-        for (KeyValue &Each : Page.Items) {
-          Last = Each.Key;
-          this->Reading[Each.Key] = std::move(Each);
-        }
-        if (Page.HasMore && !Last.empty())
-          this->readPage(Last);
-        else
-          this->finishReading();
-      });
+  this->Service.call(ReadRange{this->Wanted.Prefix, std::move(After)},
+                     [this, IsFirst](auto Reply) {
+                       if (!Reply) {
+                         this->handleFailure();
+                         return;
+                       }
+                       auto &Page = std::get<RangePage>(Reply.value());
+                       // Pages are not a snapshot: what changed while they were
+                       // read is told again by the watch, which begins at the
+                       // first page.
+                       if (IsFirst)
+                         this->AsOf = Page.AsOf;
+                       std::string Last;
+                       for (KeyValue &Each : Page.Items) {
+                         Last = Each.Key;
+                         this->Reading[Each.Key] = std::move(Each);
+                       }
+                       if (Page.HasMore && !Last.empty())
+                         this->readPage(Last);
+                       else
+                         this->finishReading();
+                     });
 }
 
 void KeyWatcher::finishReading() {
   std::vector<KeyChange> Changes;
-  for (const auto &[Key, Seen] : this->Known) {
-    if (this->Reading.count(Key) == 0)
-      Changes.push_back(KeyChange{KeyValue{Key, {}, Seen}, true});
+  for (const auto &[Key, Last] : this->Known) {
+    if (this->Reading.count(Key) == 0 && !Last.IsDeleted &&
+        !(this->AsOf < Last.At))
+      Changes.push_back(KeyChange{KeyValue{Key, {}, this->AsOf}, true});
   }
-  for (const KeyChange &Gone : Changes)
-    this->Known.erase(Gone.Item.Key);
-  for (auto &[Key, Item] : this->Reading) {
-    Revision &Seen = this->Known[Key];
-    if (Seen == Item.ModRevision)
-      continue;
-    Seen = Item.ModRevision;
+  for (auto &[Key, Item] : this->Reading)
     Changes.push_back(KeyChange{std::move(Item), false});
-  }
   this->Reading.clear();
+  // Nothing of what was read is an older state.
+  this->HasRead = false;
+  this->offer(Changes);
   this->HasRead = true;
-  if (!Changes.empty())
-    this->Heard.onKeysChanged(this->Prefix, Changes);
+  this->forgetDeleted();
   this->markReachable();
   this->watch();
 }
 
 void KeyWatcher::watch() {
   this->Service.call(
-      WatchRange{this->Prefix, this->AsOf, WatchWait}, [this](auto Reply) {
+      WatchRange{this->Wanted.Prefix, this->AsOf, this->Wanted.Wait},
+      [this](auto Reply) {
         if (!Reply) {
           this->handleFailure();
           return;
@@ -83,36 +78,48 @@
           this->start();
           return;
         }
-        this->takeChanges(Page);
+        this->offer(Page.Changes);
+        if (this->AsOf < Page.AsOf)
+          this->AsOf = Page.AsOf;
+        this->forgetDeleted();
         this->markReachable();
         this->watch();
       });
 }
 
-void KeyWatcher::takeChanges(const WatchPage &Page) {
+bool KeyWatcher::isNews(const KeyChange &Change) const {
+  const auto Last = this->Known.find(Change.Item.Key);
+  if (Last != this->Known.end())
+    return Last->second.At < Change.Item.ModRevision;
+  // What the watch has passed without telling this key is an older state.
+  return !Change.IsDeleted &&
+         (!this->HasRead || this->AsOf < Change.Item.ModRevision);
+}
+
+void KeyWatcher::offer(const std::vector<KeyChange> &Changes) {
   std::vector<KeyChange> Fresh;
-  for (const KeyChange &Each : Page.Changes) {
-    const auto Seen = this->Known.find(Each.Item.Key);
-    const bool IsOld = Seen != this->Known.end() &&
-                       !(Seen->second < Each.Item.ModRevision);
-    if (IsOld || (Each.IsDeleted && Seen == this->Known.end()))
+  for (const KeyChange &Each : Changes) {
+    if (!this->isNews(Each))
       continue;
-    if (Each.IsDeleted)
-      this->Known.erase(Each.Item.Key);
-    else
-      this->Known[Each.Item.Key] = Each.Item.ModRevision;
+    this->Known[Each.Item.Key] = Seen{Each.Item.ModRevision, Each.IsDeleted};
     Fresh.push_back(Each);
   }
-  if (this->AsOf < Page.AsOf)
-    this->AsOf = Page.AsOf;
   if (!Fresh.empty())
-    this->Heard.onKeysChanged(this->Prefix, Fresh);
+    this->Heard.onKeysChanged(Fresh);
+}
+
+void KeyWatcher::forgetDeleted() {
+  for (auto Each = this->Known.begin(); Each != this->Known.end();) {
+    const bool IsPassed =
+        Each->second.IsDeleted && !(this->AsOf < Each->second.At);
+    Each = IsPassed ? this->Known.erase(Each) : std::next(Each);
+  }
 }
 
 void KeyWatcher::handleFailure() {
   if (this->IsReachable) {
     this->IsReachable = false;
-    this->Heard.onServiceLost(this->Prefix);
+    this->Heard.onServiceLost();
   }
   this->Pause.expires_after(RetryPause);
   this->Pause.async_wait([this](const auto &Error) {
@@ -129,7 +136,7 @@
   if (this->IsReachable)
     return;
   this->IsReachable = true;
-  this->Heard.onServiceRegained(this->Prefix);
+  this->Heard.onServiceRegained();
 }
 
 } // namespace tanagerlanding
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -33,6 +33,10 @@
   LedgerView readView() const;
   Result<void, SystemError> writeView(const LedgerView &View) const;
 
+  /// Returns the directory as last written; an empty one if there is none.
+  DirectoryChanges readDirectory() const;
+  Result<void, SystemError> writeDirectory(const DirectoryChanges &Items) const;
+
   /// Writes a batch; it is durable after sync().
   Result<RecordPlace, SystemError> append(const LedgerBatch &Batch);
   Result<void, SystemError> sync();
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -13,7 +13,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace tanagerlanding {
 
@@ -54,12 +56,16 @@
   void onOpened(ConnectionId Id) override;
   void onMessage(ConnectionId Id, Message Body) override;
   void onClosed(ConnectionId Id) override;
+  /// Tells a relay what it may not have learnt from the service.
+  void greetRelay(ConnectionId Id);
   void sendTo(const HostId &Host, const Message &Body);
 
-  void onKeysChanged(const std::string &Prefix,
-                     const std::vector<KeyChange> &Changes) override;
-  void onServiceRegained(const std::string &Prefix) override;
-  void onServiceLost(const std::string &Prefix) override;
+  void onKeysChanged(const std::vector<KeyChange> &Changes) override;
+  void onServiceRegained() override;
+  void onServiceLost() override;
+  /// Keeps a change of the directory and tells it to the relays.
+  void spreadDirectory(const std::vector<KeyChange> &Changes);
+  void readDirectory();
   void takeLedgerKey(const KeyChange &Change);
 
   Result<void, SystemError> openFolder();
@@ -75,13 +81,15 @@
   Metrics Measured;
   ConnectionHub Hub;
   KeyValueClient Service;
-  KeyWatcher LedgerKeys;
-  KeyWatcher RetirementKeys;
+  KeyWatcher Keys;
   ReplicaRegistration Registration;
   LedgerFolder Folder;
   std::unique_ptr<LedgerWriter> Writer;
   LedgerState State;
   const InstanceId Instance;
+  /// Configuration and targets, for relays that can't reach the service.
+  std::map<std::string, DirectoryItem> Mirror;
+  std::set<ConnectionId> Relays;
   std::map<HostId, ConnectionId> Links;
   std::map<ConnectionId, HostId> Hosts;
   std::map<std::pair<std::string, std::uint16_t>, HostId> Dialled;
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerWriter.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerWriter.h
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -28,16 +29,26 @@
 
   void submit(PersistLedgerBatch Batch);
 
+  /// Writes the directory after the batches at hand; a later one replaces one
+  /// that still waits.
+  void submitDirectory(DirectoryChanges Items);
+
 private:
   void work();
-  std::vector<PersistLedgerBatch> takeQueued();
-  std::vector<LedgerEvent> writeGroup(std::vector<PersistLedgerBatch> Group);
+  /// Waits for work; nothing is left once the writer stops.
+  bool takeQueued();
+  void writeDirectory();
+  std::vector<LedgerEvent> writeGroup();
 
   LedgerFolder &Folder;
   const Sink Report;
   std::mutex Lock;
   std::condition_variable HasWork;
   std::vector<PersistLedgerBatch> Queued;
+  std::optional<DirectoryChanges> QueuedDirectory;
+  /// What the writer's thread has taken.
+  std::vector<PersistLedgerBatch> Group;
+  std::optional<DirectoryChanges> Directory;
   bool IsStopping = false;
   std::thread Worker;
 };
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -13,16 +13,15 @@
 /// once nothing in it is needed.
 constexpr std::uint64_t SegmentBytes = 4 * 1024 * 1024;
 constexpr const char *ViewFile = "view";
-
-
+constexpr const char *DirectoryFile = "directory";
 
 } // namespace
 
 LedgerFolder::LedgerFolder(const std::string &Path)
     : Folder(Path, SegmentBytes) {}
 
-Result<void, SystemError> LedgerFolder::open(
-    const std::function<void(LedgerBatch, RecordPlace)> &Visit) {
+Result<void, SystemError>
+LedgerFolder::open(const std::function<void(LedgerBatch, RecordPlace)> &Visit) {
   return this->Folder.open([&](const std::string &Payload, RecordPlace At) {
     auto Body = decodeMessage(Payload);
     if (!Body || !std::holds_alternative<LedgerBatch>(Body.value()))
@@ -43,6 +42,18 @@
   return this->Folder.writeFile(ViewFile, encodeMessage(ViewOffer{View}));
 }
 
+DirectoryChanges LedgerFolder::readDirectory() const {
+  const auto Body = decodeMessage(this->Folder.readFile(DirectoryFile));
+  const auto *Items =
+      Body ? std::get_if<DirectoryChanges>(&Body.value()) : nullptr;
+  return Items ? *Items : DirectoryChanges();
+}
+
+Result<void, SystemError>
+LedgerFolder::writeDirectory(const DirectoryChanges &Items) const {
+  return this->Folder.writeFile(DirectoryFile, encodeMessage(Items));
+}
+
 Result<RecordPlace, SystemError>
 LedgerFolder::append(const LedgerBatch &Batch) {
   const std::string Payload = encodeMessage(Batch);
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -10,6 +10,11 @@
 /// Well within the hub's idle limit.
 constexpr Milliseconds HeartbeatInterval{800};
 constexpr Milliseconds FlushLimit{300};
+/// Configurations have to be in force two seconds after they are accepted. A
+/// watch that waits while the service forgets its history may hear nothing, so
+/// that the next one has to begin well within that time. Only the few replicas
+/// ask so often; they tell the relays.
+constexpr Milliseconds WatchWait{1200};
 
 } // namespace
 
@@ -96,10 +101,8 @@
                              KeyValueDialect Dialect)
     : Settings(Settings), Directory(std::move(Directory)), Timers(Loop),
       Hub(Loop, *this), Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
-      LedgerKeys(Loop, Service, LedgerPrefix, *this),
-      RetirementKeys(Loop, Service, this->Directory.RetirementPrefix, *this),
-      Registration(Loop, Service), Folder(Settings.DataFolder),
-      Instance(makeUniqueId()) {}
+      Keys(Loop, Service, {{}, WatchWait}, *this), Registration(Loop, Service),
+      Folder(Settings.DataFolder), Instance(makeUniqueId()) {}
 
 LedgerProcess::~LedgerProcess() = default;
 
@@ -116,10 +119,9 @@
     return Opened;
   this->State.View = this->Folder.readView();
   this->State.Tolerated = this->Settings.Tolerated;
-  this->State.Self = LedgerMember{this->Folder.holder(), this->Settings.Host,
-                                  this->Settings.Peers.Address,
-                                  this->Settings.Peers.Port,
-                                  this->Settings.Zone};
+  this->State.Self = LedgerMember{
+      this->Folder.holder(), this->Settings.Host, this->Settings.Peers.Address,
+      this->Settings.Peers.Port, this->Settings.Zone};
   this->Writer = std::make_unique<LedgerWriter>(
       this->Folder, [this](std::vector<LedgerEvent> Events) {
         this->Loop.post([this, Events = std::move(Events)] {
@@ -127,6 +129,7 @@
             this->apply(Each);
         });
       });
+  this->readDirectory();
   return success();
 }
 
@@ -159,8 +162,7 @@
       this->Hub.send(Link, Heartbeat{});
   });
   this->Registration.start(this->State.Self);
-  this->LedgerKeys.start();
-  this->RetirementKeys.start();
+  this->Keys.start();
   this->Loop.run();
   this->Writer.reset();
   logEvent("ledger_ended", {{"host", this->Settings.Host.Value}});
@@ -202,6 +204,8 @@
   if (const auto *Greeting = std::get_if<Hello>(&Body)) {
     this->Hosts[Id] = Greeting->Host;
     this->Links[Greeting->Host] = Id;
+    if (!Greeting->Holder)
+      this->greetRelay(Id);
     return;
   }
   const auto Host = this->Hosts.find(Id);
@@ -212,7 +216,17 @@
   this->apply(LedgerPeerSaid{Host->second, std::move(Body)});
 }
 
+void LedgerProcess::greetRelay(ConnectionId Id) {
+  this->Relays.insert(Id);
+  this->Hub.send(Id, ViewOffer{this->State.View});
+  DirectoryChanges Known;
+  for (const auto &[Key, Item] : this->Mirror)
+    Known.Items.push_back(Item);
+  this->Hub.send(Id, Known);
+}
+
 void LedgerProcess::onClosed(ConnectionId Id) {
+  this->Relays.erase(Id);
   const auto Found = this->Hosts.find(Id);
   if (Found == this->Hosts.end())
     return;
@@ -228,16 +242,50 @@
     this->Hub.send(Link->second, Body);
 }
 
-void LedgerProcess::onKeysChanged(const std::string &Prefix,
-                                  const std::vector<KeyChange> &Changes) {
+void LedgerProcess::onKeysChanged(const std::vector<KeyChange> &Changes) {
+  std::vector<KeyChange> Spread;
   for (const KeyChange &Each : Changes) {
-    if (Prefix == LedgerPrefix) {
+    const std::string &Key = Each.Item.Key;
+    if (this->Directory.isTargetKey(Key) ||
+        Key == this->Directory.ConfigurationKey)
+      Spread.push_back(Each);
+    else if (this->Directory.isRetirementKey(Key))
+      this->apply(RetirementAsked{
+          HostId(Key.substr(this->Directory.RetirementPrefix.size())),
+          !Each.IsDeleted});
+    else
       this->takeLedgerKey(Each);
-      continue;
-    }
-    const HostId Host(Each.Item.Key.substr(Prefix.size()));
-    this->apply(RetirementAsked{Host, !Each.IsDeleted});
   }
+  if (!Spread.empty())
+    this->spreadDirectory(Spread);
+}
+
+void LedgerProcess::spreadDirectory(const std::vector<KeyChange> &Changes) {
+  DirectoryChanges News;
+  for (const KeyChange &Each : Changes) {
+    const DirectoryItem Item{Each.Item.Key, Each.Item.Value,
+                             Each.Item.ModRevision, Each.IsDeleted};
+    News.Items.push_back(Item);
+    if (Each.IsDeleted)
+      this->Mirror.erase(Item.Key);
+    else
+      this->Mirror[Item.Key] = Item;
+  }
+  for (const ConnectionId Relay : this->Relays)
+    this->Hub.send(Relay, News);
+  DirectoryChanges Whole;
+  for (const auto &[Key, Item] : this->Mirror)
+    Whole.Items.push_back(Item);
+  this->Writer->submitDirectory(std::move(Whole));
+}
+
+void LedgerProcess::readDirectory() {
+  std::vector<KeyChange> Changes;
+  for (const DirectoryItem &Each : this->Folder.readDirectory().Items)
+    Changes.push_back(
+        KeyChange{KeyValue{Each.Key, Each.Value, Each.At}, Each.IsDeleted});
+  // The watcher corrects what has changed since.
+  this->Keys.offer(Changes);
 }
 
 void LedgerProcess::takeLedgerKey(const KeyChange &Change) {
@@ -262,21 +310,16 @@
   const auto Holder = holderOfSyncedKey(Key);
   if (Holder && !Change.IsDeleted)
     this->apply(ReplicaSynced{
-        *Holder, ViewVersion(std::strtoull(Change.Item.Value.c_str(), nullptr,
-                                           10))});
+        *Holder,
+        ViewVersion(std::strtoull(Change.Item.Value.c_str(), nullptr, 10))});
 }
 
-void LedgerProcess::onServiceRegained(const std::string &Prefix) {
-  if (Prefix != LedgerPrefix)
-    return;
+void LedgerProcess::onServiceRegained() {
   logEvent("directory_regained", {});
   this->apply(LedgerServiceRead{});
 }
 
-void LedgerProcess::onServiceLost(const std::string &Prefix) {
-  if (Prefix == LedgerPrefix)
-    logEvent("directory_lost", {});
-}
+void LedgerProcess::onServiceLost() { logEvent("directory_lost", {}); }
 
 void LedgerProcess::writeView(const WriteLedgerView &Effect) {
   const LedgerView View = Effect.View;
--- a/packages/ledger/src/LedgerWriter.cpp
+++ b/packages/ledger/src/LedgerWriter.cpp
@@ -35,19 +35,34 @@
   this->HasWork.notify_one();
 }
 
-std::vector<PersistLedgerBatch> LedgerWriter::takeQueued() {
+void LedgerWriter::submitDirectory(DirectoryChanges Items) {
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->QueuedDirectory = std::move(Items);
+  }
+  this->HasWork.notify_one();
+}
+
+bool LedgerWriter::takeQueued() {
   std::unique_lock<std::mutex> Guard(this->Lock);
-  this->HasWork.wait(
-      Guard, [this] { return this->IsStopping || !this->Queued.empty(); });
-  std::vector<PersistLedgerBatch> Taken;
-  Taken.swap(this->Queued);
-  return Taken;
+  this->HasWork.wait(Guard, [this] {
+    return this->IsStopping || !this->Queued.empty() || this->QueuedDirectory;
+  });
+  this->Group.swap(this->Queued);
+  this->Directory.swap(this->QueuedDirectory);
+  return !this->Group.empty() || this->Directory;
+}
+
+void LedgerWriter::writeDirectory() {
+  const auto Written = this->Folder.writeDirectory(*this->Directory);
+  if (!Written)
+    logFailure(Written.error());
+  this->Directory.reset();
 }
 
-std::vector<LedgerEvent>
-LedgerWriter::writeGroup(std::vector<PersistLedgerBatch> Group) {
+std::vector<LedgerEvent> LedgerWriter::writeGroup() {
   std::vector<LedgerEvent> Events;
-  for (PersistLedgerBatch &Each : Group) {
+  for (PersistLedgerBatch &Each : this->Group) {
     Each.Batch.WrittenAtMillis = wallClockMillis();
     const auto Place = this->Folder.append(Each.Batch);
     if (Place) {
@@ -62,17 +77,18 @@
     return Events;
   logFailure(Synced.error());
   Events.clear();
-  for (const PersistLedgerBatch &Each : Group)
+  for (const PersistLedgerBatch &Each : this->Group)
     Events.push_back(LedgerBatchFailed{Each.Ticket});
   return Events;
 }
 
 void LedgerWriter::work() {
-  for (;;) {
-    std::vector<PersistLedgerBatch> Group = this->takeQueued();
-    if (Group.empty())
-      return;
-    this->Report(this->writeGroup(std::move(Group)));
+  while (this->takeQueued()) {
+    if (!this->Group.empty())
+      this->Report(this->writeGroup());
+    this->Group.clear();
+    if (this->Directory)
+      this->writeDirectory();
   }
 }
 
--- a/packages/relay/include/tanagerlanding/relay.h
+++ b/packages/relay/include/tanagerlanding/relay.h
@@ -4,9 +4,9 @@
 #ifndef TANAGERLANDING_RELAY_H
 #define TANAGERLANDING_RELAY_H
 
+#include "tanagerlanding/relay/AttemptClient.h"
 #include "tanagerlanding/relay/CallerServer.h"
 #include "tanagerlanding/relay/RelayProcess.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
-#include "tanagerlanding/relay/AttemptClient.h"
 
 #endif
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -26,10 +26,10 @@
   public:
     virtual ~Listener() = default;
     virtual void onAttemptHead(RelayAttemptId Attempt,
-                              const TargetAnswerHead &Head) = 0;
+                               const TargetAnswerHead &Head) = 0;
     virtual void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) = 0;
     virtual void onAttemptEnd(RelayAttemptId Attempt,
-                             AttemptEnded::Kind Ended) = 0;
+                              AttemptEnded::Kind Ended) = 0;
   };
 
   /// What is sent, and where.
@@ -47,7 +47,8 @@
     std::uint32_t IdleLimit = 0;
   };
 
-  AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol, Listener &Heard);
+  AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
+                Listener &Heard);
   ~AttemptClient();
   AttemptClient(const AttemptClient &) = delete;
   AttemptClient &operator=(const AttemptClient &) = delete;
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -5,15 +5,17 @@
 
 #include "tanagerlanding/gateway.h"
 #include "tanagerlanding/keyvalue.h"
-#include "tanagerlanding/relay/CallerServer.h"
 #include "tanagerlanding/relay/AttemptClient.h"
+#include "tanagerlanding/relay/CallerServer.h"
 #include "tanagerlanding/runtime.h"
 #include "tanagerlanding/settings.h"
 
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace tanagerlanding {
 
@@ -27,6 +29,9 @@
   ListenAddress Status;
   /// URL of the key-value service.
   std::string ServiceUrl;
+  /// Replicas of the ledger to ask while the view is unknown; may be out of
+  /// date.
+  std::vector<ListenAddress> Seeds;
   /// Time from a request to stop to the kill.
   Milliseconds StopGrace{8000};
 };
@@ -64,7 +69,7 @@
   void onCallerRequest(RequestId Request, CallerRequest Asked) override;
   void onCallerGone(RequestId Request) override;
   void onAttemptHead(RelayAttemptId Attempt,
-                    const TargetAnswerHead &Head) override;
+                     const TargetAnswerHead &Head) override;
   void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) override;
   void onAttemptEnd(RelayAttemptId Attempt, AttemptEnded::Kind Ended) override;
 
@@ -72,13 +77,12 @@
   void onOpened(ConnectionId Id) override;
   void onMessage(ConnectionId Id, Message Body) override;
   void onClosed(ConnectionId Id) override;
-  void connectReplicas(const std::vector<LedgerMember> &Members);
+  void connectReplicas(const std::vector<ListenAddress> &Wanted);
 
   // The key-value service.
-  void onKeysChanged(const std::string &Prefix,
-                     const std::vector<KeyChange> &Changes) override;
-  void onServiceRegained(const std::string &Prefix) override;
-  void onServiceLost(const std::string &Prefix) override;
+  void onKeysChanged(const std::vector<KeyChange> &Changes) override;
+  void onServiceRegained() override;
+  void onServiceLost() override;
   void takeConfiguration(const KeyChange &Change);
   void takeTarget(const KeyChange &Change);
   void takeLedgerKey(const KeyChange &Change);
@@ -94,9 +98,7 @@
   Metrics Measured;
   ConnectionHub Hub;
   KeyValueClient Service;
-  KeyWatcher OperatorKeys;
-  KeyWatcher TargetKeys;
-  KeyWatcher LedgerKeys;
+  KeyWatcher Keys;
   CallerServer Callers;
   AttemptClient Targets;
   std::atomic<bool> IsReady{false};
@@ -105,7 +107,7 @@
   const InstanceId Instance;
   std::map<HolderId, ConnectionId> Links;
   std::map<ConnectionId, HolderId> Holders;
-  std::map<std::pair<std::string, std::uint16_t>, LedgerMember> Dialled;
+  std::set<std::pair<std::string, std::uint16_t>> Dialled;
 };
 
 } // namespace tanagerlanding
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -74,7 +74,7 @@
 };
 
 AttemptClient::AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
-                           Listener &Heard)
+                             Listener &Heard)
     : Loop(Loop), Protocol(Protocol), Heard(Heard) {}
 
 AttemptClient::~AttemptClient() = default;
@@ -158,15 +158,14 @@
   const std::array<boost::asio::const_buffer, 2> Parts = {
       boost::asio::buffer(Target->Head),
       boost::asio::buffer(Target->Asked.Body)};
-  boost::asio::async_write(Target->Socket, Parts,
-                           [this, Target](const auto &Error, std::size_t) {
-                             Target->IsWriting = false;
-                             // A target may answer before it has read the
-                             // whole body, so that its answer still counts.
-                             if (Error && !Target->HasHead &&
-                                 Target->Asked.Attempt.Value != 0)
-                               this->fail(Target, AttemptEnded::Kind::Broken);
-                           });
+  boost::asio::async_write(
+      Target->Socket, Parts, [this, Target](const auto &Error, std::size_t) {
+        Target->IsWriting = false;
+        // A target may answer before it has read the
+        // whole body, so that its answer still counts.
+        if (Error && !Target->HasHead && Target->Asked.Attempt.Value != 0)
+          this->fail(Target, AttemptEnded::Kind::Broken);
+      });
 }
 
 void AttemptClient::read(const Link &Target) {
@@ -180,7 +179,7 @@
 }
 
 void AttemptClient::handleRead(const Link &Target,
-                              const boost::system::error_code &Error) {
+                               const boost::system::error_code &Error) {
   if (!Target->IsOpen)
     return;
   if (Target->Asked.Attempt.Value == 0) {
@@ -257,8 +256,7 @@
     return true;
   }
   // Only a refusal may come without an id: nothing of it is passed on.
-  const bool IsRefusal =
-      Decoded.Head.IsNotRun || Decoded.Head.IsOtherTarget;
+  const bool IsRefusal = Decoded.Head.IsNotRun || Decoded.Head.IsOtherTarget;
   if (!Decoded.Answers && !IsRefusal) {
     this->fail(Target, AttemptEnded::Kind::Broken);
     return false;
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -135,8 +135,8 @@
 }
 
 void CallerServer::read(const Link &Caller) {
-  const bool IsFull = Caller->Current.Value != 0 &&
-                      Caller->Input.size() >= MaxSentAhead;
+  const bool IsFull =
+      Caller->Current.Value != 0 && Caller->Input.size() >= MaxSentAhead;
   if (Caller->IsReading || IsFull || !Caller->Socket.is_open())
     return;
   Caller->IsReading = true;
@@ -177,8 +177,7 @@
       Caller->Since = this->Loop.now();
     }
     boost::system::error_code Error;
-    const std::size_t Used =
-        Caller->Parser->put(Caller->Input.data(), Error);
+    const std::size_t Used = Caller->Parser->put(Caller->Input.data(), Error);
     Caller->Input.consume(Used);
     if (Error && Error != http::error::need_more) {
       this->refuseMalformed(Caller, reasonOf(Error));
@@ -264,8 +263,8 @@
   if (BodyBytes)
     Body = {BodyForm::Kind::Length, *BodyBytes};
   else
-    Body.Form = Caller->IsHttp10 ? BodyForm::Kind::UntilClose
-                                 : BodyForm::Kind::Chunks;
+    Body.Form =
+        Caller->IsHttp10 ? BodyForm::Kind::UntilClose : BodyForm::Kind::Chunks;
   if (Body.Form == BodyForm::Kind::UntilClose)
     Caller->WantsClose = true;
   Caller->Form = Body.Form;
@@ -341,17 +340,17 @@
     Caller->IsWriting = true;
     Caller->Writing.swap(Caller->Queued);
     Caller->Queued.clear();
-    boost::asio::async_write(
-        Caller->Socket, boost::asio::buffer(Caller->Writing),
-        [this, Caller](const auto &Error, std::size_t) {
-          Caller->IsWriting = false;
-          if (this->Connections.count(Caller->Id) == 0)
-            return;
-          if (Error)
-            this->close(Caller);
-          else
-            this->flush(Caller);
-        });
+    boost::asio::async_write(Caller->Socket,
+                             boost::asio::buffer(Caller->Writing),
+                             [this, Caller](const auto &Error, std::size_t) {
+                               Caller->IsWriting = false;
+                               if (this->Connections.count(Caller->Id) == 0)
+                                 return;
+                               if (Error)
+                                 this->close(Caller);
+                               else
+                                 this->flush(Caller);
+                             });
     return;
   }
   if (!Caller->ShouldCloseWhenWritten || Caller->IsLingering)
--- a/packages/relay/src/HttpHead.cpp
+++ b/packages/relay/src/HttpHead.cpp
@@ -28,9 +28,8 @@
 };
 
 bool isConnectionField(string_view Name) {
-  return std::any_of(
-      std::begin(ConnectionFields), std::end(ConnectionFields),
-      [&](const char *Each) { return iequals(Name, Each); });
+  return std::any_of(std::begin(ConnectionFields), std::end(ConnectionFields),
+                     [&](const char *Each) { return iequals(Name, Each); });
 }
 
 /// Returns whether the message's own Connection header names a field.
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -63,7 +63,10 @@
       this->Owner.Hub.send(Link->second, Effect.Body);
   }
   void operator()(const ConnectReplicas &Effect) {
-    this->Owner.connectReplicas(Effect.Members);
+    std::vector<ListenAddress> Wanted;
+    for (const LedgerMember &Each : Effect.Members)
+      Wanted.push_back(ListenAddress{Each.Address, Each.Port});
+    this->Owner.connectReplicas(Wanted);
   }
   void operator()(const StopAccepting &) {
     this->Owner.Callers.stopAccepting();
@@ -85,10 +88,7 @@
     : Settings(Settings), Protocols(std::move(Protocols)), Timers(Loop),
       Hub(Loop, *this),
       Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
-      OperatorKeys(Loop, Service, this->Protocols.Directory.OperatorPrefix,
-                   *this),
-      TargetKeys(Loop, Service, this->Protocols.Directory.TargetPrefix, *this),
-      LedgerKeys(Loop, Service, ledgerViewKey(), *this),
+      Keys(Loop, Service, {}, *this),
       Callers(Loop, this->Protocols.Relay, *this),
       Targets(Loop, this->Protocols.Relay, *this),
       Status(Settings.Status.Address, Settings.Status.Port,
@@ -124,18 +124,16 @@
     return Listening;
   if (auto Serving = this->Status.start(); !Serving)
     return Serving;
-  this->Timers.subscribe(TickInterval, [this](Instant Now) {
-    this->apply(RelayTimePassed{Now});
-  });
+  this->Timers.subscribe(
+      TickInterval, [this](Instant Now) { this->apply(RelayTimePassed{Now}); });
   this->Timers.subscribe(HeartbeatInterval, [this](Instant) {
     for (const auto &[Holder, Link] : this->Links)
       this->Hub.send(Link, Heartbeat{});
   });
   this->Timers.subscribe(MetricsInterval,
                          [this](Instant) { this->publishMetrics(); });
-  this->OperatorKeys.start();
-  this->TargetKeys.start();
-  this->LedgerKeys.start();
+  this->connectReplicas(this->Settings.Seeds);
+  this->Keys.start();
   this->Loop.run();
   logEvent("relay_ended", {{"host", this->Settings.Host.Value}});
   return success();
@@ -160,7 +158,7 @@
 }
 
 void RelayProcess::onAttemptHead(RelayAttemptId Attempt,
-                                const TargetAnswerHead &Head) {
+                                 const TargetAnswerHead &Head) {
   this->apply(AttemptHeadCame{Attempt, Head});
 }
 
@@ -169,21 +167,21 @@
 }
 
 void RelayProcess::onAttemptEnd(RelayAttemptId Attempt,
-                               AttemptEnded::Kind Ended) {
+                                AttemptEnded::Kind Ended) {
   this->apply(AttemptEnded{Attempt, Ended});
 }
 
-void RelayProcess::connectReplicas(const std::vector<LedgerMember> &Members) {
-  std::map<std::pair<std::string, std::uint16_t>, LedgerMember> Wanted;
-  for (const LedgerMember &Each : Members)
-    Wanted[{Each.Address, Each.Port}] = Each;
-  for (const auto &[Where, Member] : this->Dialled) {
-    if (Wanted.count(Where) == 0)
-      this->Hub.dropConnected(Where.first, Where.second);
+void RelayProcess::connectReplicas(const std::vector<ListenAddress> &Wanted) {
+  std::set<std::pair<std::string, std::uint16_t>> Places;
+  for (const ListenAddress &Each : Wanted)
+    Places.emplace(Each.Address, Each.Port);
+  for (const auto &[Address, Port] : this->Dialled) {
+    if (Places.count({Address, Port}) == 0)
+      this->Hub.dropConnected(Address, Port);
   }
-  this->Dialled = Wanted;
-  for (const auto &[Where, Member] : Wanted)
-    this->Hub.keepConnected(Where.first, Where.second);
+  this->Dialled = Places;
+  for (const auto &[Address, Port] : Places)
+    this->Hub.keepConnected(Address, Port);
 }
 
 void RelayProcess::onOpened(ConnectionId Id) {
@@ -202,6 +200,14 @@
     this->apply(ReplicaConnected{*Greeting->Holder});
     return;
   }
+  if (const auto *Told = std::get_if<DirectoryChanges>(&Body)) {
+    std::vector<KeyChange> Changes;
+    for (const DirectoryItem &Each : Told->Items)
+      Changes.push_back(
+          KeyChange{KeyValue{Each.Key, Each.Value, Each.At}, Each.IsDeleted});
+    this->Keys.offer(Changes);
+    return;
+  }
   const auto Holder = this->Holders.find(Id);
   if (Holder != this->Holders.end())
     this->apply(ReplicaSaid{Holder->second, std::move(Body)});
@@ -221,21 +227,20 @@
   this->apply(ReplicaDisconnected{Holder});
 }
 
-void RelayProcess::onKeysChanged(const std::string &Prefix,
-                                 const std::vector<KeyChange> &Changes) {
+void RelayProcess::onKeysChanged(const std::vector<KeyChange> &Changes) {
+  const DirectoryProtocol &Directory = this->Protocols.Directory;
   for (const KeyChange &Each : Changes) {
-    if (Prefix == this->Protocols.Directory.TargetPrefix)
+    if (Directory.isTargetKey(Each.Item.Key))
       this->takeTarget(Each);
-    else if (Prefix == this->Protocols.Directory.OperatorPrefix)
+    else if (Each.Item.Key == Directory.ConfigurationKey)
       this->takeConfiguration(Each);
-    else
+    else if (Each.Item.Key == ledgerViewKey())
       this->takeLedgerKey(Each);
   }
 }
 
 void RelayProcess::takeConfiguration(const KeyChange &Change) {
-  if (Change.IsDeleted ||
-      Change.Item.Key != this->Protocols.Directory.ConfigurationKey)
+  if (Change.IsDeleted)
     return;
   const auto Decoded =
       this->Protocols.Directory.DecodeConfiguration(Change.Item.Value);
@@ -250,8 +255,8 @@
 }
 
 void RelayProcess::takeTarget(const KeyChange &Change) {
-  const TargetId Id(Change.Item.Key.substr(
-      this->Protocols.Directory.TargetPrefix.size()));
+  const TargetId Id(
+      Change.Item.Key.substr(this->Protocols.Directory.TargetPrefix.size()));
   if (Change.IsDeleted) {
     this->apply(TargetUnregistered{Id});
     return;
@@ -271,7 +276,7 @@
 }
 
 void RelayProcess::takeLedgerKey(const KeyChange &Change) {
-  if (Change.IsDeleted || Change.Item.Key != ledgerViewKey())
+  if (Change.IsDeleted)
     return;
   const auto View = decodeLedgerView(Change.Item.Value);
   if (View)
@@ -281,15 +286,9 @@
              {{"revision", std::to_string(Change.Item.ModRevision.Value)}});
 }
 
-void RelayProcess::onServiceRegained(const std::string &Prefix) {
-  if (Prefix == this->Protocols.Directory.TargetPrefix)
-    this->apply(DirectoryRegained{});
-}
+void RelayProcess::onServiceRegained() { this->apply(DirectoryRegained{}); }
 
-void RelayProcess::onServiceLost(const std::string &Prefix) {
-  if (Prefix == this->Protocols.Directory.TargetPrefix)
-    this->apply(DirectoryLost{});
-}
+void RelayProcess::onServiceLost() { this->apply(DirectoryLost{}); }
 
 void RelayProcess::publishMetrics() {
   this->Measured.set("relay_calls",
--- a/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
+++ b/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
@@ -66,9 +66,10 @@
   struct Dialler;
 
   void accept();
-  void dial(Dialler &Target);
-  void redial(Dialler &Target);
-  ConnectionId adopt(boost::asio::ip::tcp::socket Socket, Dialler *Origin);
+  void dial(const std::shared_ptr<Dialler> &Target);
+  void redial(const std::shared_ptr<Dialler> &Target);
+  ConnectionId adopt(boost::asio::ip::tcp::socket Socket,
+                     const std::shared_ptr<Dialler> &Origin);
   void read(Connection &Link);
   void write(Connection &Link);
   void handleBytes(ConnectionId Id, std::size_t Count);
@@ -82,7 +83,7 @@
   std::uint64_t NextId = 1;
   std::uint64_t SentBytes = 0;
   std::map<ConnectionId, std::shared_ptr<Connection>> Connections;
-  std::map<std::pair<std::string, std::uint16_t>, std::unique_ptr<Dialler>>
+  std::map<std::pair<std::string, std::uint16_t>, std::shared_ptr<Dialler>>
       Diallers;
 };
 
--- a/packages/runtime/src/ConnectionHub.cpp
+++ b/packages/runtime/src/ConnectionHub.cpp
@@ -28,7 +28,8 @@
 
   ConnectionId Id;
   tcp::socket Socket;
-  Dialler *Origin = nullptr;
+  /// The address that it is kept to, if this side made it.
+  std::weak_ptr<Dialler> Origin;
   FrameReader Reader;
   std::array<char, ReadBytes> Input{};
   std::string Writing;
@@ -90,7 +91,7 @@
 
 void ConnectionHub::keepConnected(const std::string &Address,
                                   std::uint16_t Port) {
-  std::unique_ptr<Dialler> &Slot = this->Diallers[{Address, Port}];
+  std::shared_ptr<Dialler> &Slot = this->Diallers[{Address, Port}];
   if (Slot)
     return;
   boost::system::error_code Error;
@@ -100,9 +101,9 @@
     this->Diallers.erase({Address, Port});
     return;
   }
-  Slot = std::make_unique<Dialler>(this->Loop.context());
+  Slot = std::make_shared<Dialler>(this->Loop.context());
   Slot->Address = tcp::endpoint(Ip, Port);
-  this->dial(*Slot);
+  this->dial(Slot);
 }
 
 void ConnectionHub::dropConnected(const std::string &Address,
@@ -113,34 +114,40 @@
   const ConnectionId Link = Found->second->Link;
   const auto Open = this->Connections.find(Link);
   if (Open != this->Connections.end())
-    Open->second->Origin = nullptr;
+    Open->second->Origin.reset();
   this->Diallers.erase(Found);
   this->close(Link);
 }
 
-void ConnectionHub::dial(Dialler &Target) {
-  Target.Socket = tcp::socket(this->Loop.context());
-  Target.Socket.async_connect(
-      Target.Address, [this, Address = &Target](const auto &Error) {
-        if (Error == boost::asio::error::operation_aborted)
+void ConnectionHub::dial(const std::shared_ptr<Dialler> &Target) {
+  Target->Socket = tcp::socket(this->Loop.context());
+  // A handler may be queued already when the address is dropped.
+  Target->Socket.async_connect(
+      Target->Address,
+      [this, Kept = std::weak_ptr<Dialler>(Target)](const auto &Error) {
+        const auto Address = Kept.lock();
+        if (!Address || Error == boost::asio::error::operation_aborted)
           return;
         if (Error) {
-          this->redial(*Address);
+          this->redial(Address);
           return;
         }
         Address->Link = this->adopt(std::move(Address->Socket), Address);
       });
 }
 
-void ConnectionHub::redial(Dialler &Target) {
-  Target.Timer.expires_after(RedialPause);
-  Target.Timer.async_wait([this, Address = &Target](const auto &Error) {
-    if (!Error)
-      this->dial(*Address);
-  });
+void ConnectionHub::redial(const std::shared_ptr<Dialler> &Target) {
+  Target->Timer.expires_after(RedialPause);
+  Target->Timer.async_wait(
+      [this, Kept = std::weak_ptr<Dialler>(Target)](const auto &Error) {
+        const auto Address = Kept.lock();
+        if (Address && !Error)
+          this->dial(Address);
+      });
 }
 
-ConnectionId ConnectionHub::adopt(tcp::socket Socket, Dialler *Origin) {
+ConnectionId ConnectionHub::adopt(tcp::socket Socket,
+                                  const std::shared_ptr<Dialler> &Origin) {
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
   auto Link = std::make_shared<Connection>(std::move(Socket));
@@ -238,8 +245,8 @@
   this->Connections.erase(Found);
   boost::system::error_code Ignored;
   Link->Socket.close(Ignored);
-  if (Link->Origin)
-    this->redial(*Link->Origin);
+  if (const auto Origin = Link->Origin.lock())
+    this->redial(Origin);
   this->Heard.onClosed(Id);
 }
 
--- a/packages/runtime/src/EventLoop.cpp
+++ b/packages/runtime/src/EventLoop.cpp
@@ -6,7 +6,8 @@
 namespace tanagerlanding {
 
 EventLoop::EventLoop()
-    : Signals(Context), ReloadSignal(Context), StartedAt(std::chrono::steady_clock::now()) {}
+    : Signals(Context), ReloadSignal(Context),
+      StartedAt(std::chrono::steady_clock::now()) {}
 
 void EventLoop::run() {
   this->Context.restart();
--- a/packages/runtime/src/Log.cpp
+++ b/packages/runtime/src/Log.cpp
@@ -4,13 +4,90 @@
 
 #include <algorithm>
 #include <cctype>
+#include <condition_variable>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
 #include <iomanip>
+#include <mutex>
 #include <sstream>
+#include <thread>
 
 namespace tanagerlanding {
 
 namespace {
 
+/// Lines that may wait for a slow reader of standard output. The rest is
+/// counted and dropped, so that nothing ever waits for the log.
+constexpr std::size_t MaxWaitingLines = 4096;
+/// Lines gather this long before they are written, which wakes the writer less
+/// often.
+constexpr std::chrono::milliseconds WriteInterval{50};
+
+/// Writes lines on a thread of its own.
+class LogWriter {
+public:
+  LogWriter() : Worker([this] { this->work(); }) {}
+
+  ~LogWriter() {
+    {
+      const std::lock_guard<std::mutex> Guard(this->Lock);
+      this->IsStopping = true;
+    }
+    this->HasWork.notify_one();
+    this->Worker.join();
+  }
+
+  LogWriter(const LogWriter &) = delete;
+  LogWriter &operator=(const LogWriter &) = delete;
+
+  void submit(std::string Line) {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    if (this->Lines.size() >= MaxWaitingLines) {
+      ++this->Dropped;
+      return;
+    }
+    this->Lines.push_back(std::move(Line));
+    if (this->Lines.size() == 1)
+      this->HasWork.notify_one();
+  }
+
+private:
+  void work() {
+    std::unique_lock<std::mutex> Guard(this->Lock);
+    while (!this->IsStopping || !this->Lines.empty()) {
+      this->HasWork.wait(
+          Guard, [this] { return this->IsStopping || !this->Lines.empty(); });
+      if (!this->IsStopping)
+        this->HasWork.wait_for(Guard, WriteInterval,
+                               [this] { return this->IsStopping; });
+      std::deque<std::string> Taken;
+      Taken.swap(this->Lines);
+      const std::size_t Lost = this->Dropped;
+      this->Dropped = 0;
+      Guard.unlock();
+      for (const std::string &Line : Taken)
+        LOG(INFO) << Line;
+      if (Lost > 0)
+        LOG(INFO) << "event=log_lines_dropped lines=" << Lost;
+      std::fflush(stdout);
+      Guard.lock();
+    }
+  }
+
+  std::mutex Lock;
+  std::condition_variable HasWork;
+  std::deque<std::string> Lines;
+  std::size_t Dropped = 0;
+  bool IsStopping = false;
+  std::thread Worker;
+};
+
+LogWriter &writer() {
+  static LogWriter Only;
+  return Only;
+}
+
 bool needsQuotes(const std::string &Value) {
   return Value.empty() ||
          std::any_of(Value.begin(), Value.end(), [](unsigned char Each) {
@@ -45,7 +122,7 @@
 }
 
 void logEvent(const std::string &Event, const LogFields &Fields) {
-  LOG(INFO) << formatLogLine(Event, Fields);
+  writer().submit(formatLogLine(Event, Fields));
 }
 
 } // namespace tanagerlanding
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -285,4 +285,25 @@
   return Body;
 }
 
+wire::DirectoryChangesT toTable(const DirectoryChanges &Body) {
+  wire::DirectoryChangesT Table;
+  for (const DirectoryItem &Each : Body.Items) {
+    auto Row = std::make_unique<wire::DirectoryRowT>();
+    Row->key = Each.Key;
+    Row->value = Each.Value;
+    Row->revision = Each.At.Value;
+    Row->deleted = Each.IsDeleted;
+    Table.items.push_back(std::move(Row));
+  }
+  return Table;
+}
+
+DirectoryChanges fromTable(const wire::DirectoryChangesT &Table) {
+  DirectoryChanges Body;
+  for (const auto &Row : Table.items)
+    Body.Items.push_back(DirectoryItem{Row->key, Row->value,
+                                       Revision(Row->revision), Row->deleted});
+  return Body;
+}
+
 } // namespace tanagerlanding
--- a/packages/wire/src/LedgerConversions.h
+++ b/packages/wire/src/LedgerConversions.h
@@ -26,6 +26,8 @@
 PullRecords fromTable(const wire::PullRecordsT &Table);
 wire::RecordsPageT toTable(const RecordsPage &Body);
 RecordsPage fromTable(const wire::RecordsPageT &Table);
+wire::DirectoryChangesT toTable(const DirectoryChanges &Body);
+DirectoryChanges fromTable(const wire::DirectoryChangesT &Table);
 
 } // namespace tanagerlanding
 
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -464,6 +464,8 @@
     return fromTable(*Body.AsPullRecords());
   case wire::Body::RecordsPage:
     return fromTable(*Body.AsRecordsPage());
+  case wire::Body::DirectoryChanges:
+    return fromTable(*Body.AsDirectoryChanges());
   }
   return std::nullopt;
 }
--- a/tests/standins/keyvalue.cpp
+++ b/tests/standins/keyvalue.cpp
@@ -6,8 +6,8 @@
 /// behaves: down refuses all calls, slow answers after a second, and
 /// lose_answers carries writes out but answers with an error. GET /control
 /// tells the calls counted so far.
-#include "StandinServer.h"
 #include "tanagerlanding/keyvalue.h"
+#include "StandinServer.h"
 
 #include <nlohmann/json.hpp>
 
