--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -31,6 +31,8 @@
   std::string Input;
   /// The data of the turn's events, each followed by a line feed.
   std::string Output;
+  /// Where it ran, which is where its prompt is cached.
+  TargetId Target;
 };
 
 /// A claim on a program's budget.
@@ -70,6 +72,8 @@
   LedgerOperationId Operation;
   HolderId Holder;
   bool KnowsPrevious = false;
+  /// Where the previous turn ran; empty where that isn't known.
+  TargetId PreviousTarget;
   /// The inputs and outputs of the chain that ends with the previous turn, as
   /// far back as the replica knows it.
   std::optional<std::string> History;
@@ -93,6 +97,7 @@
   std::optional<TurnId> Previous;
   std::string Input;
   std::string Output;
+  TargetId Target;
   Milliseconds Retention{0};
 };
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -51,6 +51,7 @@
 /// The index entry of a kept turn.
 struct KeptTurn {
   std::optional<TurnId> Previous;
+  TargetId Target;
   std::uint64_t Batch = 0;
   Instant ExpiresAt;
 };
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -19,6 +19,8 @@
 /// What a request says of the program that it belongs to.
 struct ProgramContext {
   ProgramId Program;
+  /// One line of dependent turns of the program.
+  AgentId Agent;
   /// The time within which the program should be finished.
   std::optional<Milliseconds> TimeLeft;
   /// Tokens that all turns of the program may generate.
@@ -40,6 +42,8 @@
   std::optional<ProgramContext> Program;
   /// The turn that this one continues from.
   std::optional<TurnId> Previous;
+  /// The tokens of the whole prompt.
+  TokenCount PromptTokens;
   /// The most tokens that the answer may have.
   TokenCount MostTokens;
   /// Names the object that the request concerns.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -35,9 +35,23 @@
   Milliseconds AvoidLimit{4000};
   /// Sends of one request that targets refused before the caller is told.
   std::uint32_t RefusedSends = 3;
-  /// Share of a target's slots that is filled before requests leave its zone
-  /// or their preferred target.
-  double PreferredFill = 0.6;
+  /// What one more request at a target costs the others there, while slots are
+  /// free and once all are taken. From the engines of today: a turn runs for
+  /// some 200 ms, a twelfth of which a slot comes free in, and each prompt
+  /// that is read holds the others up by about 10 ms.
+  Milliseconds CostWhileFree{10};
+  Milliseconds CostWhenFull{25};
+  /// Prompt tokens that an engine reads in a millisecond. Reading them again
+  /// costs the request itself and those beside it.
+  double PromptTokensPerMilli = 100;
+  /// What a request to another zone must gain to be worth its bytes.
+  Milliseconds OtherZoneCost{6};
+  /// How long it is remembered where a program last ran, and for how many.
+  Milliseconds HomeRetention{15000};
+  std::size_t HomeLimit = 20000;
+  /// A relay without a quorum of the ledger for this long tells the balancer
+  /// that it isn't ready: it could only refuse turns.
+  Milliseconds UnreadyAfter{300};
   /// Requests per slot, beyond which a target gets no more: more would wait
   /// there longer than a caller's retry takes.
   double FullFactor = 2.5;
@@ -110,6 +124,8 @@
   std::set<HolderId> Refused;
   std::map<Fingerprint, TokenClaim> Claims;
   std::set<HolderId> KnowPrevious;
+  /// Where the previous turn ran.
+  TargetId PreviousTarget;
   /// The replica that was last asked for history, and when.
   HolderId HistoryAsked;
   std::set<HolderId> HistoryTried;
@@ -154,6 +170,12 @@
   bool IsAnswering = false;
 };
 
+/// Where a program's or a session's prompt is cached.
+struct PromptHome {
+  TargetId Target;
+  Instant UsedAt;
+};
+
 /// A close that too few replicas have confirmed.
 struct PendingClose {
   CloseTurn Message;
@@ -182,6 +204,11 @@
   std::map<RelayAttemptId, RequestId> Attempts;
   std::map<LedgerOperationId, RequestId> Opens;
   std::map<LedgerOperationId, PendingClose> Closes;
+  /// By program and session; see homeKeysOf().
+  std::map<std::string, PromptHome> Homes;
+  Instant HomesReviewedAt;
+  /// Since when the ledger has had no quorum here.
+  std::optional<Instant> LedgerLostSince = Instant();
   std::uint64_t NextAttempt = 1;
   std::uint64_t NextOperation = 1;
   bool IsDraining = false;
--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -61,7 +61,8 @@
     LedgerState &State = this->Context.State;
     const bool IsNew =
         State.Turns
-            .emplace(Kept.Turn, KeptTurn{Kept.Previous, this->Batch, Expiry})
+            .emplace(Kept.Turn, KeptTurn{Kept.Previous, Kept.Target,
+                                         this->Batch, this->Expiry})
             .second;
     extendChain(State, Kept.Turn, this->Expiry);
     return IsNew;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -20,8 +20,12 @@
   Reply.Operation = Asked.Operation;
   Reply.Holder = State.Self.Holder;
   Reply.Claims = claimsOf(State, Asked.Program);
-  Reply.KnowsPrevious =
-      Asked.Previous && State.Turns.count(*Asked.Previous) > 0;
+  if (Asked.Previous) {
+    const auto Previous = State.Turns.find(*Asked.Previous);
+    Reply.KnowsPrevious = Previous != State.Turns.end();
+    if (Reply.KnowsPrevious)
+      Reply.PreviousTarget = Previous->second.Target;
+  }
   if (!Reply.KnowsPrevious || !Asked.WantsHistory) {
     Context.send(Peer, std::move(Reply));
     return;
@@ -89,7 +93,8 @@
                                                   *Asked.Used, true}});
     if (Asked.IsKept)
       Records.push_back(
-          TurnKept{Asked.Turn, Asked.Previous, Asked.Input, Asked.Output});
+          TurnKept{Asked.Turn, Asked.Previous, Asked.Input,
+                                 Asked.Output, Asked.Target});
     this->persist(Asked, Asked.View, Asked.Retention, std::move(Records));
   }
 
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -362,6 +362,7 @@
                    {"others", std::to_string(Target.OthersLoad)},
                    {"left_ms", RelayContext::millis(Send.TimeLeft)}});
   addOutstanding(State, Call.Target);
+  rememberHome(State, Call);
   Context.add(std::move(Send));
 }
 
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -9,20 +9,26 @@
 /// A target's word about its load counts this long: requests last some
 /// hundred milliseconds, so that an older word tells nothing.
 constexpr Milliseconds LoadValidity{500};
-/// What a request to another zone must gain in load per slot to be worth the
-/// bytes between zones.
-constexpr double OtherZonePenalty = 0.25;
-
 double slotsOf(const RelayState &State, const RelayTarget &Target) {
   return Target.Entry.Slots > 0 ? Target.Entry.Slots
                                 : State.Options.DefaultSlots;
 }
 
-/// Returns requests per slot, own attempts counted exactly.
-double fillOf(const RelayState &State, const RelayTarget &Target) {
+/// Returns the requests at a target, own attempts counted exactly.
+double loadOf(const RelayState &State, const RelayTarget &Target) {
   const bool IsRecent = State.Now - Target.LoadAt < LoadValidity;
-  const std::uint32_t Others = IsRecent ? Target.OthersLoad : 0;
-  return (Target.Outstanding + Others) / slotsOf(State, Target);
+  return Target.Outstanding + (IsRecent ? Target.OthersLoad : 0);
+}
+
+/// Returns how much longer a request takes at a target for those that are
+/// there already, in milliseconds.
+double crowdingCost(const RelayState &State, const RelayTarget &Target) {
+  const double Load = loadOf(State, Target);
+  const double Slots = slotsOf(State, Target);
+  const double Free = std::min(Load, Slots);
+  const double Waiting = std::max(0.0, Load + 1 - Slots);
+  return Free * static_cast<double>(State.Options.CostWhileFree.count()) +
+         Waiting * static_cast<double>(State.Options.CostWhenFull.count());
 }
 
 bool isUsable(const RelayState &State, const RelayTarget &Target,
@@ -36,6 +42,16 @@
          State.Now - State.ServiceRegainedAt < State.Options.MissingTargetGrace;
 }
 
+/// Returns the keys under which a call's home is remembered: its own line of
+/// turns first, as a sub-agent's prompt begins with that of its parent.
+std::vector<std::string> homeKeysOf(const RelayCall &Call) {
+  if (!Call.Route.IsStreaming || !Call.Asked.Program)
+    return {};
+  const ProgramContext &Program = *Call.Asked.Program;
+  return {Program.Program.Value + '/' + Program.Agent.Value,
+          Program.Program.Value};
+}
+
 /// Returns what keeps related requests together: a program's turns share their
 /// prompt, requests for one object share what a target has read of it.
 std::string affinityOf(const RelayCall &Call) {
@@ -44,30 +60,55 @@
   return Call.Asked.AffinityKey.value_or(std::string());
 }
 
+/// Returns where the request's prompt, or the longest beginning of it, is
+/// cached; empty where that isn't known.
+TargetId homeOf(const RelayState &State, const RelayCall &Call) {
+  for (const std::string &Key : homeKeysOf(Call)) {
+    const auto Found = State.Homes.find(Key);
+    if (Found != State.Homes.end() &&
+        State.Now - Found->second.UsedAt < State.Options.HomeRetention)
+      return Found->second.Target;
+  }
+  return Call.Ledger.PreviousTarget;
+}
+
+/// Returns what it costs to read the prompt at a target that doesn't have it:
+/// the time itself, and as much for those who wait meanwhile.
+double missCost(const RelayState &State, const RelayCall &Call) {
+  return 2 * static_cast<double>(Call.Asked.PromptTokens.Value) /
+         State.Options.PromptTokensPerMilli;
+}
+
 /// One target that may be chosen.
 struct Candidate {
   const RelayTarget *Target = nullptr;
-  double Fill = 0;
+  double Cost = 0;
   bool IsAvoided = false;
-  bool IsNear = false;
   std::uint64_t Rank = 0;
 };
 
+/// Returns the targets that may be chosen, with the time that each costs. A
+/// prompt that is cached nowhere goes to the first target by a hash that every
+/// relay computes alike, as far as that is as cheap as the others.
 std::vector<Candidate> candidatesOf(RelayState &State, const RelayCall &Call) {
   std::vector<Candidate> Found;
   const auto Listed = State.TargetsByService.find(Call.Service);
   if (Listed == State.TargetsByService.end())
     return Found;
   const std::string Affinity = affinityOf(Call);
+  const TargetId Home = homeOf(State, Call);
   for (const TargetId &Id : Listed->second) {
     const RelayTarget &Target = State.Targets.at(Id);
     if (!isUsable(State, Target, Call))
       continue;
     Candidate Each;
     Each.Target = &Target;
-    Each.Fill = fillOf(State, Target);
+    Each.Cost = crowdingCost(State, Target);
+    if (!(Target.Entry.Zone == State.Zone))
+      Each.Cost += static_cast<double>(State.Options.OtherZoneCost.count());
+    if (!(Id == Home))
+      Each.Cost += missCost(State, Call);
     Each.IsAvoided = State.Now < Target.AvoidUntil;
-    Each.IsNear = Target.Entry.Zone == State.Zone;
     Each.Rank = Affinity.empty() ? State.Random()
                                  : hashBytes(Affinity + '/' + Id.Value);
     Found.push_back(Each);
@@ -75,38 +116,17 @@
   return Found;
 }
 
-/// Returns the least loaded candidate, avoided ones last.
-const Candidate *leastLoaded(const std::vector<Candidate> &Candidates) {
-  const auto CostOf = [](const Candidate &Each) {
-    return Each.Fill + (Each.IsNear ? 0 : OtherZonePenalty);
-  };
+/// Returns the candidate with the least cost, avoided ones last.
+const Candidate *cheapest(const std::vector<Candidate> &Candidates) {
   const auto Best = std::min_element(
       Candidates.begin(), Candidates.end(),
-      [&](const Candidate &Left, const Candidate &Right) {
-        return std::make_tuple(Left.IsAvoided, CostOf(Left), Left.Rank) <
-               std::make_tuple(Right.IsAvoided, CostOf(Right), Right.Rank);
+      [](const Candidate &Left, const Candidate &Right) {
+        return std::make_tuple(Left.IsAvoided, Left.Cost, Left.Rank) <
+               std::make_tuple(Right.IsAvoided, Right.Cost, Right.Rank);
       });
   return Best == Candidates.end() ? nullptr : &*Best;
 }
 
-/// Returns the candidate that related requests went to, as far as it has room:
-/// the first by rank in this zone, then elsewhere. Every relay of a zone finds
-/// the same one without asking.
-const Candidate *preferred(const RelayState &State,
-                           const std::vector<Candidate> &Candidates) {
-  const Candidate *Best = nullptr;
-  for (const Candidate &Each : Candidates) {
-    if (Each.IsAvoided || Each.Fill >= State.Options.PreferredFill)
-      continue;
-    const bool IsBetter =
-        !Best || std::make_pair(!Each.IsNear, Each.Rank) <
-                     std::make_pair(!Best->IsNear, Best->Rank);
-    if (IsBetter)
-      Best = &Each;
-  }
-  return Best;
-}
-
 RelayTarget *findTarget(RelayState &State, const TargetId &Id) {
   const auto Found = State.Targets.find(Id);
   return Found == State.Targets.end() ? nullptr : &Found->second;
@@ -119,14 +139,29 @@
   const std::vector<Candidate> Candidates = candidatesOf(State, Call);
   if (Candidates.empty())
     return PlacementFailure::NoTarget;
-  if (!affinityOf(Call).empty()) {
-    if (const Candidate *Home = preferred(State, Candidates))
-      return Home->Target->Entry.Id;
-  }
-  const Candidate *Least = leastLoaded(Candidates);
-  if (Least->Fill >= State.Options.FullFactor)
+  const Candidate *Best = cheapest(Candidates);
+  const double Full =
+      State.Options.FullFactor * slotsOf(State, *Best->Target);
+  if (loadOf(State, *Best->Target) >= Full)
     return PlacementFailure::Overloaded;
-  return Least->Target->Entry.Id;
+  return Best->Target->Entry.Id;
+}
+
+void rememberHome(RelayState &State, const RelayCall &Call) {
+  if (!Call.Route.IsStreaming)
+    return;
+  for (const std::string &Key : homeKeysOf(Call))
+    State.Homes[Key] = PromptHome{Call.Target, State.Now};
+}
+
+void forgetOldHomes(RelayState &State) {
+  const bool IsFull = State.Homes.size() >= State.Options.HomeLimit;
+  const Milliseconds Kept = IsFull ? State.Options.HomeRetention / 4
+                                   : State.Options.HomeRetention;
+  for (auto Each = State.Homes.begin(); Each != State.Homes.end();) {
+    const bool IsOld = Kept <= State.Now - Each->second.UsedAt;
+    Each = IsOld ? State.Homes.erase(Each) : std::next(Each);
+  }
 }
 
 void addOutstanding(RelayState &State, const TargetId &Target) {
--- a/packages/decision/src/relay/Placement.h
+++ b/packages/decision/src/relay/Placement.h
@@ -19,6 +19,12 @@
 Result<TargetId, PlacementFailure> chooseTarget(RelayState &State,
                                                 const RelayCall &Call);
 
+/// Notes where a program's prompt is cached from now on.
+void rememberHome(RelayState &State, const RelayCall &Call);
+
+/// Forgets homes that have not been used for long.
+void forgetOldHomes(RelayState &State);
+
 /// Notes that an attempt went to a target, or came back.
 void addOutstanding(RelayState &State, const TargetId &Target);
 void removeOutstanding(RelayState &State, const TargetId &Target);
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "Directory.h"
+#include "Placement.h"
 #include "RelayContext.h"
 #include "Turns.h"
 
@@ -34,6 +35,16 @@
   Context.add(ExitRelay{});
 }
 
+/// How often old homes are looked for.
+constexpr Milliseconds HomeReviewInterval{1000};
+
+void reviewHomes(RelayState &State) {
+  if (State.Now - State.HomesReviewedAt < HomeReviewInterval)
+    return;
+  State.HomesReviewedAt = State.Now;
+  forgetOldHomes(State);
+}
+
 /// Handles events, one overload for each.
 class RelayEventHandler {
 public:
@@ -45,6 +56,7 @@
     reviewDeadlines(this->Context);
     reviewLedger(this->Context);
     forgetMissingTargets(this->Context);
+    reviewHomes(this->State);
     reviewDraining(this->Context);
   }
 
@@ -129,11 +141,15 @@
   std::vector<RelayEffect> Effects;
   RelayContext Context(State, Effects);
   std::visit(RelayEventHandler(Context), Event);
+  reviewQuorum(Context);
   return Effects;
 }
 
 bool isRelayReady(const RelayState &State) {
-  return State.Configuration.has_value() && !State.IsDraining;
+  const bool HasLedger =
+      !State.LedgerLostSince ||
+      State.Now - *State.LedgerLostSince < State.Options.UnreadyAfter;
+  return State.Configuration.has_value() && !State.IsDraining && HasLedger;
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -238,6 +238,8 @@
   mergeClaims(Ledger, Reply.Claims);
   if (Reply.KnowsPrevious)
     Ledger.KnowPrevious.insert(Holder);
+  if (!Reply.PreviousTarget.Value.empty())
+    Ledger.PreviousTarget = Reply.PreviousTarget;
   takeHistory(Call, Reply);
   Ledger.Answered.insert(Holder);
   if (!WasCollecting) {
@@ -373,6 +375,7 @@
     Close.Message.Previous = previousOf(Call);
     Close.Message.Input = std::move(Call.Asked.Body);
     Close.Message.Output = std::move(Call.Output);
+    Close.Message.Target = Call.Target;
   }
   const LedgerOperationId Operation = Close.Message.Operation;
   PendingClose &Kept = State.Closes[Operation] = std::move(Close);
@@ -429,6 +432,22 @@
     sendClose(Context, Close);
 }
 
+void reviewQuorum(RelayContext &Context) {
+  RelayState &State = Context.State;
+  const bool HasQuorum = !State.View.Current.empty() &&
+                         isRead(State.View, State.Connected) &&
+                         isWritten(State.View, State.Connected);
+  if (HasQuorum == !State.LedgerLostSince)
+    return;
+  Context.log(HasQuorum ? "ledger_regained" : "ledger_lost",
+              {{"view", std::to_string(State.View.Version.Value)},
+               {"connected", std::to_string(State.Connected.size())}});
+  if (HasQuorum)
+    State.LedgerLostSince.reset();
+  else
+    State.LedgerLostSince = State.Now;
+}
+
 void reviewLedger(RelayContext &Context) {
   RelayState &State = Context.State;
   for (const RequestId Request : waitingCalls(State)) {
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -27,6 +27,9 @@
 /// Takes a view that is newer than the present one.
 void adoptRelayView(RelayContext &Context, const LedgerView &View);
 
+/// Notes whether enough replicas are connected to serve turns.
+void reviewQuorum(RelayContext &Context);
+
 /// Refuses turns that the ledger leaves without an answer, and gives closes
 /// up that nobody waits for any more.
 void reviewLedger(RelayContext &Context);
--- /dev/null
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -0,0 +1,325 @@
+/// What replicas of the ledger keep, and how their membership changes.
+#include "tanagerlanding/decision.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace tanagerlanding;
+
+namespace {
+
+LedgerMember memberOn(const std::string &Host, const std::string &Holder) {
+  return LedgerMember{HolderId(Holder), HostId(Host), "10.0.0.1", 90,
+                      ZoneId("zone-" + Host)};
+}
+
+/// Replicas with instant disks and a key-value service.
+class LedgerWorld {
+public:
+  struct Node {
+    LedgerState State;
+    std::map<std::uint64_t, LedgerBatch> Disk;
+    std::uint64_t NextPlace = 1;
+    bool IsUp = true;
+    bool HasDisk = true;
+  };
+
+  void start(const std::string &Host, const std::string &Holder) {
+    Node &Fresh = this->Nodes[HostId(Host)];
+    Fresh = Node();
+    Fresh.State.Self = memberOn(Host, Holder);
+    Fresh.State.Now = this->Now;
+    this->registerNode(HostId(Host));
+    for (auto &[Id, Each] : this->Nodes) {
+      if (Each.IsUp)
+        this->apply(HostId(Host), ReplicaRegistered{Each.State.Self});
+    }
+    for (const auto &[Name, Version] : this->Synced)
+      this->apply(HostId(Host), ReplicaSynced{Name, Version});
+    if (this->Revision_.Value > 0)
+      this->apply(HostId(Host), LedgerViewSeen{this->View, this->Revision_});
+    this->apply(HostId(Host), LedgerServiceRead{});
+  }
+
+  void registerNode(const HostId &Host) {
+    for (auto &[Id, Each] : this->Nodes)
+      this->apply(Id, ReplicaRegistered{this->Nodes.at(Host).State.Self});
+  }
+
+  void stop(const std::string &Host) {
+    this->Nodes.at(HostId(Host)).IsUp = false;
+    for (auto &[Id, Each] : this->Nodes)
+      this->apply(Id, ReplicaUnregistered{HostId(Host)});
+  }
+
+  void pass(Milliseconds Time) {
+    for (Milliseconds Done{0}; Done < Time; Done += Milliseconds(100)) {
+      this->Now = this->Now + Milliseconds(100);
+      for (auto &[Host, Each] : this->Nodes)
+        this->apply(Host, LedgerTimePassed{this->Now});
+    }
+  }
+
+  void apply(const HostId &Host, const LedgerEvent &Event) {
+    Node &At = this->Nodes.at(Host);
+    if (!At.IsUp)
+      return;
+    for (const LedgerEffect &Each : reduce(At.State, Event))
+      this->perform(Host, Each);
+  }
+
+  void say(const std::string &Host, const Message &Body) {
+    this->apply(HostId(Host), LedgerPeerSaid{HostId("relay"), Body});
+  }
+
+  void keep(const std::string &Host, const std::string &Turn,
+            std::optional<TurnId> Previous = std::nullopt) {
+    CloseTurn Close;
+    Close.Operation = LedgerOperationId(1);
+    Close.View = this->View.Version;
+    Close.Program = ProgramId("p");
+    Close.Turn = TurnId(Turn);
+    Close.IsKept = true;
+    Close.Previous = std::move(Previous);
+    Close.Input = "in-" + Turn + ";";
+    Close.Output = "out-" + Turn + ";";
+    Close.Retention = Milliseconds(60000);
+    this->say(Host, Close);
+  }
+
+  bool knows(const std::string &Host, const std::string &Turn) {
+    return this->Nodes.at(HostId(Host)).State.Turns.count(TurnId(Turn)) > 0;
+  }
+
+  std::map<HostId, Node> Nodes;
+  LedgerView View;
+  Revision Revision_;
+  std::map<HolderId, ViewVersion> Synced;
+  /// Messages to the relay.
+  std::vector<Message> ToRelay;
+  std::vector<bool> RetirementReports;
+  Instant Now;
+
+private:
+  void perform(const HostId &Host, const LedgerEffect &Effect) {
+    Node &At = this->Nodes.at(Host);
+    if (const auto *Persist = std::get_if<PersistLedgerBatch>(&Effect)) {
+      if (!At.HasDisk) {
+        this->apply(Host, LedgerBatchFailed{Persist->Ticket});
+        return;
+      }
+      const std::uint64_t Place = At.NextPlace++;
+      At.Disk[Place] = Persist->Batch;
+      this->apply(Host, LedgerBatchStored{Persist->Ticket,
+                                          RecordPlace{1, Place, 10}});
+    } else if (const auto *Send = std::get_if<SendHost>(&Effect)) {
+      this->deliver(Host, Send->Host, Send->Body);
+    } else if (const auto *Page = std::get_if<SendRecords>(&Effect)) {
+      RecordsPage Body = Page->Head;
+      for (const RecordPlace &Each : Page->Batches)
+        Body.Batches.push_back(At.Disk.at(Each.Offset));
+      this->deliver(Host, Page->Peer, Body);
+    } else if (const auto *History = std::get_if<SendHistory>(&Effect)) {
+      TurnOpened Reply = History->Reply;
+      Reply.History = std::to_string(History->Turns.size());
+      this->deliver(Host, History->Peer, Reply);
+    } else if (const auto *Write = std::get_if<WriteLedgerView>(&Effect)) {
+      this->writeView(*Write);
+    } else if (const auto *Told = std::get_if<WriteSynced>(&Effect)) {
+      const HolderId Holder = At.State.Self.Holder;
+      this->Synced[Holder] = Told->View;
+      for (auto &[Id, Each] : this->Nodes)
+        this->apply(Id, ReplicaSynced{Holder, Told->View});
+    } else if (const auto *Report = std::get_if<TellRetirement>(&Effect)) {
+      this->RetirementReports.push_back(Report->IsCompleted);
+    }
+  }
+
+  void deliver(const HostId &From, const HostId &To, const Message &Body) {
+    if (To == HostId("relay"))
+      this->ToRelay.push_back(Body);
+    else if (this->Nodes.count(To) > 0 && !(From == To))
+      this->apply(To, LedgerPeerSaid{From, Body});
+  }
+
+  void writeView(const WriteLedgerView &Write) {
+    if (!(Write.Expected == this->Revision_))
+      return;
+    this->View = Write.View;
+    this->Revision_ = Revision(this->Revision_.Value + 1);
+    for (auto &[Id, Each] : this->Nodes)
+      this->apply(Id, LedgerViewSeen{this->View, this->Revision_});
+  }
+};
+
+void startThree(LedgerWorld &World) {
+  World.start("h1", "a");
+  World.start("h2", "b");
+  World.start("h3", "c");
+  World.pass(Milliseconds(3000));
+}
+
+} // namespace
+
+TEST_CASE("Ledger: write and read quorums always share a replica") {
+  for (std::uint32_t Tolerated = 0; Tolerated < 4; ++Tolerated) {
+    LedgerView View;
+    View.Tolerated = Tolerated;
+    for (std::size_t Size = 1; Size < 10; ++Size) {
+      View.Current.push_back(memberOn("h" + std::to_string(Size), "x"));
+      CHECK(View.writeQuorum(View.Current) + View.readQuorum() > Size);
+    }
+  }
+}
+
+TEST_CASE("Ledger: the first view has all that start together") {
+  LedgerWorld World;
+  startThree(World);
+  CHECK(World.View.Version == ViewVersion(1));
+  CHECK(World.View.Current.size() == 3);
+}
+
+TEST_CASE("Ledger: a lost replica stays until another can take its place") {
+  LedgerWorld World;
+  startThree(World);
+  World.stop("h3");
+  World.pass(Milliseconds(5000));
+  CHECK(World.View.Version == ViewVersion(1));
+  World.keep("h1", "t1");
+  World.keep("h2", "t2", TurnId("t1"));
+  World.start("h4", "d");
+  World.pass(Milliseconds(3000));
+  CHECK_FALSE(World.View.isChanging());
+  CHECK(World.View.Current.size() == 3);
+  CHECK(containsHolder(World.View.Current, HolderId("d")));
+  CHECK_FALSE(containsHolder(World.View.Current, HolderId("c")));
+  // The new one has what any of the others had.
+  CHECK(World.knows("h4", "t1"));
+  CHECK(World.knows("h4", "t2"));
+}
+
+TEST_CASE("Ledger: a host that lost its disk is another replica") {
+  LedgerWorld World;
+  startThree(World);
+  World.keep("h1", "t1");
+  World.keep("h2", "t1");
+  World.stop("h1");
+  World.start("h1", "a2");
+  World.pass(Milliseconds(3000));
+  CHECK(containsHolder(World.View.Current, HolderId("a2")));
+  CHECK_FALSE(containsHolder(World.View.Current, HolderId("a")));
+  CHECK(World.knows("h1", "t1"));
+}
+
+TEST_CASE("Ledger: nothing is taken under an older view") {
+  LedgerWorld World;
+  startThree(World);
+  const ViewVersion Old = World.View.Version;
+  World.stop("h3");
+  World.start("h4", "d");
+  World.pass(Milliseconds(4000));
+  World.ToRelay.clear();
+  OpenTurn Open;
+  Open.View = Old;
+  Open.Turn = TurnId("t");
+  Open.Claimed = TokenCount{1};
+  World.say("h1", Open);
+  REQUIRE(World.ToRelay.size() == 1);
+  REQUIRE(std::holds_alternative<LedgerRefused>(World.ToRelay[0]));
+  CHECK(std::get<LedgerRefused>(World.ToRelay[0]).View.Version ==
+        World.View.Version);
+}
+
+TEST_CASE("Ledger: a pull waits for what was taken under an earlier view") {
+  LedgerState State;
+  State.Self = memberOn("h1", "a");
+  LedgerView View;
+  View.Version = ViewVersion(1);
+  View.Current = {memberOn("h1", "a"), memberOn("h2", "b"),
+                  memberOn("h3", "c")};
+  reduce(State, LedgerViewSeen{View, Revision(1)});
+  CloseTurn Close;
+  Close.View = View.Version;
+  Close.Turn = TurnId("t");
+  Close.IsKept = true;
+  const auto Persisted =
+      reduce(State, LedgerPeerSaid{HostId("relay"), Close});
+  const auto &Batch = std::get<PersistLedgerBatch>(Persisted.at(0));
+  View.Version = ViewVersion(2);
+  View.Next = {memberOn("h2", "b"), memberOn("h3", "c"), memberOn("h4", "d")};
+  const auto IsLast = [&State, &View] {
+    const auto Effects = reduce(
+        State, LedgerPeerSaid{HostId("h4"), PullRecords{View, 0}});
+    return std::get<SendRecords>(Effects.back()).Head.IsLast;
+  };
+  CHECK_FALSE(IsLast());
+  reduce(State, LedgerBatchStored{Batch.Ticket, RecordPlace{1, 0, 10}});
+  CHECK(IsLast());
+}
+
+TEST_CASE("Ledger: a retiring host hands over before it says so") {
+  LedgerWorld World;
+  startThree(World);
+  World.keep("h1", "t1");
+  World.keep("h3", "t1");
+  for (auto &[Host, Node] : World.Nodes)
+    World.apply(Host, RetirementAsked{HostId("h3"), true});
+  World.pass(Milliseconds(4000));
+  CHECK_FALSE(containsHolder(World.View.allMembers(), HolderId("c")));
+  CHECK(World.RetirementReports == std::vector<bool>{false, true});
+  // Both that are left have it: one of them may be lost.
+  CHECK(World.knows("h1", "t1"));
+  CHECK(World.knows("h2", "t1"));
+}
+
+TEST_CASE("Ledger: claims are answered for with all that is known") {
+  LedgerWorld World;
+  startThree(World);
+  OpenTurn Open;
+  Open.View = World.View.Version;
+  Open.Program = ProgramId("p");
+  Open.Turn = TurnId("t1");
+  Open.Claimed = TokenCount{50};
+  World.say("h1", Open);
+  CloseTurn Close;
+  Close.View = World.View.Version;
+  Close.Program = ProgramId("p");
+  Close.Turn = TurnId("t1");
+  Close.Used = TokenCount{20};
+  World.say("h1", Close);
+  World.ToRelay.clear();
+  Open.Turn = TurnId("t2");
+  World.say("h1", Open);
+  const auto &Reply = std::get<TurnOpened>(World.ToRelay.at(0));
+  REQUIRE(Reply.Claims.size() == 2);
+  std::uint64_t Sum = 0;
+  for (const TokenClaim &Each : Reply.Claims)
+    Sum += Each.Tokens.Value;
+  CHECK(Sum == 70);
+}
+
+TEST_CASE("Ledger: a full disk refuses, and nothing is acknowledged") {
+  LedgerWorld World;
+  startThree(World);
+  World.Nodes.at(HostId("h1")).HasDisk = false;
+  World.ToRelay.clear();
+  World.keep("h1", "t1");
+  REQUIRE(World.ToRelay.size() == 1);
+  CHECK(std::holds_alternative<LedgerRefused>(World.ToRelay[0]));
+  CHECK_FALSE(World.knows("h1", "t1"));
+}
+
+TEST_CASE("Ledger: turns expire with their chain, and their segments go") {
+  LedgerWorld World;
+  startThree(World);
+  World.keep("h1", "t1");
+  World.pass(Milliseconds(50000));
+  World.keep("h1", "t2", TurnId("t1"));
+  World.pass(Milliseconds(60000));
+  CHECK(World.knows("h1", "t1"));
+  World.pass(Milliseconds(60000));
+  CHECK_FALSE(World.knows("h1", "t1"));
+  CHECK(World.Nodes.at(HostId("h1")).State.Stored.empty());
+  CHECK(World.Nodes.at(HostId("h1")).State.BatchesInSegment.empty());
+}
--- /dev/null
+++ b/packages/decision/tests/RelayTest.cpp
@@ -0,0 +1,386 @@
+/// What a relay answers, repeats and refuses.
+#include "RelayWorld.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::test;
+
+TEST_CASE("Relay: without a configuration it refuses as not run") {
+  RelayWorld World;
+  World.ask("/plain/x");
+  const auto Refused = World.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Refusal.Reason == RelayRefusalReason::NotConfigured);
+  CHECK(Refused[0].Refusal.Ran == Execution::NotRun);
+  CHECK(Refused[0].Refusal.RetryAfter > Milliseconds(0));
+}
+
+TEST_CASE("Relay: the longest prefix of the host is the route") {
+  RelayConfiguration Configuration;
+  for (const char *Prefix : {"/a/", "/a/b/", "/a/b/c/"}) {
+    RelayRoute Route;
+    Route.Name = RouteName(Prefix);
+    Route.Host = "h";
+    Route.PathPrefix = Prefix;
+    Configuration.Routes.push_back(Route);
+  }
+  CHECK(findRoute(Configuration, "h", "/a/b/x")->Name == RouteName("/a/b/"));
+  CHECK(findRoute(Configuration, "h", "/a/bx")->Name == RouteName("/a/"));
+  CHECK(findRoute(Configuration, "other", "/a/b/x") == nullptr);
+  CHECK(findRoute(Configuration, "h", "/b/") == nullptr);
+}
+
+TEST_CASE("Relay: a configuration never goes back") {
+  RelayWorld World;
+  World.configure(7);
+  World.configure(5);
+  CHECK(World.State.Configuration->Version == ConfigVersion(7));
+}
+
+TEST_CASE("Relay: an idempotent request is tried elsewhere, within attempts") {
+  RelayWorld World;
+  World.makeReady();
+  const RequestId Request = World.ask("/plain/x");
+  auto Sent = World.all<SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Broken});
+  Sent = World.all<SendAttempt>();
+  REQUIRE(Sent.size() == 2);
+  CHECK_FALSE(Sent[0].Target.Id == Sent[1].Target.Id);
+  World.apply(AttemptEnded{Sent[1].Attempt, AttemptEnded::Kind::Broken});
+  CHECK(World.all<SendAttempt>().size() == 2);
+  const auto Refused = World.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Request == Request);
+  CHECK(Refused[0].Refusal.Ran == Execution::Unknown);
+}
+
+TEST_CASE("Relay: what may run once is not repeated after a broken send") {
+  RelayWorld World;
+  World.makeReady();
+  World.ask("/once/x");
+  const auto Sent = World.all<SendAttempt>();
+  World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Broken});
+  CHECK(World.all<SendAttempt>().size() == 1);
+  const auto Refused = World.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Refusal.Reason == RelayRefusalReason::TargetFailed);
+  CHECK(Refused[0].Refusal.Ran == Execution::Unknown);
+}
+
+TEST_CASE("Relay: what a target did not run goes to another") {
+  RelayWorld World;
+  World.makeReady();
+  World.ask("/once/x");
+  auto Sent = World.all<SendAttempt>();
+  SECTION("it was never sent") {
+    World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::NeverSent});
+  }
+  SECTION("the target refused it") {
+    TargetAnswerHead Head = RelayWorld::head(503);
+    Head.IsNotRun = true;
+    World.apply(AttemptHeadCame{Sent[0].Attempt, Head});
+    World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Complete});
+  }
+  SECTION("another target has the address") {
+    TargetAnswerHead Head = RelayWorld::head(421);
+    Head.IsOtherTarget = true;
+    World.apply(AttemptHeadCame{Sent[0].Attempt, Head});
+    World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Complete});
+  }
+  Sent = World.all<SendAttempt>();
+  REQUIRE(Sent.size() == 2);
+  // With no target left the promise is kept.
+  World.apply(AttemptEnded{Sent[1].Attempt, AttemptEnded::Kind::NeverSent});
+  const auto Refused = World.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Refusal.Ran == Execution::NotRun);
+}
+
+TEST_CASE("Relay: a promise by a target that doesn't say so is not passed on") {
+  RelayWorld World;
+  World.makeReady();
+  World.ask("/once/x");
+  const auto Sent = World.all<SendAttempt>();
+  World.apply(AttemptHeadCame{Sent[0].Attempt, RelayWorld::head(503)});
+  World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Complete});
+  CHECK(World.all<BeginAnswer>().empty());
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Ran == Execution::Unknown);
+}
+
+TEST_CASE("Relay: a caller that leaves ends its attempt") {
+  RelayWorld World;
+  World.makeReady();
+  const RequestId Request = World.ask("/plain/x");
+  World.apply(CallerGone{Request});
+  CHECK(World.all<CancelTargetAttempt>().size() == 1);
+  CHECK(World.State.Calls.empty());
+  CHECK(World.State.Attempts.empty());
+  for (const auto &[Id, Target] : World.State.Targets)
+    CHECK(Target.Outstanding == 0);
+}
+
+TEST_CASE("Relay: at the deadline the answer is final and says what is known") {
+  RelayWorld World;
+  World.makeReady();
+  World.ask("/plain/x");
+  World.passTime(Milliseconds(1000));
+  const auto Refused = World.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Refusal.Reason == RelayRefusalReason::DeadlinePassed);
+  CHECK(Refused[0].Refusal.Ran == Execution::Unknown);
+  CHECK(World.all<CancelTargetAttempt>().size() == 1);
+}
+
+TEST_CASE("Relay: leaving and lost targets get nothing new") {
+  RelayWorld World;
+  World.makeReady();
+  World.addTarget("t1", "a", true);
+  World.apply(TargetUnregistered{TargetId("t2")});
+  World.ask("/plain/x");
+  CHECK(World.all<SendAttempt>().empty());
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Reason ==
+        RelayRefusalReason::NoTarget);
+}
+
+TEST_CASE("Relay: registrations that lapse with the service come back") {
+  RelayWorld World;
+  World.makeReady();
+  World.apply(DirectoryLost{});
+  World.apply(TargetUnregistered{TargetId("t1")});
+  World.apply(TargetUnregistered{TargetId("t2")});
+  World.ask("/plain/x", "while away");
+  CHECK(World.all<SendAttempt>().size() == 1);
+  World.apply(DirectoryRegained{});
+  World.addTarget("t1");
+  World.passTime(Milliseconds(1900));
+  CHECK(World.State.Targets.size() == 2);
+  World.passTime(Milliseconds(200));
+  CHECK(World.State.Targets.size() == 1);
+}
+
+TEST_CASE("Relay: a stream ends only once its turn is durable") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(100, 20);
+  CHECK(World.sentToReplicas<OpenTurn>().size() == 3);
+  World.answerOpen("a");
+  CHECK(World.all<SendAttempt>().empty());
+  World.answerOpen("b");
+  // So near to the end of the budget the claims are read a second time.
+  CHECK(World.all<SendAttempt>().empty());
+  World.answerOpen("a");
+  World.answerOpen("c");
+  const auto Sent = World.all<SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  World.apply(AttemptHeadCame{Sent[0].Attempt, RelayWorld::head(200, true)});
+  World.apply(AttemptBytesCame{Sent[0].Attempt, "id: 1\ndata: one\n"});
+  CHECK(World.all<BeginAnswer>().empty());
+  World.apply(AttemptBytesCame{Sent[0].Attempt, "\nid: 2\ndata: two\n\n"});
+  CHECK(World.all<BeginAnswer>().size() == 1);
+  World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Complete});
+  CHECK(World.all<FinishAnswer>().empty());
+  const auto Closes = World.sentToReplicas<CloseTurn>();
+  REQUIRE(Closes.size() == 3);
+  CHECK(Closes[0].Used->Value == 20);
+  CHECK(Closes[0].Input == "input");
+  CHECK(Closes[0].Output == "one\ntwo\n");
+  World.confirmClose("a");
+  CHECK(World.all<FinishAnswer>().empty());
+  World.confirmClose("c");
+  CHECK(World.all<FinishAnswer>().size() == 1);
+  CHECK(World.State.Calls.empty());
+  CHECK(World.State.Closes.empty());
+}
+
+TEST_CASE("Relay: a stream that breaks off never looks complete") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(1000, 20);
+  World.answerOpen("a");
+  World.answerOpen("b");
+  const auto Sent = World.all<SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  World.apply(AttemptHeadCame{Sent[0].Attempt, RelayWorld::head(200, true)});
+  World.apply(AttemptBytesCame{Sent[0].Attempt, "id: 1\ndata: one\n\nid: 2"});
+  SECTION("the connection breaks") {
+    World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Broken});
+  }
+  SECTION("it ends in the middle of an event") {
+    World.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Complete});
+  }
+  CHECK(World.all<FinishAnswer>().empty());
+  CHECK(World.all<BreakAnswer>().size() == 1);
+  // What was handed out counts.
+  REQUIRE_FALSE(World.sentToReplicas<CloseTurn>().empty());
+  CHECK(World.sentToReplicas<CloseTurn>()[0].Used->Value == 10);
+  CHECK_FALSE(World.sentToReplicas<CloseTurn>()[0].IsKept);
+}
+
+TEST_CASE("Relay: a spent budget is refused before anything runs") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(100, 20);
+  const std::vector<TokenClaim> Spent = {
+      {Fingerprint(1), TokenCount{60}, true},
+      {Fingerprint(2), TokenCount{40}, false}};
+  World.answerOpen("a", false, Spent);
+  World.answerOpen("b", false, Spent);
+  CHECK(World.all<SendAttempt>().empty());
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Reason ==
+        RelayRefusalReason::BudgetExhausted);
+  CHECK(World.sentToReplicas<CloseTurn>()[0].Used->Value == 0);
+}
+
+TEST_CASE("Relay: a settled claim counts over an older open one") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(100, 20);
+  // Replica a missed the end of the turn and still has it at its most.
+  World.answerOpen("a", false, {{Fingerprint(1), TokenCount{100}, false}});
+  World.answerOpen("b", false, {{Fingerprint(1), TokenCount{10}, true}});
+  World.answerOpen("a", false, {{Fingerprint(1), TokenCount{100}, false}});
+  World.answerOpen("b", false, {{Fingerprint(1), TokenCount{10}, true}});
+  CHECK(World.all<SendAttempt>().size() == 1);
+}
+
+TEST_CASE("Relay: a turn is unknown only when a quorum says so") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(1000, 20, "turn-2", TurnId("gone"));
+  World.answerOpen("a");
+  CHECK(World.all<RefuseCaller>().empty());
+  World.answerOpen("b");
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Reason ==
+        RelayRefusalReason::UnknownTurn);
+}
+
+TEST_CASE("Relay: one replica that knows the turn is enough to go on") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(1000, 20, "turn-2", TurnId("turn-1"));
+  World.answerOpen("a");
+  World.answerOpen("b", true);
+  // The first one asked didn't have it, so that another is asked.
+  CHECK(World.all<RefuseCaller>().empty());
+  World.answerOpen("b", true, {}, "history");
+  const auto Sent = World.all<SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  CHECK(Sent[0].History == "history");
+}
+
+TEST_CASE("Relay: without a quorum turns are refused at once, and it tells") {
+  RelayWorld World;
+  World.makeReady();
+  CHECK(isRelayReady(World.State));
+  World.askTurn(1000, 20);
+  World.apply(ReplicaDisconnected{HolderId("a")});
+  CHECK(World.all<RefuseCaller>().empty());
+  World.apply(ReplicaDisconnected{HolderId("b")});
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Reason ==
+        RelayRefusalReason::LedgerUnavailable);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Ran == Execution::NotRun);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.RetryAfter > Milliseconds(0));
+  World.passTime(Milliseconds(400));
+  CHECK_FALSE(isRelayReady(World.State));
+  World.apply(ReplicaConnected{HolderId("a")});
+  CHECK(isRelayReady(World.State));
+}
+
+TEST_CASE("Relay: a newer view opens waiting turns anew") {
+  RelayWorld World;
+  World.makeReady();
+  World.askTurn(1000, 20);
+  LedgerView View = World.State.View;
+  View.Version = ViewVersion(2);
+  View.Current[2] = RelayWorld::member("d");
+  World.apply(ReplicaSaid{
+      HolderId("a"),
+      LedgerRefused{World.sentToReplicas<OpenTurn>()[0].Operation,
+                    HolderId("a"), View}});
+  CHECK(World.State.View.Version == ViewVersion(2));
+  CHECK(World.sentToReplicas<OpenTurn>().back().View == ViewVersion(2));
+  World.answerOpen("a");
+  World.answerOpen("b");
+  CHECK(World.all<SendAttempt>().size() == 1);
+}
+
+TEST_CASE("Relay: stopping lets the balancer notice, then ends when idle") {
+  RelayWorld World;
+  World.makeReady();
+  const RequestId Request = World.ask("/plain/x");
+  World.apply(RelayTerminationAsked{});
+  CHECK_FALSE(isRelayReady(World.State));
+  World.passTime(Milliseconds(500));
+  CHECK(World.all<StopAccepting>().empty());
+  World.apply(CallerGone{Request});
+  World.passTime(Milliseconds(3000));
+  CHECK(World.all<StopAccepting>().size() == 1);
+  CHECK(World.all<ExitRelay>().size() == 1);
+}
+
+TEST_CASE("Relay: a program's turns stay where its prompt is cached") {
+  RelayWorld World;
+  World.makeReady();
+  World.addTarget("t3", "b");
+  std::set<TargetId> Used;
+  for (int Turn = 0; Turn < 8; ++Turn) {
+    const RequestId Request =
+        World.askTurn(100000, 20, "turn-" + std::to_string(Turn));
+    World.answerOpen("a");
+    World.answerOpen("b");
+    Used.insert(World.all<SendAttempt>().back().Target.Id);
+    World.apply(CallerGone{Request});
+  }
+  CHECK(Used.size() == 1);
+}
+
+TEST_CASE("Relay: under load requests spread over all targets evenly") {
+  RelayWorld World;
+  World.makeReady();
+  std::map<TargetId, int> Sent;
+  for (int Number = 0; Number < 8; ++Number)
+    World.ask("/plain/x", "r" + std::to_string(Number));
+  for (const SendAttempt &Each : World.all<SendAttempt>())
+    ++Sent[Each.Target.Id];
+  REQUIRE(Sent.size() == 2);
+  CHECK(Sent.begin()->second == 4);
+}
+
+TEST_CASE("Relay: targets far beyond their slots refuse at once") {
+  RelayWorld World;
+  World.makeReady();
+  for (int Number = 0; Number < 30; ++Number)
+    World.ask("/plain/x", "r" + std::to_string(Number));
+  const auto Refused = World.all<RefuseCaller>();
+  REQUIRE_FALSE(Refused.empty());
+  CHECK(Refused[0].Refusal.Reason == RelayRefusalReason::Overloaded);
+  CHECK(Refused[0].Refusal.Ran == Execution::NotRun);
+}
+
+TEST_CASE("Events: any cut of the stream gives the same events") {
+  const std::string Stream =
+      "id: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\ndata: c\r\n\r\n";
+  for (std::size_t Step = 1; Step < Stream.size(); ++Step) {
+    EventSplitter Splitter;
+    std::vector<StreamEvent> Events;
+    for (std::size_t At = 0; At < Stream.size(); At += Step) {
+      for (StreamEvent &Each :
+           Splitter.append(std::string_view(Stream).substr(At, Step)))
+        Events.push_back(std::move(Each));
+    }
+    REQUIRE(Events.size() == 3);
+    CHECK(Events[0].Data == "a");
+    CHECK_FALSE(Events[1].HasData);
+    CHECK(Events[2].Data == "b\nc");
+    CHECK(*Events[2].Id == 2);
+    CHECK(Events[0].Bytes + Events[1].Bytes + Events[2].Bytes == Stream);
+    CHECK_FALSE(Splitter.hasPartialEvent());
+  }
+}
--- /dev/null
+++ b/packages/decision/tests/RelayWorld.h
@@ -0,0 +1,190 @@
+/// \file
+/// A relay whose callers, targets and replicas are played by the test.
+#ifndef TANAGERLANDING_DECISION_TESTS_RELAYWORLD_H
+#define TANAGERLANDING_DECISION_TESTS_RELAYWORLD_H
+
+#include "tanagerlanding/decision.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace tanagerlanding::test {
+
+/// One relay with a configuration, three replicas and two targets.
+class RelayWorld {
+public:
+  RelayWorld() {
+    this->State.Self = HostId("relay");
+    this->State.Zone = ZoneId("a");
+    this->passTime(Milliseconds(1));
+  }
+
+  /// Applies an event and keeps its effects.
+  void apply(const RelayEvent &Event) {
+    for (RelayEffect &Each : reduce(this->State, Event))
+      this->Effects.push_back(std::move(Each));
+  }
+
+  void passTime(Milliseconds Passed) {
+    this->Now = this->Now + Passed;
+    this->apply(RelayTimePassed{this->Now});
+  }
+
+  void configure(std::uint64_t Version = 1) {
+    RelayConfiguration Configuration;
+    Configuration.Version = ConfigVersion(Version);
+    RelayRoute Plain;
+    Plain.Name = RouteName("plain");
+    Plain.Host = "shop.example";
+    Plain.PathPrefix = "/plain/";
+    Plain.Services = {WeightedService{ServiceName("app"), 1}};
+    Plain.IsIdempotent = true;
+    Plain.Attempts = 2;
+    Plain.Timeout = Milliseconds(1000);
+    RelayRoute Once = Plain;
+    Once.Name = RouteName("once");
+    Once.PathPrefix = "/once/";
+    Once.IsIdempotent = false;
+    RelayRoute Turn = Once;
+    Turn.Name = RouteName("turn");
+    Turn.PathPrefix = "/turn/";
+    Turn.IsStreaming = true;
+    Turn.KeepsHistory = true;
+    Turn.Attempts = 1;
+    Turn.Retention = Milliseconds(60000);
+    Configuration.Routes = {Plain, Once, Turn};
+    RelayService Service;
+    Service.Name = ServiceName("app");
+    Service.ConnectionLimit = 32;
+    Service.TokensPerEvent = TokenCount{10};
+    Configuration.Services[Service.Name] = Service;
+    this->apply(RelayConfigured{Configuration});
+  }
+
+  void addTarget(const std::string &Name, const std::string &Zone = "a",
+                 bool IsLeaving = false) {
+    RegisteredTarget Entry;
+    Entry.Id = TargetId(Name);
+    Entry.Service = ServiceName("app");
+    Entry.Address = "10.0.0.9";
+    Entry.Port = 80;
+    Entry.Zone = ZoneId(Zone);
+    Entry.Slots = 4;
+    Entry.IsLeaving = IsLeaving;
+    this->apply(TargetRegistered{Entry});
+  }
+
+  static LedgerMember member(const std::string &Name) {
+    return LedgerMember{HolderId(Name), HostId("host-" + Name), "10.0.1.1", 90,
+                        ZoneId(Name)};
+  }
+
+  /// Connects three replicas: a, b and c.
+  void connectLedger() {
+    LedgerView View;
+    View.Version = ViewVersion(1);
+    View.Tolerated = 1;
+    View.Current = {member("a"), member("b"), member("c")};
+    this->apply(RelayViewSeen{View});
+    for (const char *Name : {"a", "b", "c"})
+      this->apply(ReplicaConnected{HolderId(Name)});
+  }
+
+  void makeReady() {
+    this->apply(DirectoryRegained{});
+    this->passTime(Milliseconds(5000));
+    this->configure();
+    this->addTarget("t1");
+    this->addTarget("t2");
+    this->connectLedger();
+    this->Effects.clear();
+  }
+
+  RequestId ask(const std::string &Path, const std::string &Id = "r1") {
+    CallerRequest Asked;
+    Asked.Id = CallerAttemptId(Id);
+    Asked.Method = "POST";
+    Asked.Host = "shop.example";
+    Asked.Target = Path;
+    Asked.Body = "input";
+    const RequestId Request(++this->LastRequest);
+    this->apply(CallerAsked{Request, Asked});
+    return Request;
+  }
+
+  RequestId askTurn(std::uint64_t Budget, std::uint64_t Most,
+                    const std::string &Id = "turn-1",
+                    std::optional<TurnId> Previous = std::nullopt) {
+    CallerRequest Asked;
+    Asked.Id = CallerAttemptId(Id);
+    Asked.Method = "POST";
+    Asked.Host = "shop.example";
+    Asked.Target = "/turn/x";
+    Asked.Body = "input";
+    Asked.Program =
+        ProgramContext{ProgramId("p"), AgentId("s"), {}, TokenCount{Budget}};
+    Asked.MostTokens = TokenCount{Most};
+    Asked.Previous = std::move(Previous);
+    const RequestId Request(++this->LastRequest);
+    this->apply(CallerAsked{Request, Asked});
+    return Request;
+  }
+
+  /// Returns the effects of one kind since the last clear.
+  template <typename Effect> std::vector<Effect> all() const {
+    std::vector<Effect> Found;
+    for (const RelayEffect &Each : this->Effects) {
+      if (const auto *Match = std::get_if<Effect>(&Each))
+        Found.push_back(*Match);
+    }
+    return Found;
+  }
+
+  template <typename Body> std::vector<Body> sentToReplicas() const {
+    std::vector<Body> Found;
+    for (const SendReplica &Each : this->all<SendReplica>()) {
+      if (const auto *Match = std::get_if<Body>(&Each.Body))
+        Found.push_back(*Match);
+    }
+    return Found;
+  }
+
+  /// Answers the last open from one replica.
+  void answerOpen(const std::string &Holder, bool KnowsPrevious = false,
+                  std::vector<TokenClaim> Claims = {},
+                  std::optional<std::string> History = std::nullopt) {
+    TurnOpened Reply;
+    Reply.Operation = this->sentToReplicas<OpenTurn>().back().Operation;
+    Reply.Holder = HolderId(Holder);
+    Reply.KnowsPrevious = KnowsPrevious;
+    Reply.Claims = std::move(Claims);
+    Reply.History = std::move(History);
+    this->apply(ReplicaSaid{Reply.Holder, Reply});
+  }
+
+  void confirmClose(const std::string &Holder) {
+    const auto Closes = this->sentToReplicas<CloseTurn>();
+    this->apply(ReplicaSaid{
+        HolderId(Holder), TurnClosed{Closes.back().Operation,
+                                     HolderId(Holder)}});
+  }
+
+  static TargetAnswerHead head(std::uint16_t Status, bool IsStream = false) {
+    TargetAnswerHead Head;
+    Head.Status = Status;
+    Head.IsSigned = true;
+    Head.IsEventStream = IsStream;
+    return Head;
+  }
+
+  RelayState State;
+  std::vector<RelayEffect> Effects;
+
+private:
+  Instant Now;
+  std::uint64_t LastRequest = 0;
+};
+
+} // namespace tanagerlanding::test
+
+#endif
--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -57,6 +57,7 @@
   const std::set<std::uint64_t> &segments() const { return this->Segments; }
 
 private:
+  Result<void, SystemError> listSegments();
   Result<void, SystemError> readHolderId();
   Result<void, SystemError> readSegment(std::uint64_t Number, bool IsLast,
                                         const Visitor &Visit);
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -7,10 +7,13 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <charconv>
+#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <optional>
 #include <sstream>
+#include <thread>
 
 namespace tanagerlanding {
 
@@ -25,11 +28,26 @@
 constexpr const char *SegmentPrefix = "segment-";
 constexpr const char *TemporarySuffix = ".new";
 constexpr int FileMode = 0644;
+constexpr int ListTries = 5;
+constexpr std::chrono::milliseconds ListPause{20};
 
 SystemError lastError(const std::string &Operation) {
   return SystemError{Operation, errno};
 }
 
+/// Returns the number in a segment's file name, or nothing for other files.
+std::optional<std::uint64_t> segmentNumberOf(const std::string &Name) {
+  const std::string Start(SegmentPrefix);
+  if (Name.compare(0, Start.size(), Start) != 0)
+    return std::nullopt;
+  std::uint64_t Number = 0;
+  const char *End = Name.data() + Name.size();
+  const auto Read = std::from_chars(Name.data() + Start.size(), End, Number);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return Number;
+}
+
 std::string frameOf(const std::string &Payload) {
   std::string Frame(HeadBytes, '\0');
   flatbuffers::WriteScalar(Frame.data(),
@@ -99,12 +117,8 @@
   if (auto Read = this->readHolderId(); !Read)
     return Read.error();
 
-  for (const fs::directory_entry &Entry : fs::directory_iterator(this->Path)) {
-    const std::string Name = Entry.path().filename().string();
-    const std::string Start(SegmentPrefix);
-    if (Name.compare(0, Start.size(), Start) == 0)
-      this->Segments.insert(std::stoull(Name.substr(Start.size())));
-  }
+  if (auto Listed = this->listSegments(); !Listed)
+    return Listed;
   for (const std::uint64_t Number : this->Segments) {
     const bool IsLast = Number == *this->Segments.rbegin();
     if (auto Read = this->readSegment(Number, IsLast, Visit); !Read)
@@ -115,6 +129,36 @@
   return this->startSegment(Next);
 }
 
+/// A listing may name a file that can't be opened: seen once after a loss of
+/// power, and right a moment later. Skipping the file could lose what was
+/// acknowledged, so that the folder is listed again instead.
+Result<void, SystemError> SegmentFolder::listSegments() {
+  SystemError Last{"list " + this->Path, 0};
+  for (int Try = 0; Try < ListTries; ++Try) {
+    this->Segments.clear();
+    std::error_code Error;
+    for (const fs::directory_entry &Entry :
+         fs::directory_iterator(this->Path, Error)) {
+      const auto Number = segmentNumberOf(Entry.path().filename().string());
+      if (Number)
+        this->Segments.insert(*Number);
+    }
+    if (Error)
+      return SystemError{"list " + this->Path, Error.value()};
+    bool AreAllThere = true;
+    for (const std::uint64_t Number : this->Segments) {
+      if (fs::exists(this->segmentPath(Number), Error))
+        continue;
+      AreAllThere = false;
+      Last = SystemError{"find " + this->segmentPath(Number), Error.value()};
+    }
+    if (AreAllThere)
+      return success();
+    std::this_thread::sleep_for(ListPause);
+  }
+  return Last;
+}
+
 Result<void, SystemError> SegmentFolder::readHolderId() {
   const std::string Known = this->readFile(HolderFile);
   if (!Known.empty()) {
--- /dev/null
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -0,0 +1,117 @@
+/// What a watcher tells when the service forgets, fails, or others know more.
+#include "tanagerlanding/keyvalue.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace tanagerlanding;
+
+namespace {
+
+/// A watcher whose service answers what the test says. The calls go to a
+/// closed port; only their number and order matter.
+class WatchWorld : public KeyWatcher::Listener {
+public:
+  WatchWorld()
+      : Service(Loop, "http://127.0.0.1:1", makeDialect()),
+        Watcher(Loop, Service, {"", Milliseconds(1000)}, *this) {}
+
+  KeyValueDialect makeDialect() {
+    KeyValueDialect Dialect;
+    Dialect.Encode = [this](const KeyValueOperation &Operation)
+        -> Result<KeyValueCall, PlatformError> {
+      this->Asked.push_back(Operation);
+      return KeyValueCall{"GET", "/", ""};
+    };
+    Dialect.Decode = [this](const KeyValueOperation &, const HttpOutcome &)
+        -> Result<KeyValueReply, PlatformError> {
+      if (this->Replies.empty())
+        return PlatformError{PlatformError::Kind::Unreachable};
+      KeyValueReply Reply = std::move(this->Replies.front());
+      this->Replies.pop_front();
+      return Reply;
+    };
+    return Dialect;
+  }
+
+  void onKeysChanged(const std::vector<KeyChange> &Changes) override {
+    for (const KeyChange &Each : Changes)
+      this->Told.push_back(Each.Item.Key + (Each.IsDeleted ? "-" : "=") +
+                           Each.Item.Value);
+  }
+  void onServiceRegained() override { ++this->Regained; }
+  void onServiceLost() override {
+    ++this->Lost;
+    this->Loop.stop();
+  }
+
+  static KeyValue item(const std::string &Key, const std::string &Value,
+                       std::int64_t At) {
+    return KeyValue{Key, Value, Revision(At)};
+  }
+
+  /// Plays all replies; the service is lost after the last one.
+  void play(std::deque<KeyValueReply> Wanted) {
+    this->Replies = std::move(Wanted);
+    this->Watcher.start();
+    this->Loop.run();
+  }
+
+  EventLoop Loop;
+  std::vector<KeyValueOperation> Asked;
+  std::deque<KeyValueReply> Replies;
+  std::vector<std::string> Told;
+  int Regained = 0;
+  int Lost = 0;
+  KeyValueClient Service;
+  KeyWatcher Watcher;
+};
+
+using Texts = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("Watcher: reads all pages, then follows changes") {
+  WatchWorld World;
+  World.play({RangePage{{WatchWorld::item("a", "1", 3)}, true, Revision(9)},
+              RangePage{{WatchWorld::item("b", "2", 4)}, false, Revision(10)},
+              WatchPage{{KeyChange{WatchWorld::item("a", "5", 11), false},
+                         KeyChange{WatchWorld::item("b", "", 12), true}},
+                        Revision(12),
+                        false}});
+  CHECK(World.Told == Texts{"a=1", "b=2", "a=5", "b-"});
+  CHECK(World.Regained == 1);
+  CHECK(World.Lost == 1);
+  // The watch begins at the first page, as pages are not a snapshot.
+  CHECK(std::get<WatchRange>(World.Asked.at(2)).After == Revision(9));
+}
+
+TEST_CASE("Watcher: a lost history is read again, and deletions are found") {
+  WatchWorld World;
+  World.play({RangePage{{WatchWorld::item("a", "1", 3),
+                         WatchWorld::item("b", "2", 4)},
+                        false,
+                        Revision(9)},
+              WatchPage{{}, Revision(), true},
+              RangePage{{WatchWorld::item("b", "2", 4),
+                         WatchWorld::item("c", "3", 14)},
+                        false,
+                        Revision(20)}});
+  CHECK(World.Told == Texts{"a=1", "b=2", "a-", "c=3"});
+}
+
+TEST_CASE("Watcher: what others offer is taken once, and never goes back") {
+  WatchWorld World;
+  World.play({RangePage{{WatchWorld::item("a", "1", 3)}, false, Revision(9)}});
+  World.Told.clear();
+  // Older than what the service told, and deleted by then.
+  World.Watcher.offer({KeyChange{WatchWorld::item("gone", "x", 5), false}});
+  World.Watcher.offer({KeyChange{WatchWorld::item("a", "0", 2), false}});
+  CHECK(World.Told.empty());
+  World.Watcher.offer({KeyChange{WatchWorld::item("a", "2", 11), false}});
+  World.Watcher.offer({KeyChange{WatchWorld::item("a", "2", 11), false}});
+  World.Watcher.offer({KeyChange{WatchWorld::item("a", "", 12), true}});
+  World.Watcher.offer({KeyChange{WatchWorld::item("a", "2", 11), false}});
+  CHECK(World.Told == Texts{"a=2", "a-"});
+}
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr Milliseconds TickInterval{100};
-/// Well within the hub's idle limit.
-constexpr Milliseconds HeartbeatInterval{800};
+/// Several fit into PeerIdleLimit.
+constexpr Milliseconds HeartbeatInterval{400};
 constexpr Milliseconds FlushLimit{300};
 /// Configurations have to be in force two seconds after they are accepted. A
 /// watch that waits while the service forgets its history may hear nothing, so
@@ -100,7 +100,7 @@
                              DirectoryProtocol Directory,
                              KeyValueDialect Dialect)
     : Settings(Settings), Directory(std::move(Directory)), Timers(Loop),
-      Hub(Loop, *this), Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
+      Hub(Loop, *this, PeerIdleLimit), Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
       Keys(Loop, Service, {{}, WatchWait}, *this), Registration(Loop, Service),
       Folder(Settings.DataFolder), Instance(makeUniqueId()) {}
 
--- /dev/null
+++ b/packages/ledger/tests/LedgerFolderTest.cpp
@@ -0,0 +1,120 @@
+/// What a ledger folder has after restarts.
+#include "tanagerlanding/ledger/LedgerWriter.h"
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+
+using namespace tanagerlanding;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/// A folder that goes with the test.
+class TemporaryFolder {
+public:
+  TemporaryFolder()
+      : Path(fs::temp_directory_path() /
+             ("tanagerlanding-ledger-" + std::to_string(::getpid()))) {
+    fs::remove_all(this->Path);
+  }
+  ~TemporaryFolder() { fs::remove_all(this->Path); }
+
+  const fs::path Path;
+};
+
+LedgerBatch batchOf(const std::string &Turn) {
+  LedgerBatch Batch;
+  Batch.Retention = Milliseconds(60000);
+  Batch.Records = {
+      TurnKept{TurnId(Turn), std::nullopt, "in-" + Turn, "out-" + Turn, {}}};
+  return Batch;
+}
+
+std::vector<std::string> turnsIn(const fs::path &Path) {
+  LedgerFolder Folder(Path.string());
+  std::vector<std::string> Turns;
+  REQUIRE(Folder.open([&](LedgerBatch Batch, RecordPlace) {
+    Turns.push_back(std::get<TurnKept>(Batch.Records.at(0)).Turn.Value);
+  }));
+  return Turns;
+}
+
+} // namespace
+
+TEST_CASE("Ledger folder: batches, view and directory outlive the process") {
+  TemporaryFolder Place;
+  HolderId Holder;
+  {
+    LedgerFolder Folder(Place.Path.string());
+    REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+    Holder = Folder.holder();
+    const auto First = Folder.append(batchOf("t1"));
+    const auto Second = Folder.append(batchOf("t2"));
+    REQUIRE(First);
+    REQUIRE(Second);
+    REQUIRE(Folder.sync());
+    CHECK(Folder
+              .readHistory({{TurnId("t1"), First.value()},
+                            {TurnId("t2"), Second.value()}})
+              .value() == "in-t1out-t1in-t2out-t2");
+    LedgerView View;
+    View.Version = ViewVersion(4);
+    REQUIRE(Folder.writeView(View));
+    REQUIRE(Folder.writeDirectory(
+        DirectoryChanges{{DirectoryItem{"k", "v", Revision(2), false}}}));
+  }
+  LedgerFolder Folder(Place.Path.string());
+  REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+  CHECK(Folder.holder() == Holder);
+  CHECK(Folder.readView().Version == ViewVersion(4));
+  CHECK(Folder.readDirectory().Items.at(0).Value == "v");
+}
+
+TEST_CASE("Ledger folder: a torn end is cut, what is before it stays") {
+  TemporaryFolder Place;
+  {
+    LedgerFolder Folder(Place.Path.string());
+    REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+    REQUIRE(Folder.append(batchOf("t1")));
+    REQUIRE(Folder.append(batchOf("t2")));
+    REQUIRE(Folder.sync());
+  }
+  const fs::path Segment = Place.Path / "segment-1";
+  fs::resize_file(Segment, fs::file_size(Segment) - 3);
+  CHECK(turnsIn(Place.Path) == std::vector<std::string>{"t1"});
+  CHECK(turnsIn(Place.Path) == std::vector<std::string>{"t1"});
+}
+
+TEST_CASE("Ledger folder: other files and odd names are left alone") {
+  TemporaryFolder Place;
+  fs::create_directories(Place.Path);
+  std::ofstream(Place.Path / "segment-x") << "?";
+  std::ofstream(Place.Path / "notes") << "?";
+  CHECK(turnsIn(Place.Path).empty());
+}
+
+TEST_CASE("Ledger writer: reports each batch once it is durable") {
+  TemporaryFolder Place;
+  LedgerFolder Folder(Place.Path.string());
+  REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::size_t Stored = 0;
+  LedgerWriter Writer(Folder, [&](const std::vector<LedgerEvent> &Events) {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    for (const LedgerEvent &Each : Events)
+      Stored += std::holds_alternative<LedgerBatchStored>(Each) ? 1 : 0;
+    Changed.notify_one();
+  });
+  for (std::uint64_t Ticket = 1; Ticket <= 20; ++Ticket)
+    Writer.submit(PersistLedgerBatch{Ticket, batchOf(std::to_string(Ticket))});
+  Writer.submitDirectory({});
+  std::unique_lock<std::mutex> Guard(Lock);
+  CHECK(Changed.wait_for(Guard, std::chrono::seconds(10),
+                         [&] { return Stored == 20; }));
+}
--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/relay/include/tanagerlanding/relay/CallerServer.h
@@ -52,8 +52,8 @@
   /// Closes the connection in the middle of an answer.
   void breakOff(RequestId Request);
 
-  /// Ends every connection with its next answer.
-  void startDraining() { this->IsDraining = true; }
+  /// While set, every connection ends with its next answer.
+  void setDraining(bool IsWanted) { this->IsDraining = IsWanted; }
   /// Takes no new connections and closes those without a request.
   void stopAccepting();
 
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -8,8 +8,8 @@
 
 /// Deadlines and limits are hundreds of milliseconds; this is their precision.
 constexpr Milliseconds TickInterval{25};
-/// Well within the hub's idle limit.
-constexpr Milliseconds HeartbeatInterval{800};
+/// Several fit into PeerIdleLimit.
+constexpr Milliseconds HeartbeatInterval{400};
 constexpr Milliseconds MetricsInterval{2000};
 constexpr Milliseconds FlushPause{5};
 /// What is left of the grace before the kill for the process's own end.
@@ -86,7 +86,7 @@
 RelayProcess::RelayProcess(const RelaySettings &Settings,
                            DeploymentProtocols Protocols)
     : Settings(Settings), Protocols(std::move(Protocols)), Timers(Loop),
-      Hub(Loop, *this),
+      Hub(Loop, *this, PeerIdleLimit),
       Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
       Keys(Loop, Service, {}, *this),
       Callers(Loop, this->Protocols.Relay, *this),
@@ -115,7 +115,6 @@
     logEvent("settings_reload_ignored", {{"host", this->Settings.Host.Value}});
   });
   this->Loop.onTermination([this] {
-    this->Callers.startDraining();
     this->apply(RelayTerminationAsked{});
   });
   if (auto Listening = this->Callers.listen(this->Settings.Callers.Address,
@@ -146,7 +145,10 @@
   EffectPerformer Perform(*this);
   for (const RelayEffect &Effect : reduce(this->State, Event))
     std::visit(Perform, Effect);
-  this->IsReady = isRelayReady(this->State);
+  const bool IsReadyNow = isRelayReady(this->State);
+  this->IsReady = IsReadyNow;
+  // Callers come back through the balancer, which sends them elsewhere.
+  this->Callers.setDraining(!IsReadyNow);
 }
 
 void RelayProcess::onCallerRequest(RequestId Request, CallerRequest Asked) {
--- /dev/null
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -0,0 +1,227 @@
+/// What targets may answer, and what is made of it.
+#include "SocketPair.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::test;
+
+namespace {
+
+/// A client and one raw target.
+class TargetWorld : public AttemptClient::Listener {
+public:
+  TargetWorld()
+      : Protocol(makeTestProtocol()), Client(Loop, Protocol, *this),
+        Acceptor(Loop.context(),
+                 {boost::asio::ip::address_v4::loopback(), 0}) {
+    this->accept();
+  }
+
+  void onAttemptHead(RelayAttemptId, const TargetAnswerHead &Head) override {
+    this->Statuses.push_back(Head.Status);
+  }
+  void onAttemptBytes(RelayAttemptId, std::string Bytes) override {
+    this->Body += Bytes;
+  }
+  void onAttemptEnd(RelayAttemptId, AttemptEnded::Kind Ended) override {
+    this->Ends.push_back(Ended);
+  }
+
+  void accept() {
+    auto Fresh = std::make_unique<RawPeer>(this->Loop);
+    RawPeer &Target = *Fresh;
+    this->Targets.push_back(std::move(Fresh));
+    this->Acceptor.async_accept(Target.Socket, [&](const auto &Error) {
+      if (Error)
+        return;
+      ++this->Accepted;
+      Target.read();
+      this->accept();
+    });
+  }
+
+  AttemptClient::Request request(const std::string &Id) {
+    AttemptClient::Request Asked;
+    Asked.Attempt = RelayAttemptId(++this->LastAttempt);
+    Asked.Address = "127.0.0.1";
+    Asked.Port = this->Acceptor.local_endpoint().port();
+    Asked.Method = "POST";
+    Asked.Target = "/a%2F../b?z=1&z=2&flag";
+    Asked.Headers = {{"Host", "h"}, {"Id", Id}, {"Odd", "x"}};
+    Asked.Body = "body";
+    Asked.Expected = CallerAttemptId(Id);
+    Asked.IdleLimit = 4;
+    return Asked;
+  }
+
+  /// Sends a request and waits until the target has it whole.
+  RawPeer &send(const std::string &Id) {
+    this->Client.send(this->request(Id));
+    RawPeer *Target = nullptr;
+    REQUIRE(runUntil(this->Loop, [&] {
+      for (const auto &Each : this->Targets) {
+        if (Each->has("Id: " + Id + "\r\n") && Each->has("\r\n\r\nbody"))
+          Target = Each.get();
+      }
+      return Target != nullptr;
+    }));
+    return *Target;
+  }
+
+  bool awaitEnds(std::size_t Count) {
+    return runUntil(this->Loop, [&] { return this->Ends.size() >= Count; });
+  }
+
+  EventLoop Loop;
+  const RelayProtocol Protocol;
+  AttemptClient Client;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::vector<std::unique_ptr<RawPeer>> Targets;
+  std::size_t Accepted = 0;
+  std::uint64_t LastAttempt = 0;
+  std::vector<std::uint16_t> Statuses;
+  std::string Body;
+  std::vector<AttemptEnded::Kind> Ends;
+};
+
+using Kind = AttemptEnded::Kind;
+
+} // namespace
+
+TEST_CASE("Targets: a request arrives byte for byte, without additions") {
+  TargetWorld World;
+  const RawPeer &Target = World.send("1");
+  CHECK(Target.Got == "POST /a%2F../b?z=1&z=2&flag HTTP/1.1\r\nHost: h\r\n"
+                      "Id: 1\r\nOdd: x\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+TEST_CASE("Targets: a whole answer keeps the connection for the next") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  Target.send("HTTP/1.1 100 Continue\r\n\r\n");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(World.awaitEnds(1));
+  CHECK(World.Ends[0] == Kind::Complete);
+  CHECK(World.Statuses == std::vector<std::uint16_t>{200});
+  CHECK(World.Body == "ok");
+  World.send("2");
+  CHECK(World.Accepted == 1);
+}
+
+TEST_CASE("Targets: answers that are cut are never complete") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  SECTION("within a length") {
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok");
+  }
+  SECTION("within chunks") {
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nok\r\n");
+  }
+  SECTION("within the head") { Target.send("HTTP/1.1 200 OK\r\nId"); }
+  SECTION("before anything") {}
+  SECTION("bytes that are no answer") { Target.send("rubbish\r\n\r\n"); }
+  Target.Socket.close();
+  REQUIRE(World.awaitEnds(1));
+  CHECK(World.Ends[0] == Kind::Broken);
+}
+
+TEST_CASE("Targets: an answer without a length ends with its connection") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall of it");
+  REQUIRE(runUntil(World.Loop, [&] { return World.Body == "all of it"; }));
+  SECTION("a close completes it") {
+    Target.Socket.close();
+    REQUIRE(World.awaitEnds(1));
+    CHECK(World.Ends[0] == Kind::Complete);
+  }
+  SECTION("a reset doesn't") {
+    Target.Socket.set_option(boost::asio::socket_base::linger(true, 0));
+    Target.Socket.close();
+    REQUIRE(World.awaitEnds(1));
+    CHECK(World.Ends[0] == Kind::Broken);
+  }
+}
+
+TEST_CASE("Targets: an answer to another request is skipped") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nwrong"
+              "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nright");
+  REQUIRE(World.awaitEnds(1));
+  CHECK(World.Ends[0] == Kind::Complete);
+  CHECK(World.Body == "right");
+}
+
+TEST_CASE("Targets: an answer without an id is not one, but for refusals") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  SECTION("success") {
+    Target.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(World.awaitEnds(1));
+    CHECK(World.Ends[0] == Kind::Broken);
+  }
+  SECTION("not run") {
+    Target.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(World.awaitEnds(1));
+    CHECK(World.Ends[0] == Kind::Complete);
+  }
+}
+
+TEST_CASE("Targets: a connection with bytes to spare is not used again") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(World.awaitEnds(1));
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nextra");
+  REQUIRE(runUntil(World.Loop, [&] { return Target.IsClosed; }));
+  World.send("2");
+  CHECK(World.Accepted == 2);
+  CHECK(World.Body == "ok");
+}
+
+TEST_CASE("Targets: an early answer to a long body ends the connection") {
+  TargetWorld World;
+  AttemptClient::Request Asked = World.request("1");
+  Asked.Body = std::string(32 * 1024 * 1024, 'x');
+  World.Client.send(Asked);
+  REQUIRE(runUntil(World.Loop, [&] {
+    return World.Accepted == 1 && World.Targets[0]->has("Id: 1");
+  }));
+  World.Targets[0]->send(
+      "HTTP/1.1 500 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(World.awaitEnds(1));
+  CHECK(World.Ends[0] == Kind::Complete);
+  REQUIRE(runUntil(World.Loop, [&] { return World.Targets[0]->IsClosed; }));
+}
+
+TEST_CASE("Targets: nothing is sent again where a kept connection breaks") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(World.awaitEnds(1));
+  World.send("2");
+  Target.Socket.close();
+  REQUIRE(World.awaitEnds(2));
+  CHECK(World.Ends[1] == Kind::Broken);
+  CHECK(World.Accepted == 1);
+}
+
+TEST_CASE("Targets: a closed port means that nothing was sent") {
+  TargetWorld World;
+  AttemptClient::Request Asked = World.request("1");
+  Asked.Port = freeTestPort(World.Loop);
+  World.Client.send(Asked);
+  REQUIRE(World.awaitEnds(1));
+  CHECK(World.Ends[0] == Kind::NeverSent);
+}
+
+TEST_CASE("Targets: cancelling closes the connection and ends the reports") {
+  TargetWorld World;
+  RawPeer &Target = World.send("1");
+  World.Client.cancel(RelayAttemptId(1));
+  REQUIRE(runUntil(World.Loop, [&] { return Target.IsClosed; }));
+  CHECK(World.Ends.empty());
+}
--- /dev/null
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -0,0 +1,220 @@
+/// What callers may send, and what they get.
+#include "SocketPair.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::test;
+
+namespace {
+
+/// A server whose requests and departures are kept.
+class CallerWorld : public CallerServer::Listener {
+public:
+  CallerWorld() : Protocol(makeTestProtocol()), Server(Loop, Protocol, *this) {
+    this->Port = freeTestPort(this->Loop);
+    REQUIRE(this->Server.listen("127.0.0.1", this->Port));
+  }
+
+  void onCallerRequest(RequestId Request, CallerRequest Asked) override {
+    this->Ids.push_back(Request);
+    this->Asked.push_back(std::move(Asked));
+  }
+  void onCallerGone(RequestId Request) override {
+    this->Gone.push_back(Request);
+  }
+
+  bool awaitRequests(std::size_t Count) {
+    return runUntil(this->Loop,
+                    [&] { return this->Asked.size() >= Count; });
+  }
+
+  void answer(std::size_t Index, const std::string &Body) {
+    TargetAnswerHead Head;
+    Head.Status = 200;
+    Head.Headers = {{"Id", this->Asked[Index].Id.Value}, {"X", "1"}, {"X", "2"}};
+    this->Server.begin(this->Ids[Index], Head, Body.size());
+    this->Server.send(this->Ids[Index], Body);
+    this->Server.finish(this->Ids[Index]);
+  }
+
+  EventLoop Loop;
+  const RelayProtocol Protocol;
+  CallerServer Server;
+  std::uint16_t Port = 0;
+  std::vector<RequestId> Ids;
+  std::vector<CallerRequest> Asked;
+  std::vector<RequestId> Gone;
+};
+
+const std::string Plain = "GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("Callers: path, query and headers arrive byte for byte") {
+  CallerWorld World;
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send("POST /a%2F../b?z=1&a=2&m=%20x&z=3&flag HTTP/1.1\r\nHost: h\r\n"
+              "Id: 1\r\nOdd: one\r\nOdd: two\r\nContent-Length: 4\r\n\r\nbody");
+  REQUIRE(World.awaitRequests(1));
+  CHECK(World.Asked[0].Target == "/a%2F../b?z=1&a=2&m=%20x&z=3&flag");
+  CHECK(World.Asked[0].Body == "body");
+  const HeaderFields Expected = {
+      {"Host", "h"}, {"Id", "1"}, {"Odd", "one"}, {"Odd", "two"}};
+  CHECK(World.Asked[0].Headers == Expected);
+  World.answer(0, "answer");
+  REQUIRE(runUntil(World.Loop, [&] { return Caller.has("answer"); }));
+  CHECK(Caller.has("X: 1\r\nX: 2\r\n"));
+  CHECK(Caller.has("Content-Length: 6\r\n"));
+}
+
+TEST_CASE("Callers: chunked bodies are taken whole") {
+  CallerWorld World;
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n");
+  CHECK_FALSE(runUntil(
+      World.Loop, [&] { return !World.Asked.empty(); }, Milliseconds(50)));
+  Caller.send("0\r\n\r\n");
+  REQUIRE(World.awaitRequests(1));
+  CHECK(World.Asked[0].Body == "abcde");
+}
+
+TEST_CASE("Callers: what could hide a second request is refused") {
+  const std::string Start = "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n";
+  const std::string Smuggled = "GET /evil HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n";
+  for (const char *Lengths :
+       {"Content-Length: 4\r\nContent-Length: 9\r\n",
+        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: identity, chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Content-Length: 4x\r\n"}) {
+    CallerWorld World;
+    RawPeer Caller(World.Loop);
+    Caller.connect(World.Port);
+    Caller.send(Start + Lengths + "\r\n0\r\n\r\n" + Smuggled);
+    REQUIRE(runUntil(World.Loop, [&] { return Caller.has("400"); }));
+    REQUIRE(runUntil(World.Loop, [&] { return Caller.IsClosed; }));
+    CHECK(World.Asked.empty());
+  }
+}
+
+TEST_CASE("Callers: limits on headers, bodies and time") {
+  CallerWorld World;
+  CallerLimits Limits;
+  Limits.HeaderBytes = 512;
+  Limits.BodyBytes = 10;
+  Limits.HeaderTimeout = Milliseconds(300);
+  World.Server.setLimits(Limits);
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  SECTION("headers") {
+    Caller.send("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(600, 'x') +
+                "\r\n\r\n");
+    CHECK(runUntil(World.Loop, [&] { return Caller.has("431"); }));
+  }
+  SECTION("body") {
+    Caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                "Content-Length: 11\r\n\r\n");
+    CHECK(runUntil(World.Loop, [&] { return Caller.has("413"); }));
+  }
+  SECTION("time for the headers") {
+    Caller.send("GET /a HTTP/1.1\r\nHost");
+    CHECK(runUntil(World.Loop, [&] { return Caller.has("408"); }));
+  }
+  SECTION("a request line that is none") {
+    Caller.send("nonsense\r\n\r\n");
+    CHECK(runUntil(World.Loop, [&] { return Caller.has("400"); }));
+  }
+  CHECK(World.Asked.empty());
+}
+
+TEST_CASE("Callers: a caller that waits for the go-ahead gets it") {
+  CallerWorld World;
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nExpect: 100-continue\r\n"
+              "Content-Length: 4\r\n\r\n");
+  REQUIRE(runUntil(World.Loop, [&] { return Caller.has("100 Continue"); }));
+  Caller.send("body");
+  REQUIRE(World.awaitRequests(1));
+  CHECK(World.Asked[0].Body == "body");
+}
+
+TEST_CASE("Callers: requests sent ahead are answered in order") {
+  CallerWorld World;
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send(Plain + "GET /b HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n");
+  REQUIRE(World.awaitRequests(1));
+  CHECK_FALSE(runUntil(
+      World.Loop, [&] { return World.Asked.size() > 1; }, Milliseconds(50)));
+  World.answer(0, "first");
+  REQUIRE(World.awaitRequests(2));
+  CHECK(World.Asked[1].Target == "/b");
+  World.answer(1, "second");
+  REQUIRE(runUntil(World.Loop, [&] { return Caller.has("second"); }));
+  CHECK(Caller.Got.find("first") < Caller.Got.find("second"));
+  CHECK_FALSE(Caller.IsClosed);
+}
+
+TEST_CASE("Callers: one who leaves before its answer is told of") {
+  CallerWorld World;
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send(Plain);
+  REQUIRE(World.awaitRequests(1));
+  SECTION("close") { Caller.Socket.close(); }
+  SECTION("half close") {
+    Caller.Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  }
+  SECTION("reset") {
+    Caller.Socket.set_option(boost::asio::socket_base::linger(true, 0));
+    Caller.Socket.close();
+  }
+  REQUIRE(runUntil(World.Loop, [&] { return !World.Gone.empty(); }));
+  CHECK(World.Gone[0] == World.Ids[0]);
+  // A late answer goes nowhere.
+  World.answer(0, "late");
+}
+
+TEST_CASE("Callers: an answer that breaks off has no end") {
+  CallerWorld World;
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send(Plain);
+  REQUIRE(World.awaitRequests(1));
+  TargetAnswerHead Head;
+  Head.Status = 200;
+  World.Server.begin(World.Ids[0], Head, std::nullopt);
+  World.Server.send(World.Ids[0], "piece");
+  REQUIRE(runUntil(World.Loop, [&] { return Caller.has("piece"); }));
+  World.Server.breakOff(World.Ids[0]);
+  REQUIRE(runUntil(World.Loop, [&] { return Caller.IsClosed; }));
+  CHECK(Caller.has("Transfer-Encoding: chunked"));
+  CHECK_FALSE(Caller.has("0\r\n\r\n"));
+}
+
+TEST_CASE("Callers: connections are kept while idle, and end when draining") {
+  CallerWorld World;
+  CallerLimits Limits;
+  Limits.IdleTimeout = Milliseconds(1500);
+  World.Server.setLimits(Limits);
+  RawPeer Caller(World.Loop);
+  Caller.connect(World.Port);
+  Caller.send(Plain);
+  REQUIRE(World.awaitRequests(1));
+  World.answer(0, "first");
+  // Four fifths of the limit.
+  CHECK_FALSE(runUntil(
+      World.Loop, [&] { return Caller.IsClosed; }, Milliseconds(1200)));
+  World.Server.setDraining(true);
+  Caller.send(Plain);
+  REQUIRE(World.awaitRequests(2));
+  World.answer(1, "second");
+  REQUIRE(runUntil(World.Loop, [&] { return Caller.IsClosed; }));
+  CHECK(Caller.has("second"));
+  CHECK(Caller.has("Connection: close"));
+}
--- /dev/null
+++ b/packages/relay/tests/SocketPair.h
@@ -0,0 +1,142 @@
+/// \file
+/// Raw TCP peers for tests of the relay's connections.
+#ifndef TANAGERLANDING_RELAY_TESTS_SOCKETPAIR_H
+#define TANAGERLANDING_RELAY_TESTS_SOCKETPAIR_H
+
+#include "tanagerlanding/relay.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace tanagerlanding::test {
+
+/// How these tests' callers and targets speak: an attempt's id is in "Id", and
+/// a signed answer has "Signed".
+inline RelayProtocol makeTestProtocol() {
+  const auto Find = [](const HeaderFields &Headers, const std::string &Name) {
+    for (const auto &[Key, Value] : Headers) {
+      if (Key == Name)
+        return std::optional<std::string>(Value);
+    }
+    return std::optional<std::string>();
+  };
+  RelayProtocol Protocol;
+  Protocol.DecodeRequest =
+      [Find](RawRequest Raw) -> Result<CallerRequest, RelayRefusalReason> {
+    const auto Id = Find(Raw.Headers, "Id");
+    if (!Id)
+      return RelayRefusalReason::Malformed;
+    CallerRequest Asked;
+    Asked.Id = CallerAttemptId(*Id);
+    Asked.Method = Raw.Method;
+    Asked.Target = Raw.Target;
+    Asked.Headers = Raw.Headers;
+    Asked.Body = Raw.Body;
+    return Asked;
+  };
+  Protocol.EncodeAttempt = [](const CallerRequest &Asked, const SendAttempt &) {
+    return Asked.Headers;
+  };
+  Protocol.DecodeTargetHead = [Find](std::uint16_t Status,
+                                     HeaderFields Headers) {
+    DecodedTargetHead Decoded;
+    Decoded.Head.Status = Status;
+    if (const auto Id = Find(Headers, "Id"))
+      Decoded.Answers = CallerAttemptId(*Id);
+    Decoded.Head.IsNotRun = Find(Headers, "Not-Run").has_value();
+    Decoded.Head.Headers = std::move(Headers);
+    return Decoded;
+  };
+  Protocol.EncodeRefusal = [](const RelayRefusal &Refusal,
+                              const CallerAttemptId &) {
+    RefusalHead Head;
+    switch (Refusal.Reason) {
+    case RelayRefusalReason::BodyTooLarge:
+      Head.Status = 413;
+      break;
+    case RelayRefusalReason::HeadersTooLarge:
+      Head.Status = 431;
+      break;
+    case RelayRefusalReason::HeadersLate:
+      Head.Status = 408;
+      break;
+    default:
+      Head.Status = 400;
+    }
+    return Head;
+  };
+  return Protocol;
+}
+
+/// Runs the loop's handlers until Condition holds; false after Limit.
+inline bool runUntil(EventLoop &Loop, const std::function<bool()> &Condition,
+                     Milliseconds Limit = Milliseconds(5000)) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  Loop.context().restart();
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    Loop.context().run_one_for(std::chrono::milliseconds(5));
+    Loop.context().restart();
+  }
+  return true;
+}
+
+/// A raw peer on loopback that gathers what it gets.
+class RawPeer {
+public:
+  using tcp = boost::asio::ip::tcp;
+
+  explicit RawPeer(EventLoop &Loop) : Socket(Loop.context()) {}
+
+  void connect(std::uint16_t Port) {
+    this->Socket.connect(
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), Port));
+    this->read();
+  }
+
+  void read() {
+    this->Socket.async_read_some(
+        boost::asio::buffer(this->Input),
+        [this](const auto &Error, std::size_t Count) {
+          this->Got.append(this->Input.data(), Count);
+          if (Error)
+            this->IsClosed = true;
+          else
+            this->read();
+        });
+  }
+
+  void send(const std::string &Bytes) {
+    boost::system::error_code Ignored;
+    boost::asio::write(this->Socket, boost::asio::buffer(Bytes), Ignored);
+  }
+
+  bool has(const std::string &Text) const {
+    return this->Got.find(Text) != std::string::npos;
+  }
+
+  tcp::socket Socket;
+  std::string Got;
+  bool IsClosed = false;
+
+private:
+  std::array<char, 4096> Input{};
+};
+
+/// Returns a port on loopback that is free now.
+inline std::uint16_t freeTestPort(EventLoop &Loop) {
+  boost::asio::ip::tcp::acceptor Probe(
+      Loop.context(),
+      {boost::asio::ip::address_v4::loopback(), 0});
+  return Probe.local_endpoint().port();
+}
+
+} // namespace tanagerlanding::test
+
+#endif
--- a/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
+++ b/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
@@ -16,11 +16,16 @@
 
 namespace tanagerlanding {
 
+/// Five heartbeats of an entry.
+constexpr Milliseconds DefaultIdleLimit{2500};
+/// Between relays and replicas, whose heartbeats come every 400 ms: a relay
+/// that is cut off has to tell the balancer soon.
+constexpr Milliseconds PeerIdleLimit{1500};
+
 /// Keeps TCP connections and passes messages over them.
 ///
 /// listen() takes connections from others; keepConnected() makes one and
-/// makes it anew whenever it is gone. A connection over which nothing has
-/// come for IdleLimit is closed. All on the loop's thread.
+/// makes it anew whenever it is gone. All on the loop's thread.
 class ConnectionHub {
 public:
   /// Hears what happens to connections.
@@ -32,7 +37,9 @@
     virtual void onClosed(ConnectionId Id) = 0;
   };
 
-  ConnectionHub(EventLoop &Loop, Listener &Heard);
+  /// A connection over which nothing has come for IdleLimit is closed.
+  ConnectionHub(EventLoop &Loop, Listener &Heard,
+                Milliseconds IdleLimit = DefaultIdleLimit);
   ~ConnectionHub();
   ConnectionHub(const ConnectionHub &) = delete;
   ConnectionHub &operator=(const ConnectionHub &) = delete;
@@ -78,6 +85,7 @@
 
   EventLoop &Loop;
   Listener &Heard;
+  const Milliseconds IdleLimit;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::steady_timer IdleTimer;
   std::uint64_t NextId = 1;
--- a/packages/runtime/src/ConnectionHub.cpp
+++ b/packages/runtime/src/ConnectionHub.cpp
@@ -13,9 +13,11 @@
 
 using boost::asio::ip::tcp;
 
-constexpr Milliseconds IdleLimit{2500};
 constexpr Milliseconds IdleCheckInterval{250};
 constexpr Milliseconds RedialPause{100};
+/// A packet that opens a connection and is lost is sent again after seconds
+/// only; dialling anew is faster once a path is back.
+constexpr Milliseconds DialLimit{600};
 constexpr Milliseconds FlushCheckInterval{5};
 constexpr std::size_t ReadBytes = 64 * 1024;
 constexpr std::size_t MaxQueuedBytes = 256 * 1024 * 1024;
@@ -49,8 +51,9 @@
   ConnectionId Link;
 };
 
-ConnectionHub::ConnectionHub(EventLoop &Loop, Listener &Heard)
-    : Loop(Loop), Heard(Heard), Acceptor(Loop.context()),
+ConnectionHub::ConnectionHub(EventLoop &Loop, Listener &Heard,
+                             Milliseconds IdleLimit)
+    : Loop(Loop), Heard(Heard), IdleLimit(IdleLimit), Acceptor(Loop.context()),
       IdleTimer(Loop.context()) {
   this->watchIdle();
 }
@@ -121,14 +124,23 @@
 
 void ConnectionHub::dial(const std::shared_ptr<Dialler> &Target) {
   Target->Socket = tcp::socket(this->Loop.context());
+  Target->Timer.expires_after(DialLimit);
+  Target->Timer.async_wait(
+      [Kept = std::weak_ptr<Dialler>(Target)](const auto &Error) {
+        const auto Address = Kept.lock();
+        boost::system::error_code Ignored;
+        if (Address && !Error)
+          Address->Socket.close(Ignored);
+      });
   // A handler may be queued already when the address is dropped.
   Target->Socket.async_connect(
       Target->Address,
       [this, Kept = std::weak_ptr<Dialler>(Target)](const auto &Error) {
         const auto Address = Kept.lock();
-        if (!Address || Error == boost::asio::error::operation_aborted)
+        if (!Address)
           return;
-        if (Error) {
+        Address->Timer.cancel();
+        if (Error || !Address->Socket.is_open()) {
           this->redial(Address);
           return;
         }
@@ -257,7 +269,7 @@
       return;
     std::vector<ConnectionId> Idle;
     for (const auto &[Id, Link] : this->Connections) {
-      if (this->Loop.now() - Link->LastHeard >= IdleLimit)
+      if (this->Loop.now() - Link->LastHeard >= this->IdleLimit)
         Idle.push_back(Id);
     }
     for (const ConnectionId Id : Idle)
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -79,6 +79,7 @@
     Table.previous = textOf(Kept.Previous);
     Table.input = Kept.Input;
     Table.output = Kept.Output;
+    Table.target = Kept.Target.Value;
     this->Row.body.Set(std::move(Table));
   }
 
@@ -96,7 +97,7 @@
   if (const auto *Turn = Row.body.AsRecordTurn())
     return TurnKept{TurnId(Turn->turn),
                     optionalTurn(Turn->has_previous, Turn->previous),
-                    Turn->input, Turn->output};
+                    Turn->input, Turn->output, TargetId(Turn->target)};
   const auto *Claim = Row.body.AsRecordClaim();
   if (Claim && Claim->claim)
     return TokensClaimed{ProgramId(Claim->program), fromRow(*Claim->claim)};
@@ -162,6 +163,7 @@
   Table.operation = Body.Operation.Value;
   Table.holder = Body.Holder.Value;
   Table.knows_previous = Body.KnowsPrevious;
+  Table.previous_target = Body.PreviousTarget.Value;
   Table.has_history = Body.History.has_value();
   Table.history = Body.History.value_or(std::string());
   Table.has_missing = Body.MissingTurn.has_value();
@@ -176,6 +178,7 @@
   Body.Operation = LedgerOperationId(Table.operation);
   Body.Holder = HolderId(Table.holder);
   Body.KnowsPrevious = Table.knows_previous;
+  Body.PreviousTarget = TargetId(Table.previous_target);
   if (Table.has_history)
     Body.History = Table.history;
   Body.MissingTurn = optionalTurn(Table.has_missing, Table.missing);
@@ -197,6 +200,7 @@
   Table.previous = textOf(Body.Previous);
   Table.input = Body.Input;
   Table.output = Body.Output;
+  Table.target = Body.Target.Value;
   Table.retention_ms = Body.Retention.count();
   return Table;
 }
@@ -213,6 +217,7 @@
   Body.Previous = optionalTurn(Table.has_previous, Table.previous);
   Body.Input = Table.input;
   Body.Output = Table.output;
+  Body.Target = TargetId(Table.target);
   Body.Retention = Milliseconds(Table.retention_ms);
   return Body;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -52,6 +52,35 @@
       ProgramSnapshot{ProgramId("p"), Ledger}};
 }
 
+LedgerView sampleView() {
+  const LedgerMember Member{HolderId("h"), HostId("host"), "10.0.0.1", 80,
+                            ZoneId("z")};
+  return LedgerView{ViewVersion(2), 1, {Member}, {Member}};
+}
+
+LedgerBatch sampleBatch() {
+  LedgerBatch Batch;
+  Batch.WrittenAtMillis = 12;
+  Batch.Retention = Milliseconds(60000);
+  Batch.Records = {
+      TurnKept{TurnId("t"), TurnId("before"), "in", "out", TargetId("target")},
+      TokensClaimed{ProgramId("p"),
+                    TokenClaim{Fingerprint(3), TokenCount{4}, true}}};
+  return Batch;
+}
+
+TurnOpened sampleOpened() {
+  TurnOpened Reply;
+  Reply.Operation = LedgerOperationId(1);
+  Reply.Holder = HolderId("h");
+  Reply.KnowsPrevious = true;
+  Reply.PreviousTarget = TargetId("target");
+  Reply.History = "history";
+  Reply.MissingTurn = TurnId("older");
+  Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
+  return Reply;
+}
+
 std::vector<Message> sampleMessages() {
   DispatchAttempt Work;
   Work.Attempt = sampleAttempt();
@@ -84,7 +113,21 @@
       CancelAttempt{sampleAttempt()},
       KeepPrefixes{{"p/main"}},
       ReleasePrefixes{{"p/main"}},
-      LoadReport{1, 2, 3, true, true, ConfigVersion(4)}};
+      LoadReport{1, 2, 3, true, true, ConfigVersion(4)},
+      sampleBatch(),
+      OpenTurn{LedgerOperationId(1), ViewVersion(2), TurnId("t"),
+               ProgramId("p"), TokenCount{5}, TurnId("before"), true,
+               Milliseconds(9)},
+      sampleOpened(),
+      CloseTurn{LedgerOperationId(1), ViewVersion(2), ProgramId("p"),
+                TokenCount{4}, TurnId("t"), true, TurnId("before"), "in",
+                "out", TargetId("target"), Milliseconds(9)},
+      TurnClosed{LedgerOperationId(1), HolderId("h")},
+      LedgerRefused{LedgerOperationId(1), HolderId("h"), sampleView()},
+      ViewOffer{sampleView()},
+      PullRecords{sampleView(), 7},
+      RecordsPage{ViewVersion(2), HolderId("h"), 8, true, {sampleBatch()}},
+      DirectoryChanges{{DirectoryItem{"key", "value", Revision(3), true}}}};
 }
 
 /// Returns Bytes cut short, or with a few bytes changed.
