--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -207,8 +207,9 @@
   /// By program and session; see homeKeysOf().
   std::map<std::string, PromptHome> Homes;
   Instant HomesReviewedAt;
-  /// Since when the ledger has had no quorum here.
-  std::optional<Instant> LedgerLostSince = Instant();
+  /// Since when the ledger has had no quorum here; before the start, as a relay
+  /// begins without one.
+  std::optional<Instant> LedgerLostSince = Instant{Milliseconds::min() / 2};
   std::uint64_t NextAttempt = 1;
   std::uint64_t NextOperation = 1;
   bool IsDraining = false;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -92,8 +92,7 @@
           TokensClaimed{Asked.Program, TokenClaim{fingerprintOf(Asked.Turn),
                                                   *Asked.Used, true}});
     if (Asked.IsKept)
-      Records.push_back(
-          TurnKept{Asked.Turn, Asked.Previous, Asked.Input,
+      Records.push_back(TurnKept{Asked.Turn, Asked.Previous, Asked.Input,
                                  Asked.Output, Asked.Target});
     this->persist(Asked, Asked.View, Asked.Retention, std::move(Records));
   }
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -140,8 +140,7 @@
   if (Candidates.empty())
     return PlacementFailure::NoTarget;
   const Candidate *Best = cheapest(Candidates);
-  const double Full =
-      State.Options.FullFactor * slotsOf(State, *Best->Target);
+  const double Full = State.Options.FullFactor * slotsOf(State, *Best->Target);
   if (loadOf(State, *Best->Target) >= Full)
     return PlacementFailure::Overloaded;
   return Best->Target->Entry.Id;
@@ -156,8 +155,8 @@
 
 void forgetOldHomes(RelayState &State) {
   const bool IsFull = State.Homes.size() >= State.Options.HomeLimit;
-  const Milliseconds Kept = IsFull ? State.Options.HomeRetention / 4
-                                   : State.Options.HomeRetention;
+  const Milliseconds Kept =
+      IsFull ? State.Options.HomeRetention / 4 : State.Options.HomeRetention;
   for (auto Each = State.Homes.begin(); Each != State.Homes.end();) {
     const bool IsOld = Kept <= State.Now - Each->second.UsedAt;
     Each = IsOld ? State.Homes.erase(Each) : std::next(Each);
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -37,8 +37,8 @@
     }
     for (const auto &[Name, Version] : this->Synced)
       this->apply(HostId(Host), ReplicaSynced{Name, Version});
-    if (this->Revision_.Value > 0)
-      this->apply(HostId(Host), LedgerViewSeen{this->View, this->Revision_});
+    if (this->ViewAt.Value > 0)
+      this->apply(HostId(Host), LedgerViewSeen{this->View, this->ViewAt});
     this->apply(HostId(Host), LedgerServiceRead{});
   }
 
@@ -94,7 +94,7 @@
 
   std::map<HostId, Node> Nodes;
   LedgerView View;
-  Revision Revision_;
+  Revision ViewAt;
   std::map<HolderId, ViewVersion> Synced;
   /// Messages to the relay.
   std::vector<Message> ToRelay;
@@ -111,8 +111,8 @@
       }
       const std::uint64_t Place = At.NextPlace++;
       At.Disk[Place] = Persist->Batch;
-      this->apply(Host, LedgerBatchStored{Persist->Ticket,
-                                          RecordPlace{1, Place, 10}});
+      this->apply(
+          Host, LedgerBatchStored{Persist->Ticket, RecordPlace{1, Place, 10}});
     } else if (const auto *Send = std::get_if<SendHost>(&Effect)) {
       this->deliver(Host, Send->Host, Send->Body);
     } else if (const auto *Page = std::get_if<SendRecords>(&Effect)) {
@@ -144,12 +144,12 @@
   }
 
   void writeView(const WriteLedgerView &Write) {
-    if (!(Write.Expected == this->Revision_))
+    if (!(Write.Expected == this->ViewAt))
       return;
     this->View = Write.View;
-    this->Revision_ = Revision(this->Revision_.Value + 1);
+    this->ViewAt = Revision(this->ViewAt.Value + 1);
     for (auto &[Id, Each] : this->Nodes)
-      this->apply(Id, LedgerViewSeen{this->View, this->Revision_});
+      this->apply(Id, LedgerViewSeen{this->View, this->ViewAt});
   }
 };
 
@@ -243,14 +243,13 @@
   Close.View = View.Version;
   Close.Turn = TurnId("t");
   Close.IsKept = true;
-  const auto Persisted =
-      reduce(State, LedgerPeerSaid{HostId("relay"), Close});
+  const auto Persisted = reduce(State, LedgerPeerSaid{HostId("relay"), Close});
   const auto &Batch = std::get<PersistLedgerBatch>(Persisted.at(0));
   View.Version = ViewVersion(2);
   View.Next = {memberOn("h2", "b"), memberOn("h3", "c"), memberOn("h4", "d")};
   const auto IsLast = [&State, &View] {
-    const auto Effects = reduce(
-        State, LedgerPeerSaid{HostId("h4"), PullRecords{View, 0}});
+    const auto Effects =
+        reduce(State, LedgerPeerSaid{HostId("h4"), PullRecords{View, 0}});
     return std::get<SendRecords>(Effects.back()).Head.IsLast;
   };
   CHECK_FALSE(IsLast());
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -293,6 +293,14 @@
   CHECK(isRelayReady(World.State));
 }
 
+TEST_CASE("Relay: it isn't ready before it has found the ledger") {
+  RelayWorld World;
+  World.configure();
+  CHECK_FALSE(isRelayReady(World.State));
+  World.connectLedger();
+  CHECK(isRelayReady(World.State));
+}
+
 TEST_CASE("Relay: a newer view opens waiting turns anew") {
   RelayWorld World;
   World.makeReady();
@@ -300,10 +308,10 @@
   LedgerView View = World.State.View;
   View.Version = ViewVersion(2);
   View.Current[2] = RelayWorld::member("d");
-  World.apply(ReplicaSaid{
-      HolderId("a"),
-      LedgerRefused{World.sentToReplicas<OpenTurn>()[0].Operation,
-                    HolderId("a"), View}});
+  World.apply(
+      ReplicaSaid{HolderId("a"),
+                  LedgerRefused{World.sentToReplicas<OpenTurn>()[0].Operation,
+                                HolderId("a"), View}});
   CHECK(World.State.View.Version == ViewVersion(2));
   CHECK(World.sentToReplicas<OpenTurn>().back().View == ViewVersion(2));
   World.answerOpen("a");
--- a/packages/decision/tests/RelayWorld.h
+++ b/packages/decision/tests/RelayWorld.h
@@ -164,9 +164,9 @@
 
   void confirmClose(const std::string &Holder) {
     const auto Closes = this->sentToReplicas<CloseTurn>();
-    this->apply(ReplicaSaid{
-        HolderId(Holder), TurnClosed{Closes.back().Operation,
-                                     HolderId(Holder)}});
+    this->apply(
+        ReplicaSaid{HolderId(Holder),
+                    TurnClosed{Closes.back().Operation, HolderId(Holder)}});
   }
 
   static TargetAnswerHead head(std::uint16_t Status, bool IsStream = false) {
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
@@ -56,7 +56,6 @@
   void handleFailure();
   void markReachable();
 
-  EventLoop &Loop;
   KeyValueClient &Service;
   const Options Wanted;
   Listener &Heard;
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -12,7 +12,7 @@
 
 KeyWatcher::KeyWatcher(EventLoop &Loop, KeyValueClient &Service, Options Wanted,
                        Listener &Heard)
-    : Loop(Loop), Service(Service), Wanted(std::move(Wanted)), Heard(Heard),
+    : Service(Service), Wanted(std::move(Wanted)), Heard(Heard),
       Pause(Loop.context()) {}
 
 void KeyWatcher::start() {
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -24,8 +24,9 @@
       this->Asked.push_back(Operation);
       return KeyValueCall{"GET", "/", ""};
     };
-    Dialect.Decode = [this](const KeyValueOperation &, const HttpOutcome &)
-        -> Result<KeyValueReply, PlatformError> {
+    Dialect.Decode =
+        [this](const KeyValueOperation &,
+               const HttpOutcome &) -> Result<KeyValueReply, PlatformError> {
       if (this->Replies.empty())
         return PlatformError{PlatformError::Kind::Unreachable};
       KeyValueReply Reply = std::move(this->Replies.front());
@@ -89,15 +90,15 @@
 
 TEST_CASE("Watcher: a lost history is read again, and deletions are found") {
   WatchWorld World;
-  World.play({RangePage{{WatchWorld::item("a", "1", 3),
-                         WatchWorld::item("b", "2", 4)},
-                        false,
-                        Revision(9)},
-              WatchPage{{}, Revision(), true},
-              RangePage{{WatchWorld::item("b", "2", 4),
-                         WatchWorld::item("c", "3", 14)},
-                        false,
-                        Revision(20)}});
+  World.play(
+      {RangePage{{WatchWorld::item("a", "1", 3), WatchWorld::item("b", "2", 4)},
+                 false,
+                 Revision(9)},
+       WatchPage{{}, Revision(), true},
+       RangePage{
+           {WatchWorld::item("b", "2", 4), WatchWorld::item("c", "3", 14)},
+           false,
+           Revision(20)}});
   CHECK(World.Told == Texts{"a=1", "b=2", "a-", "c=3"});
 }
 
--- a/packages/ledger/include/tanagerlanding/ledger/ReplicaRegistration.h
+++ b/packages/ledger/include/tanagerlanding/ledger/ReplicaRegistration.h
@@ -37,7 +37,6 @@
   void writeUnderLease(const std::string &Key, const std::string &Value,
                        std::function<void()> Done);
 
-  EventLoop &Loop;
   KeyValueClient &Service;
   boost::asio::steady_timer Timer;
   LedgerMember Member;
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -100,7 +100,8 @@
                              DirectoryProtocol Directory,
                              KeyValueDialect Dialect)
     : Settings(Settings), Directory(std::move(Directory)), Timers(Loop),
-      Hub(Loop, *this, PeerIdleLimit), Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
+      Hub(Loop, *this, PeerIdleLimit),
+      Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
       Keys(Loop, Service, {{}, WatchWait}, *this), Registration(Loop, Service),
       Folder(Settings.DataFolder), Instance(makeUniqueId()) {}
 
--- a/packages/ledger/src/ReplicaRegistration.cpp
+++ b/packages/ledger/src/ReplicaRegistration.cpp
@@ -14,7 +14,7 @@
 
 ReplicaRegistration::ReplicaRegistration(EventLoop &Loop,
                                          KeyValueClient &Service)
-    : Loop(Loop), Service(Service), Timer(Loop.context()) {}
+    : Service(Service), Timer(Loop.context()) {}
 
 void ReplicaRegistration::start(LedgerMember Wanted) {
   this->Member = std::move(Wanted);
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -114,9 +114,7 @@
   this->Loop.onReload([this] {
     logEvent("settings_reload_ignored", {{"host", this->Settings.Host.Value}});
   });
-  this->Loop.onTermination([this] {
-    this->apply(RelayTerminationAsked{});
-  });
+  this->Loop.onTermination([this] { this->apply(RelayTerminationAsked{}); });
   if (auto Listening = this->Callers.listen(this->Settings.Callers.Address,
                                             this->Settings.Callers.Port);
       !Listening)
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -13,8 +13,7 @@
 public:
   TargetWorld()
       : Protocol(makeTestProtocol()), Client(Loop, Protocol, *this),
-        Acceptor(Loop.context(),
-                 {boost::asio::ip::address_v4::loopback(), 0}) {
+        Acceptor(Loop.context(), {boost::asio::ip::address_v4::loopback(), 0}) {
     this->accept();
   }
 
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -25,14 +25,14 @@
   }
 
   bool awaitRequests(std::size_t Count) {
-    return runUntil(this->Loop,
-                    [&] { return this->Asked.size() >= Count; });
+    return runUntil(this->Loop, [&] { return this->Asked.size() >= Count; });
   }
 
   void answer(std::size_t Index, const std::string &Body) {
     TargetAnswerHead Head;
     Head.Status = 200;
-    Head.Headers = {{"Id", this->Asked[Index].Id.Value}, {"X", "1"}, {"X", "2"}};
+    Head.Headers = {
+        {"Id", this->Asked[Index].Id.Value}, {"X", "1"}, {"X", "2"}};
     this->Server.begin(this->Ids[Index], Head, Body.size());
     this->Server.send(this->Ids[Index], Body);
     this->Server.finish(this->Ids[Index]);
--- a/packages/relay/tests/SocketPair.h
+++ b/packages/relay/tests/SocketPair.h
@@ -101,15 +101,14 @@
   }
 
   void read() {
-    this->Socket.async_read_some(
-        boost::asio::buffer(this->Input),
-        [this](const auto &Error, std::size_t Count) {
-          this->Got.append(this->Input.data(), Count);
-          if (Error)
-            this->IsClosed = true;
-          else
-            this->read();
-        });
+    this->Socket.async_read_some(boost::asio::buffer(this->Input),
+                                 [this](const auto &Error, std::size_t Count) {
+                                   this->Got.append(this->Input.data(), Count);
+                                   if (Error)
+                                     this->IsClosed = true;
+                                   else
+                                     this->read();
+                                 });
   }
 
   void send(const std::string &Bytes) {
@@ -132,8 +131,7 @@
 /// Returns a port on loopback that is free now.
 inline std::uint16_t freeTestPort(EventLoop &Loop) {
   boost::asio::ip::tcp::acceptor Probe(
-      Loop.context(),
-      {boost::asio::ip::address_v4::loopback(), 0});
+      Loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
   return Probe.local_endpoint().port();
 }
 
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -9,7 +9,6 @@
 
 // The overloads of this file would hide those of LedgerConversions.h.
 using tanagerlanding::fromTable;
-using tanagerlanding::toTable;
 
 wire::HelloT toTable(const Hello &Body) {
   wire::HelloT Table;
--- /dev/null
+++ b/tests/harness/PlatformStandins.cpp
@@ -0,0 +1,352 @@
+#include "PlatformStandins.h"
+
+#include "tanagerlanding/keyvalue.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <nlohmann/json.hpp>
+
+namespace tanagerlanding::test {
+
+namespace {
+
+using Json = nlohmann::json;
+using boost::asio::ip::tcp;
+namespace http = boost::beast::http;
+
+constexpr int EventsPerTurn = 3;
+
+void sendAnswer(tcp::socket &Caller, int Status, const std::string &Headers,
+                const std::string &Body) {
+  const std::string Whole =
+      "HTTP/1.1 " + std::to_string(Status) + " X\r\n" + Headers +
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  boost::system::error_code Ignored;
+  boost::asio::write(Caller, boost::asio::buffer(Whole), Ignored);
+}
+
+/// Returns a value of a query; the names that tests use need no unquoting but
+/// that of the empty text.
+std::string queryValue(const std::string &Target, const std::string &Name) {
+  const std::size_t Start = Target.find(Name + "=");
+  if (Start == std::string::npos)
+    return {};
+  const std::size_t From = Start + Name.size() + 1;
+  return Target.substr(From, Target.find('&', From) - From);
+}
+
+bool startsWith(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+} // namespace
+
+BlockingServer::BlockingServer(Handler Answer)
+    : Answer(std::move(Answer)),
+      Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}),
+      Port(Acceptor.local_endpoint().port()),
+      Listener([this] { this->accept(); }) {}
+
+BlockingServer::~BlockingServer() {
+  this->IsStopping = true;
+  this->pause();
+  // Wakes the accept call.
+  boost::system::error_code Ignored;
+  tcp::socket Waker(this->Context);
+  Waker.connect({boost::asio::ip::address_v4::loopback(), this->Port}, Ignored);
+  this->Listener.join();
+  this->pause();
+  for (std::thread &Each : this->Workers)
+    Each.join();
+}
+
+void BlockingServer::accept() {
+  while (!this->IsStopping) {
+    auto Caller = std::make_shared<Socket>(this->Context);
+    boost::system::error_code Error;
+    this->Acceptor.accept(*Caller, Error);
+    if (Error || this->IsPaused || this->IsStopping)
+      continue;
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->Open.push_back(Caller);
+    this->Workers.emplace_back([this, Caller] { this->serve(Caller); });
+  }
+}
+
+void BlockingServer::serve(const std::shared_ptr<Socket> &Caller) {
+  boost::beast::flat_buffer Input;
+  for (;;) {
+    Request Asked;
+    boost::system::error_code Error;
+    http::read(*Caller, Input, Asked, Error);
+    if (Error || !this->Answer(Asked, *Caller))
+      break;
+  }
+  boost::system::error_code Ignored;
+  Caller->shutdown(tcp::socket::shutdown_both, Ignored);
+}
+
+void BlockingServer::pause() {
+  this->IsPaused = true;
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  boost::system::error_code Ignored;
+  for (const auto &Each : this->Open)
+    Each->shutdown(tcp::socket::shutdown_both, Ignored);
+}
+
+StoreStandin::StoreStandin()
+    : Server(std::make_unique<BlockingServer>(
+          [this](const auto &Asked, auto &Caller) {
+            return this->handle(Asked, Caller);
+          })) {}
+
+// Wakes the watches that wait.
+StoreStandin::~StoreStandin() { this->setDown(true); }
+
+bool StoreStandin::handle(const BlockingServer::Request &Asked,
+                          BlockingServer::Socket &Caller) {
+  const std::string Target(Asked.target());
+  std::pair<int, std::string> Answer{404, "{}"};
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->expireLeases();
+    if (this->IsDown)
+      return false;
+  }
+  const std::string Prefix = queryValue(Target, "pathPrefix");
+  if (startsWith(Target, "/kv-range"))
+    Answer = {200, this->range(Prefix)};
+  else if (startsWith(Target, "/kv-watch"))
+    Answer = this->watch(Prefix, std::stoll(queryValue(Target, "after")),
+                         std::stol(queryValue(Target, "waitMs")));
+  else if (startsWith(Target, "/kv-txn"))
+    Answer = this->transact(Asked.body());
+  else
+    Answer = this->lease(Target, Asked.body());
+  sendAnswer(Caller, Answer.first, "Content-Type: application/json\r\n",
+             Answer.second);
+  return true;
+}
+
+std::string StoreStandin::range(const std::string &Prefix) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  Json Found = Json::array();
+  for (const auto &[Key, Each] : this->Items) {
+    if (startsWith(Key, Prefix))
+      Found.push_back({{"key", Key},
+                       {"value", encodeBase64(Each.Value)},
+                       {"revision", Each.At}});
+  }
+  const Json Body = {
+      {"items", Found}, {"hasMore", false}, {"asOf", this->Revision}};
+  return Body.dump();
+}
+
+std::pair<int, std::string> StoreStandin::watch(const std::string &Prefix,
+                                                std::int64_t After,
+                                                long WaitMillis) {
+  std::unique_lock<std::mutex> Guard(this->Lock);
+  if (After < this->HistoryStart)
+    return {410, "{}"};
+  Json Events = Json::array();
+  const auto Gather = [&] {
+    for (const Change &Each : this->History) {
+      if (Each.At <= After || !startsWith(Each.Key, Prefix))
+        continue;
+      Json Event = {{"key", Each.Key}, {"revision", Each.At}};
+      const auto Found = this->Items.find(Each.Key);
+      if (Each.IsDeleted || Found == this->Items.end())
+        Event["deleted"] = true;
+      else
+        Event["value"] = encodeBase64(Found->second.Value);
+      Events.push_back(Event);
+    }
+    return !Events.empty() || this->IsDown || After < this->HistoryStart;
+  };
+  // A watch that waits is cut where the store goes down or forgets.
+  this->Changed.wait_for(Guard, std::chrono::milliseconds(WaitMillis), Gather);
+  if (this->IsDown)
+    return {503, "{}"};
+  if (After < this->HistoryStart)
+    return {410, "{}"};
+  const Json Body = {{"events", Events}, {"asOf", this->Revision}};
+  return {200, Body.dump()};
+}
+
+std::pair<int, std::string> StoreStandin::transact(const std::string &Body) {
+  const Json Asked = Json::parse(Body);
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  for (const Json &Each : Asked["expectedRevision"]) {
+    const std::string Key = Each["key"];
+    const auto Found = this->Items.find(Key);
+    const std::int64_t Present =
+        Found == this->Items.end() ? 0 : Found->second.At;
+    if (Present != Each["revision"].get<std::int64_t>())
+      return {412, R"({"items":[]})"};
+  }
+  for (const Json &Each : Asked["setKeys"]) {
+    const std::int64_t Lease = Each.value("lease", std::int64_t{0});
+    if (Lease != 0 && this->Leases.count(Lease) == 0)
+      return {404, "{}"};
+    const std::string Value =
+        decodeBase64(Each["value"].get<std::string>()).value();
+    this->write(Each["key"], Item{Value, 0, Lease});
+  }
+  const Json Answer = {{"revision", this->Revision}};
+  return {200, Answer.dump()};
+}
+
+std::pair<int, std::string> StoreStandin::lease(const std::string &Target,
+                                                const std::string &Body) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const auto Now = std::chrono::steady_clock::now();
+  if (Target == "/kv-lease") {
+    const std::chrono::milliseconds Time(Json::parse(Body)["ttlMs"]);
+    const std::int64_t Id = this->NextLease++;
+    this->Leases[Id] = {Time, Now + Time};
+    const Json Answer = {{"lease", Id}, {"ttlMs", Time.count()}};
+    return {200, Answer.dump()};
+  }
+  const std::string Renewal = "/kv-keep/";
+  if (!startsWith(Target, Renewal))
+    return {404, "{}"};
+  const auto Found =
+      this->Leases.find(std::stoll(Target.substr(Renewal.size())));
+  if (Found == this->Leases.end())
+    return {404, "{}"};
+  Found->second.second = Now + Found->second.first;
+  const Json Answer = {{"ttlMs", Found->second.first.count()}};
+  return {200, Answer.dump()};
+}
+
+void StoreStandin::write(const std::string &Key, Item Fresh) {
+  Fresh.At = ++this->Revision;
+  this->Items[Key] = std::move(Fresh);
+  this->History.push_back(Change{Key, this->Revision, false});
+  this->Changed.notify_all();
+}
+
+void StoreStandin::erase(const std::string &Key) {
+  if (this->Items.erase(Key) == 0)
+    return;
+  this->History.push_back(Change{Key, ++this->Revision, true});
+  this->Changed.notify_all();
+}
+
+void StoreStandin::expireLeases() {
+  const auto Now = std::chrono::steady_clock::now();
+  for (auto Each = this->Leases.begin(); Each != this->Leases.end();) {
+    if (Now < Each->second.second) {
+      ++Each;
+      continue;
+    }
+    std::vector<std::string> Ended;
+    for (const auto &[Key, Item] : this->Items) {
+      if (Item.Lease == Each->first)
+        Ended.push_back(Key);
+    }
+    for (const std::string &Key : Ended)
+      this->erase(Key);
+    Each = this->Leases.erase(Each);
+  }
+}
+
+void StoreStandin::put(const std::string &Key, const std::string &Value) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->write(Key, Item{Value, 0, 0});
+}
+
+void StoreStandin::remove(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->erase(Key);
+}
+
+std::string StoreStandin::get(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const auto Found = this->Items.find(Key);
+  return Found == this->Items.end() ? std::string() : Found->second.Value;
+}
+
+void StoreStandin::setDown(bool IsWanted) {
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->IsDown = IsWanted;
+    this->Changed.notify_all();
+  }
+  if (IsWanted)
+    this->Server->pause();
+  else
+    this->Server->resume();
+}
+
+void StoreStandin::forgetHistory() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->History.clear();
+  this->HistoryStart = this->Revision;
+  this->Changed.notify_all();
+}
+
+WorkerStandin::WorkerStandin(std::string Id)
+    : Id(std::move(Id)), Server(std::make_unique<BlockingServer>(
+                             [this](const auto &Asked, auto &Caller) {
+                               return this->handle(Asked, Caller);
+                             })) {}
+
+std::string WorkerStandin::entry(const std::string &Service,
+                                 const std::string &State) const {
+  const Json Entry = {{"service", Service},
+                      {"address", "127.0.0.1:" + std::to_string(this->port())},
+                      {"zone", "z"},
+                      {"version", "v1"},
+                      {"slots", 4},
+                      {"state", State},
+                      {"coldRemainingMs", 0},
+                      {"sequence", 1}};
+  return Entry.dump();
+}
+
+std::vector<std::string> WorkerStandin::bodies() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->Bodies;
+}
+
+bool WorkerStandin::handle(const BlockingServer::Request &Asked,
+                           BlockingServer::Socket &Caller) {
+  const std::string Head = "Request-Id: " + std::string(Asked["Request-Id"]) +
+                           "\r\nResponse-Signature: s\r\n";
+  if (std::string(Asked["Expect-Instance"]) != this->Id) {
+    sendAnswer(Caller, 421, "Instance-Id: " + this->Id + "\r\n", "");
+    return true;
+  }
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->Bodies.push_back(Asked.body());
+  }
+  std::this_thread::sleep_for(this->Pause.load());
+  if (Asked["Token-Usage"].empty()) {
+    sendAnswer(Caller, 200, Head, "plain answer");
+    return true;
+  }
+  boost::system::error_code Error;
+  boost::asio::write(Caller,
+                     boost::asio::buffer("HTTP/1.1 200 OK\r\n" + Head +
+                                         "Content-Type: text/event-stream\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n"),
+                     Error);
+  for (int Number = 1; Number <= EventsPerTurn && !Error; ++Number) {
+    const std::string Event = "id: " + std::to_string(Number) + "\ndata: e" +
+                              std::to_string(Number) + "\n\n";
+    char Size[16];
+    std::snprintf(Size, sizeof(Size), "%zx\r\n", Event.size());
+    boost::asio::write(Caller, boost::asio::buffer(Size + Event + "\r\n"),
+                       Error);
+    std::this_thread::sleep_for(this->Pause.load());
+  }
+  if (!Error)
+    boost::asio::write(Caller, boost::asio::buffer(std::string("0\r\n\r\n")),
+                       Error);
+  return !Error;
+}
+
+} // namespace tanagerlanding::test
--- /dev/null
+++ b/tests/harness/PlatformStandins.h
@@ -0,0 +1,141 @@
+/// \file
+/// The users' platform as far as a relay and a ledger see it: its store, and
+/// its workers.
+#ifndef TANAGERLANDING_TESTS_PLATFORMSTANDINS_H
+#define TANAGERLANDING_TESTS_PLATFORMSTANDINS_H
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace tanagerlanding::test {
+
+/// An HTTP server on loopback with a thread for each connection.
+class BlockingServer {
+public:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Socket = boost::asio::ip::tcp::socket;
+  /// Answers one request on the socket; false closes the connection.
+  using Handler = std::function<bool(const Request &, Socket &)>;
+
+  explicit BlockingServer(Handler Answer);
+  ~BlockingServer();
+  BlockingServer(const BlockingServer &) = delete;
+  BlockingServer &operator=(const BlockingServer &) = delete;
+
+  std::uint16_t port() const { return this->Port; }
+  /// Closes all connections and takes none until it is resumed.
+  void pause();
+  void resume() { this->IsPaused = false; }
+
+private:
+  void accept();
+  void serve(const std::shared_ptr<Socket> &Caller);
+
+  const Handler Answer;
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::uint16_t Port = 0;
+  std::atomic<bool> IsPaused{false};
+  std::atomic<bool> IsStopping{false};
+  std::mutex Lock;
+  std::vector<std::shared_ptr<Socket>> Open;
+  std::vector<std::thread> Workers;
+  std::thread Listener;
+};
+
+/// The platform's store: items, ranges, watches, leases, transactions.
+class StoreStandin {
+public:
+  StoreStandin();
+  ~StoreStandin();
+  StoreStandin(const StoreStandin &) = delete;
+  StoreStandin &operator=(const StoreStandin &) = delete;
+
+  std::uint16_t port() const { return this->Server->port(); }
+  /// Writes as an operator or a worker does.
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  std::string get(const std::string &Key);
+  /// Refuses all calls, as a store that is down.
+  void setDown(bool IsWanted);
+  /// Forgets all changes so far.
+  void forgetHistory();
+
+private:
+  struct Item {
+    std::string Value;
+    std::int64_t At = 0;
+    std::int64_t Lease = 0;
+  };
+  struct Change {
+    std::string Key;
+    std::int64_t At = 0;
+    bool IsDeleted = false;
+  };
+
+  bool handle(const BlockingServer::Request &Asked,
+              BlockingServer::Socket &Caller);
+  std::string range(const std::string &Prefix);
+  std::pair<int, std::string> watch(const std::string &Prefix,
+                                    std::int64_t After, long WaitMillis);
+  std::pair<int, std::string> transact(const std::string &Body);
+  std::pair<int, std::string> lease(const std::string &Target,
+                                    const std::string &Body);
+  void write(const std::string &Key, Item Fresh);
+  void erase(const std::string &Key);
+  void expireLeases();
+
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::map<std::string, Item> Items;
+  std::vector<Change> History;
+  std::int64_t Revision = 1;
+  std::int64_t HistoryStart = 0;
+  std::map<std::int64_t, std::pair<std::chrono::milliseconds,
+                                   std::chrono::steady_clock::time_point>>
+      Leases;
+  std::int64_t NextLease = 1;
+  bool IsDown = false;
+  std::unique_ptr<BlockingServer> Server;
+};
+
+/// A worker: answers plain requests whole and streams turns in events.
+class WorkerStandin {
+public:
+  explicit WorkerStandin(std::string Id);
+
+  std::uint16_t port() const { return this->Server->port(); }
+  /// Returns the entry that the worker has in the store.
+  std::string entry(const std::string &Service,
+                    const std::string &State = "ready") const;
+  /// Returns the bodies that it ran, in order.
+  std::vector<std::string> bodies();
+  /// The pause before each event and each answer.
+  void setPause(std::chrono::milliseconds Wanted) { this->Pause = Wanted; }
+
+private:
+  bool handle(const BlockingServer::Request &Asked,
+              BlockingServer::Socket &Caller);
+
+  const std::string Id;
+  std::mutex Lock;
+  std::vector<std::string> Bodies;
+  std::atomic<std::chrono::milliseconds> Pause{std::chrono::milliseconds(0)};
+  std::unique_ptr<BlockingServer> Server;
+};
+
+} // namespace tanagerlanding::test
+
+#endif
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 tools/install.sh
 tools/format.sh --check
+tools/check-names.sh
 cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 ninja -C build
 tools/tidy.sh build
