Keep segments while the folder is read

A replica crashed, or started without segments that it had.

Change: nothing is deleted while the folder is opened; afterwards what the index doesn't need goes, but for the last two segments. The test crashes with SIGSEGV without the change.

--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -50,7 +50,8 @@
 
   /// Ends the present segment, so that it can be deleted later.
   Result<void, SystemError> rotate();
-  /// Deletes a segment other than the present one.
+  /// Deletes a segment. Nothing happens to the present one, and to any while
+  /// the folder is being opened.
   void remove(std::uint64_t Segment);
 
   std::uint64_t currentSegment() const { return this->Current; }
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -119,8 +119,9 @@
 
   if (auto Listed = this->listSegments(); !Listed)
     return Listed;
-  for (const std::uint64_t Number : this->Segments) {
-    const bool IsLast = Number == *this->Segments.rbegin();
+  const std::set<std::uint64_t> Found = this->Segments;
+  for (const std::uint64_t Number : Found) {
+    const bool IsLast = Number == *Found.rbegin();
     if (auto Read = this->readSegment(Number, IsLast, Visit); !Read)
       return Read.error();
   }
@@ -304,7 +305,7 @@
 }
 
 void SegmentFolder::remove(std::uint64_t Segment) {
-  if (Segment == this->Current)
+  if (Segment >= this->Current)
     return;
   ::unlink(this->segmentPath(Segment).c_str());
   this->Segments.erase(Segment);
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,6 +48,8 @@
   readHistory(const std::vector<std::pair<TurnId, RecordPlace>> &Turns) const;
 
   void remove(std::uint64_t Segment);
+  /// Deletes all segments that are not in Needed.
+  void removeOthers(const std::set<std::uint64_t> &Needed);
 
 private:
   SegmentFolder Folder;
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -12,6 +12,9 @@
 /// Small, so that expired records free their space soon: a segment is deleted
 /// once nothing in it is needed.
 constexpr std::uint64_t SegmentBytes = 4 * 1024 * 1024;
+/// The present segment, and the one before it, in which batches may lie that
+/// are written but not yet reported.
+constexpr std::uint64_t SegmentsKept = 2;
 constexpr const char *ViewFile = "view";
 constexpr const char *DirectoryFile = "directory";
 
@@ -91,7 +94,17 @@
 
 void LedgerFolder::remove(std::uint64_t Segment) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  this->Folder.remove(Segment);
+  if (Segment + SegmentsKept <= this->Folder.currentSegment())
+    this->Folder.remove(Segment);
+}
+
+void LedgerFolder::removeOthers(const std::set<std::uint64_t> &Needed) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const std::set<std::uint64_t> Present = this->Folder.segments();
+  for (const std::uint64_t Each : Present) {
+    if (Needed.count(Each) == 0)
+      this->Folder.remove(Each);
+  }
 }
 
 std::int64_t wallClockMillis() {
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -118,6 +118,12 @@
       });
   if (!Opened)
     return Opened;
+  // A segment may have held nothing needed for a while, until a later batch in
+  // it was read.
+  std::set<std::uint64_t> Needed;
+  for (const auto &[Segment, Batches] : this->State.BatchesInSegment)
+    Needed.insert(Segment);
+  this->Folder.removeOthers(Needed);
   this->State.View = this->Folder.readView();
   this->State.Tolerated = this->Settings.Tolerated;
   this->State.Self = LedgerMember{
--- a/packages/ledger/tests/LedgerFolderTest.cpp
+++ b/packages/ledger/tests/LedgerFolderTest.cpp
@@ -90,6 +90,29 @@
   CHECK(turnsIn(Place.Path) == std::vector<std::string>{"t1"});
 }
 
+TEST_CASE("Segments: none goes while the folder is read") {
+  TemporaryFolder Place;
+  constexpr std::uint64_t TinySegment = 1;
+  constexpr int Payloads = 20;
+  {
+    SegmentFolder Folder(Place.Path.string(), TinySegment);
+    REQUIRE(Folder.open([](const std::string &, RecordPlace) { return true; }));
+    for (int Number = 0; Number < Payloads; ++Number)
+      REQUIRE(Folder.append(std::to_string(Number)));
+    REQUIRE(Folder.sync());
+  }
+  for (int Round = 0; Round < 2; ++Round) {
+    SegmentFolder Folder(Place.Path.string(), TinySegment);
+    std::vector<std::string> Read;
+    REQUIRE(Folder.open([&](const std::string &Payload, RecordPlace At) {
+      Read.push_back(Payload);
+      Folder.remove(At.Segment);
+      return true;
+    }));
+    CHECK(Read.size() == Payloads);
+  }
+}
+
 TEST_CASE("Ledger folder: other files and odd names are left alone") {
   TemporaryFolder Place;
   fs::create_directories(Place.Path);
