--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -8,12 +8,10 @@
 
 #include <cerrno>
 #include <charconv>
-#include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <optional>
 #include <sstream>
-#include <thread>
 
 namespace tanagerlanding {
 
@@ -28,8 +26,6 @@
 constexpr const char *SegmentPrefix = "segment-";
 constexpr const char *TemporarySuffix = ".new";
 constexpr int FileMode = 0644;
-constexpr int ListTries = 5;
-constexpr std::chrono::milliseconds ListPause{20};
 
 SystemError lastError(const std::string &Operation) {
   return SystemError{Operation, errno};
@@ -130,34 +126,17 @@
   return this->startSegment(Next);
 }
 
-/// A listing may name a file that can't be opened: seen once after a loss of
-/// power, and right a moment later. Skipping the file could lose what was
-/// acknowledged, so that the folder is listed again instead.
 Result<void, SystemError> SegmentFolder::listSegments() {
-  SystemError Last{"list " + this->Path, 0};
-  for (int Try = 0; Try < ListTries; ++Try) {
-    this->Segments.clear();
-    std::error_code Error;
-    for (const fs::directory_entry &Entry :
-         fs::directory_iterator(this->Path, Error)) {
-      const auto Number = segmentNumberOf(Entry.path().filename().string());
-      if (Number)
-        this->Segments.insert(*Number);
-    }
-    if (Error)
-      return SystemError{"list " + this->Path, Error.value()};
-    bool AreAllThere = true;
-    for (const std::uint64_t Number : this->Segments) {
-      if (fs::exists(this->segmentPath(Number), Error))
-        continue;
-      AreAllThere = false;
-      Last = SystemError{"find " + this->segmentPath(Number), Error.value()};
-    }
-    if (AreAllThere)
-      return success();
-    std::this_thread::sleep_for(ListPause);
+  std::error_code Error;
+  for (const fs::directory_entry &Entry :
+       fs::directory_iterator(this->Path, Error)) {
+    const auto Number = segmentNumberOf(Entry.path().filename().string());
+    if (Number)
+      this->Segments.insert(*Number);
   }
-  return Last;
+  if (Error)
+    return SystemError{"list " + this->Path, Error.value()};
+  return success();
 }
 
 Result<void, SystemError> SegmentFolder::readHolderId() {
--- a/packages/relay/src/HttpHead.cpp
+++ b/packages/relay/src/HttpHead.cpp
@@ -47,11 +47,7 @@
     Fields.insert(http::field::transfer_encoding, "chunked");
 }
 
-template <typename Buffers> std::string toText(const Buffers &Parts) {
-  return boost::beast::buffers_to_string(Parts);
-}
-
-template <typename Head> std::string toText(const Head &Written, int) {
+template <typename Head> std::string headToText(const Head &Written) {
   std::ostringstream Out;
   Out << Written;
   return Out.str();
@@ -79,7 +75,7 @@
   addBodyFields(Head, Body);
   if (ShouldClose)
     Head.insert(http::field::connection, "close");
-  return toText(Head, 0);
+  return headToText(Head);
 }
 
 std::string writeRequestHead(const std::string &Method,
@@ -92,13 +88,16 @@
   for (const auto &[Name, Value] : Headers)
     Head.insert(Name, Value);
   addBodyFields(Head, Body);
-  return toText(Head, 0);
+  return headToText(Head);
 }
 
 std::string writeChunk(const std::string &Bytes) {
-  return toText(http::make_chunk(boost::asio::buffer(Bytes)));
+  return boost::beast::buffers_to_string(
+      http::make_chunk(boost::asio::buffer(Bytes)));
 }
 
-std::string writeLastChunk() { return toText(http::make_chunk_last()); }
+std::string writeLastChunk() {
+  return boost::beast::buffers_to_string(http::make_chunk_last());
+}
 
 } // namespace tanagerlanding
