Drop a claim whose row has changed; wait for f+1 replicas before the first view

An entry that claims a shard computes the new row, with the holders to read from, from the row it knows. When that row changed meanwhile (its owner, not yet heard here, began to serve), the repeated write took the new revision but kept the old content: no holders to read from. It then served the shard with no programs, and the repeat ran again. Ruled out: libcurl's own repeats (such calls make fresh connections), segments read while deleted, a lost intent (two holders acknowledge before a dispatch).

PlatformPath's 503: the first view could be made of a single replica when others started late, though one loss must be borne; the change that followed needed a second one that the relay was not connected to.

--- a/packages/decision/include/tanagerlanding/decision/EntryState.h
+++ b/packages/decision/include/tanagerlanding/decision/EntryState.h
@@ -196,6 +196,9 @@
   ShardPhase Phase = ShardPhase::Claiming;
   /// The row as this entry wants it.
   ShardEntry Entry;
+  /// The revision of the row that a claim was made from. A claim names the
+  /// holders to read from, so that it is void once that row has changed.
+  Revision ClaimedFrom;
   Instant PhaseSince;
   /// Whether this entry has served it in any epoch; calls wait for the next
   /// epoch only then.
--- a/packages/decision/src/Ownership.cpp
+++ b/packages/decision/src/Ownership.cpp
@@ -83,7 +83,9 @@
 }
 
 void writeRow(EntryContext &Context, const OwnedShard &Shard, ShardId Id) {
-  const Revision Expected = Context.State.Table[Id].ModRevision;
+  const bool IsClaim = Shard.Phase == ShardPhase::Claiming;
+  const Revision Expected =
+      IsClaim ? Shard.ClaimedFrom : Context.State.Table[Id].ModRevision;
   Context.Effects.push_back(WriteShardEntry{Id, Expected, Shard.Entry});
 }
 
@@ -94,8 +96,9 @@
   if (Holders.size() < HolderCount)
     return false;
   OwnedShard &Shard = Context.State.Owned[Id];
-  Shard.Entry = takeoverRow(Context.State, Context.State.Table[Id].Entry,
-                            std::move(Holders));
+  const VersionedShardEntry &Present = Context.State.Table[Id];
+  Shard.Entry = takeoverRow(Context.State, Present.Entry, std::move(Holders));
+  Shard.ClaimedFrom = Present.ModRevision;
   if (Shard.Phase == ShardPhase::Serving)
     Shard.StoppedAt = Context.now();
   setPhase(Context, Shard, ShardPhase::Claiming);
@@ -187,19 +190,36 @@
   }
 }
 
+/// Handles a row that changed under a claim without being newer than it: its
+/// owner has begun to serve. A claim made from the older row would read from
+/// the wrong holders, or from none.
+void dropVoidClaim(EntryContext &Context, OwnedShard &Shard, ShardId Id) {
+  Context.log("shard_claim_void",
+              {{"shard", std::to_string(Id.Value)},
+               {"epoch", std::to_string(Shard.Entry.OwnerEpoch.Value)}});
+  // This entry's own programs are not to be read from anywhere.
+  if (!Shard.HasOwnLedger)
+    stepDown(Context, Id);
+  else if (!claim(Context, Id))
+    refuseUndurable(Context, Shard, Id);
+}
+
 /// Moves a claim on according to the row that is now in the table.
 void advance(EntryContext &Context, ShardId Id) {
   const auto Found = Context.State.Owned.find(Id);
   if (Found == Context.State.Owned.end())
     return;
   OwnedShard &Shard = Found->second;
-  const ShardEntry &Row = Context.State.Table[Id].Entry;
+  const VersionedShardEntry &Present = Context.State.Table[Id];
+  const ShardEntry &Row = Present.Entry;
   const bool IsOwn = Row == Shard.Entry;
   if (Shard.Phase == ShardPhase::Claiming) {
     if (IsOwn)
       handleClaimed(Context, Shard, Id);
     else if (!(Row.OwnerEpoch < Shard.Entry.OwnerEpoch))
       stepDown(Context, Id);
+    else if (Shard.ClaimedFrom < Present.ModRevision)
+      dropVoidClaim(Context, Shard, Id);
     return;
   }
   if (Shard.Entry.OwnerEpoch < Row.OwnerEpoch) {
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -119,10 +119,12 @@
 
 std::optional<LedgerView> firstView(const LedgerState &State) {
   const std::size_t Wanted = 2 * State.Tolerated + 1;
+  // Fewer could be lost together, with all that they have acknowledged.
+  const std::size_t Least = State.Tolerated + 1;
   const bool HasWaited =
       State.Options.BootstrapWait <= State.Now - State.ServiceReadAt;
-  if (State.Registered.empty() ||
-      (State.Registered.size() < Wanted && !HasWaited))
+  const std::size_t Present = State.Registered.size();
+  if (Present < Least || (Present < Wanted && !HasWaited))
     return std::nullopt;
   LedgerView View;
   View.Version = ViewVersion(1);
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -180,6 +180,20 @@
   CHECK(World.View.Current.size() == 3);
 }
 
+TEST_CASE(
+    "Ledger: the first view waits for one replica more than may be lost") {
+  constexpr Milliseconds LongEnough{10000};
+  LedgerWorld World;
+  World.start("h1", "a");
+  World.pass(LongEnough);
+  // What it kept would be gone with it.
+  CHECK(World.View.Version == ViewVersion(0));
+  World.start("h2", "b");
+  World.pass(LongEnough);
+  CHECK(World.View.Version == ViewVersion(1));
+  CHECK(World.View.Current.size() == 2);
+}
+
 TEST_CASE("Ledger: a lost replica stays until another can take its place") {
   LedgerWorld World;
   startThree(World);
--- a/packages/decision/tests/TakeoverTest.cpp
+++ b/packages/decision/tests/TakeoverTest.cpp
@@ -31,8 +31,96 @@
   return 0;
 }
 
+const ShardId Shard(0);
+
+/// Returns an entry with a journal, whose peer entry-1 has one in another
+/// availability zone. The entry has never heard of entry-2.
+EntryState claimingEntry() {
+  const std::map<HostId, ZoneId> Hosts = {
+      {HostId("entry-0"), ZoneId("hall-concord")},
+      {HostId("entry-1"), ZoneId("hall-keene")},
+      {HostId("entry-2"), ZoneId("hall-nashua")}};
+  Inventory Accepted;
+  for (const auto &[Name, Zone] : Hosts) {
+    HostSpec Host;
+    Host.Name = Name;
+    Host.Zone = Zone;
+    Host.Role = HostRole::Entry;
+    Host.HasDataFolder = true;
+    Accepted.Hosts[Name] = Host;
+  }
+  EntryState State;
+  State.Options.withShardCount(1);
+  State.Self = HostId("entry-0");
+  State.Instance = InstanceId("run-0");
+  State.Holder = HolderId("journal-0");
+  Hello Peer;
+  Peer.Host = HostId("entry-1");
+  Peer.Instance = InstanceId("run-1");
+  Peer.Holder = HolderId("journal-1");
+  reduce(State, EntryEvent(InventoryObserved{Accepted}));
+  reduce(State, EntryEvent(PeerConnected{Peer}));
+  return State;
+}
+
+/// Returns the row of entry-2, whose epoch serves or is about to.
+TableObserved rowOfEntry2(bool Serving, std::int64_t ModRevision) {
+  VersionedShardEntry Row;
+  Row.Entry.OwnerEpoch = Epoch(1);
+  Row.Entry.Owner = HostId("entry-2");
+  Row.Entry.OwnerInstance = InstanceId("run-2");
+  Row.Entry.Serving = Serving;
+  Row.Entry.Holders = {{HolderId("journal-2"), HostId("entry-2")},
+                       {HolderId("journal-1"), HostId("entry-1")}};
+  Row.ModRevision = Revision(ModRevision);
+  TableObserved Whole;
+  Whole.IsWhole = true;
+  Whole.Rows.emplace_back(Shard, Row);
+  return Whole;
+}
+
+/// Lets time pass and returns the writes of the table in that time.
+std::vector<WriteShardEntry> writesDuring(EntryState &State, Milliseconds Span,
+                                          const HostId &Heard) {
+  constexpr Milliseconds Step{50};
+  std::vector<WriteShardEntry> Writes;
+  const Instant End = State.Now + Span;
+  while (State.Now < End) {
+    reduce(State, EntryEvent(PeerSaid{Heard, Heartbeat{}}));
+    for (const EntryEffect &Effect :
+         reduce(State, EntryEvent(EntryTimePassed{State.Now + Step}))) {
+      if (const auto *Write = std::get_if<WriteShardEntry>(&Effect))
+        Writes.push_back(*Write);
+    }
+  }
+  return Writes;
+}
+
 } // namespace
 
+TEST_CASE("Takeover: a claim is not repeated over a row that has changed") {
+  constexpr Milliseconds LongEnough{10000};
+  const HostId Peer("entry-1");
+  EntryState State = claimingEntry();
+  // entry-2 was heard by nobody here, but it lives and begins to serve.
+  reduce(State, EntryEvent(rowOfEntry2(false, 5)));
+  const auto Claims = writesDuring(State, LongEnough, Peer);
+  REQUIRE_FALSE(Claims.empty());
+  CHECK(Claims.front().Entry.Source.empty());
+  for (const WriteShardEntry &Claim : Claims)
+    CHECK(Claim.Expected == Revision(5));
+
+  reduce(State, EntryEvent(rowOfEntry2(true, 6)));
+  const auto Later = writesDuring(State, LongEnough, Peer);
+  REQUIRE_FALSE(Later.empty());
+  for (const WriteShardEntry &Claim : Later) {
+    CHECK(Claim.Expected == Revision(6));
+    // The programs of the epoch that served are asked of its holders.
+    CHECK(Claim.Entry.Source.size() == 2);
+    CHECK(Claim.Entry.SourceEpoch == Epoch(1));
+  }
+}
+
 TEST_CASE("Takeover: a repeat before the new owner serves runs nothing twice") {
   ConnectedStates World(1);
   const ProgramId Program("program-1");
