Tell a replica that is behind the view, and ask it again

The relay now offers the view to whoever refuses under an older one and repeats what it asked. RelayTest failed before in both its parts; each case of PlatformPath keeps its own folder, as the logs of an early case were overwritten by later ones.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -118,6 +118,8 @@
   bool HasClaim = false;
   bool IsSettled = false;
   LedgerOperationId Operation;
+  /// What the replicas were asked last, but for who is to send the history.
+  OpenTurn Asked;
   Instant AskedAt;
   /// Replicas that have answered or refused the present operation.
   std::set<HolderId> Answered;
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -62,6 +62,14 @@
   return Best;
 }
 
+/// Sends one replica what is asked of all.
+void askReplica(RelayContext &Context, const TurnLedger &Ledger,
+                const HolderId &Holder) {
+  OpenTurn Asked = Ledger.Asked;
+  Asked.WantsHistory = Ledger.HistoryNeeded && Holder == Ledger.HistoryAsked;
+  Context.send(Holder, std::move(Asked));
+}
+
 /// Asks all replicas. The first time, the turn's tokens are claimed and one
 /// replica is asked for the history.
 void sendOpen(RelayContext &Context, RelayCall &Call, bool IsFirst) {
@@ -73,7 +81,7 @@
   Ledger.Answered.clear();
   Ledger.Refused.clear();
   State.Opens[Ledger.Operation] = Call.Request;
-  OpenTurn Open;
+  OpenTurn &Open = Ledger.Asked = OpenTurn();
   Open.Operation = Ledger.Operation;
   Open.View = State.View.Version;
   Open.Turn = Call.Asked.Id;
@@ -95,10 +103,8 @@
     Ledger.History.clear();
   }
   for (const LedgerMember &Each : State.View.allMembers()) {
-    if (State.Connected.count(Each.Holder) == 0)
-      continue;
-    Open.WantsHistory = Source && Each.Holder == *Source;
-    Context.send(Each.Holder, Open);
+    if (State.Connected.count(Each.Holder) > 0)
+      askReplica(Context, Ledger, Each.Holder);
   }
 }
 
@@ -145,16 +151,15 @@
   Ledger.HistoryAsked = *Source;
   Ledger.HistoryAskedAt = State.Now;
   Ledger.HistoryTried.insert(*Source);
-  OpenTurn Read;
+  OpenTurn &Read = Ledger.Asked = OpenTurn();
   Read.Operation = Ledger.Operation;
   Read.View = State.View.Version;
   Read.Turn = Call.Asked.Id;
   Read.Program = programOf(Call);
   Read.Previous = Ledger.HistoryNeeded;
-  Read.WantsHistory = true;
   Read.Retention = Call.Route.Retention;
   State.Opens[Ledger.Operation] = Call.Request;
-  Context.send(*Source, Read);
+  askReplica(Context, Ledger, *Source);
 }
 
 /// Goes on with a turn whose claim and previous turn are certain.
@@ -286,6 +291,24 @@
   completeClose(Context, Reply.Operation);
 }
 
+/// Tells a replica that has not heard of the present view, and repeats what it
+/// refused for that.
+void bringUpToView(RelayContext &Context, const HolderId &Holder,
+                   const LedgerRefused &Reply) {
+  RelayState &State = Context.State;
+  Context.log("replica_behind",
+              {{"holder", Holder.Value},
+               {"view", std::to_string(State.View.Version.Value)},
+               {"its_view", std::to_string(Reply.View.Version.Value)}});
+  Context.send(Holder, ViewOffer{State.View});
+  const auto Open = State.Opens.find(Reply.Operation);
+  if (Open != State.Opens.end())
+    askReplica(Context, State.Calls.at(Open->second).Ledger, Holder);
+  const auto Close = State.Closes.find(Reply.Operation);
+  if (Close != State.Closes.end())
+    Context.send(Holder, Close->second.Message);
+}
+
 void handleRefused(RelayContext &Context, const HolderId &Holder,
                    const LedgerRefused &Reply) {
   RelayState &State = Context.State;
@@ -293,6 +316,10 @@
     adoptRelayView(Context, Reply.View);
     return;
   }
+  if (Reply.View.Version < State.View.Version) {
+    bringUpToView(Context, Holder, Reply);
+    return;
+  }
   const auto Request = State.Opens.find(Reply.Operation);
   if (Request == State.Opens.end())
     return;
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -319,6 +319,43 @@
   CHECK(World.all<SendAttempt>().size() == 1);
 }
 
+TEST_CASE("Relay: a replica that is behind is told the view and asked again") {
+  RelayWorld World;
+  World.makeReady();
+  LedgerView Behind;
+  SECTION("when a turn is opened") {
+    World.askTurn(1000, 50);
+    World.apply(ReplicaDisconnected{HolderId("c")});
+    World.answerOpen("a");
+    const auto Asked = World.sentToReplicas<OpenTurn>().back();
+    World.Effects.clear();
+    World.apply(ReplicaSaid{
+        HolderId("b"), LedgerRefused{Asked.Operation, HolderId("b"), Behind}});
+    REQUIRE(World.sentToReplicas<OpenTurn>().size() == 1);
+    CHECK(World.sentToReplicas<OpenTurn>()[0].Claimed == Asked.Claimed);
+    World.answerOpen("b");
+    CHECK(World.all<SendAttempt>().size() == 1);
+  }
+  SECTION("when a turn is closed") {
+    World.askTurn(1000, 50);
+    World.answerOpen("a");
+    World.answerOpen("b");
+    const RelayAttemptId Attempt = World.all<SendAttempt>()[0].Attempt;
+    World.apply(AttemptHeadCame{Attempt, RelayWorld::head(200, true)});
+    World.apply(AttemptBytesCame{Attempt, "id: 1\ndata: e\n\n"});
+    World.apply(AttemptEnded{Attempt, AttemptEnded::Kind::Complete});
+    const auto Asked = World.sentToReplicas<CloseTurn>().back();
+    World.Effects.clear();
+    World.apply(ReplicaSaid{
+        HolderId("b"), LedgerRefused{Asked.Operation, HolderId("b"), Behind}});
+    REQUIRE(World.sentToReplicas<CloseTurn>().size() == 1);
+    CHECK(World.sentToReplicas<CloseTurn>()[0].Output == Asked.Output);
+  }
+  REQUIRE(World.sentToReplicas<ViewOffer>().size() == 1);
+  CHECK(World.sentToReplicas<ViewOffer>()[0].View.Version == ViewVersion(1));
+  CHECK(World.all<RefuseCaller>().empty());
+}
+
 TEST_CASE("Relay: stopping lets the balancer notice, then ends when idle") {
   RelayWorld World;
   World.makeReady();
--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -24,10 +24,7 @@
 /// One relay and three replicas, with a store and two workers.
 class Deployment {
 public:
-  Deployment()
-      : Folder(fs::temp_directory_path() /
-               ("tanagerlanding-platform-" + std::to_string(::getpid()))),
-        First("i-1"), Second("i-2") {
+  Deployment() : Folder(freshFolder()), First("i-1"), Second("i-2") {
     fs::remove_all(this->Folder);
     fs::create_directories(this->Folder);
     this->CallerPort = freePort();
@@ -157,6 +154,15 @@
   std::array<std::uint16_t, 3> PeerPorts{};
 
 private:
+  /// Returns a folder of its own for each case, as one may be kept for its
+  /// logs.
+  static fs::path freshFolder() {
+    static int Number = 0;
+    return fs::temp_directory_path() /
+           ("tanagerlanding-platform-" + std::to_string(::getpid()) + "-" +
+            std::to_string(++Number));
+  }
+
   Json bootSettings(const std::string &Name) const {
     return {{"nodeName", Name},
             {"zone", "z"},
