--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -116,6 +116,11 @@
                  SendRecords, DropSegment, WriteLedgerView, WriteSynced,
                  TellRetirement, SendHost, LogLine, CountMetric>;
 
+/// Returns how long after an answer this replica should ask the key-value
+/// service for changes again. One member asks often and tells the relays, as
+/// each call has its price; the others ask now and then.
+Milliseconds watchPauseOf(const LedgerState &State);
+
 /// Applies one event to a replica's state and returns what is to be done, in
 /// order.
 std::vector<LedgerEffect> reduce(LedgerState &State, const LedgerEvent &Event);
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -30,6 +30,13 @@
   Milliseconds ProposalStagger{400};
   /// A view write or a pull without effect this long is tried again.
   Milliseconds RetryInterval{500};
+  /// How long after an answer the first member asks the service for changes
+  /// again: configurations have to be in force two seconds after they are
+  /// accepted, and several targets often register at once.
+  Milliseconds WatchPauseFirst{100};
+  /// The same for all others. They stand in where the first member does not
+  /// reach the service, within half of those two seconds.
+  Milliseconds WatchPauseOthers{1000};
   /// Bytes of records in one page of a pull: small against a link's window.
   std::uint32_t PageBytes = 64 * 1024;
 };
@@ -122,6 +129,8 @@
   /// Since when a change of the view has been due.
   std::optional<Instant> ProposalDueSince;
   Instant ProposedAt;
+  /// The view that this replica wrote or tried to write last.
+  ViewVersion Proposed;
   std::optional<RecordsPull> Pull;
 
   std::map<TurnId, KeptTurn> Turns;
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -185,6 +185,7 @@
   if (!IsDue)
     return;
   State.ProposedAt = State.Now;
+  State.Proposed = View->Version;
   Context.log(
       "ledger_view_proposed",
       {{"version", std::to_string(View->Version.Value)},
@@ -215,6 +216,13 @@
   Context.add(TellRetirement{true});
 }
 
+void offerView(LedgerContext &Context) {
+  for (const LedgerMember &Each : Context.State.View.allMembers()) {
+    if (!(Each.Holder == Context.State.Self.Holder))
+      Context.send(Each.Host, ViewOffer{Context.State.View});
+  }
+}
+
 void startPull(LedgerContext &Context) {
   LedgerState &State = Context.State;
   RecordsPull Pull;
@@ -248,10 +256,27 @@
                {"current", namesOf(View.Current)},
                {"next", namesOf(View.Next)}});
   Context.add(PersistLedgerView{View});
+  // The others may ask the service for changes less often than this one.
+  if (View.Version == State.Proposed)
+    offerView(Context);
   if (containsHolder(View.Next, State.Self.Holder))
     startPull(Context);
 }
 
+Milliseconds watchPauseOf(const LedgerState &State) {
+  const LedgerOptions &Options = State.Options;
+  if (State.View.Version.Value == 0)
+    return Options.WatchPauseFirst;
+  if (!containsHolder(State.View.Current, State.Self.Holder))
+    return Options.WatchPauseOthers;
+  const auto IsBefore = [&State](const LedgerMember &Each) {
+    return Each.Host < State.Self.Host && State.Registered.count(Each.Host) > 0;
+  };
+  const auto &Members = State.View.Current;
+  const bool IsFirst = std::none_of(Members.begin(), Members.end(), IsBefore);
+  return IsFirst ? Options.WatchPauseFirst : Options.WatchPauseOthers;
+}
+
 void reviewMembership(LedgerContext &Context) {
   LedgerState &State = Context.State;
   if (!State.HasReadService)
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -3,7 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
+#include <set>
 
 using namespace tanagerlanding;
 
@@ -194,6 +196,48 @@
   CHECK(World.View.Current.size() == 2);
 }
 
+TEST_CASE("Ledger: one member asks often for changes, others stand in") {
+  LedgerWorld World;
+  startThree(World);
+  World.start("h4", "d");
+  World.pass(Milliseconds(1000));
+  const auto PauseOf = [&World](const char *Host) {
+    return watchPauseOf(World.Nodes.at(HostId(Host)).State);
+  };
+  const LedgerOptions Options;
+  CHECK(PauseOf("h1") == Options.WatchPauseFirst);
+  for (const char *Other : {"h2", "h3", "h4"})
+    CHECK(PauseOf(Other) == Options.WatchPauseOthers);
+  World.stop("h1");
+  CHECK(PauseOf("h2") == Options.WatchPauseFirst);
+  CHECK(PauseOf("h3") == Options.WatchPauseOthers);
+}
+
+TEST_CASE("Ledger: who wrote a view tells the other members") {
+  LedgerState State;
+  State.Self = memberOn("h1", "a");
+  State.Options.BootstrapWait = Milliseconds(0);
+  for (const char *Name : {"1", "2", "3"})
+    reduce(State, ReplicaRegistered{memberOn(std::string("h") + Name, Name)});
+  State.Self = memberOn("h1", "1");
+  reduce(State, LedgerServiceRead{});
+  const auto Due = reduce(State, LedgerTimePassed{Instant{Milliseconds(5000)}});
+  const auto Write =
+      std::find_if(Due.begin(), Due.end(), [](const LedgerEffect &Each) {
+        return std::holds_alternative<WriteLedgerView>(Each);
+      });
+  REQUIRE(Write != Due.end());
+  std::set<HostId> Told;
+  for (const LedgerEffect &Each :
+       reduce(State, LedgerViewSeen{std::get<WriteLedgerView>(*Write).View,
+                                    Revision(1)})) {
+    const auto *Sent = std::get_if<SendHost>(&Each);
+    if (Sent && std::holds_alternative<ViewOffer>(Sent->Body))
+      Told.insert(Sent->Host);
+  }
+  CHECK(Told == std::set<HostId>{HostId("h2"), HostId("h3")});
+}
+
 TEST_CASE("Ledger: a lost replica stays until another can take its place") {
   LedgerWorld World;
   startThree(World);
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
@@ -45,6 +45,12 @@
   /// Begins to read and watch.
   void start();
 
+  /// Sets how long after an answer the next watch begins. Changes that come
+  /// meanwhile are told together, for one call; none is missed.
+  void setPause(Milliseconds BetweenWatches) {
+    this->BetweenWatches = BetweenWatches;
+  }
+
   /// Takes changes that another process saw. Those that are known are
   /// dropped, and so is a deletion of a key that isn't.
   void offer(const std::vector<KeyChange> &Changes);
@@ -53,6 +59,7 @@
   void readPage(std::string After);
   void finishReading();
   void watch();
+  void watchAfterPause();
   void handleFailure();
   void markReachable();
 
@@ -60,6 +67,7 @@
   const Options Wanted;
   Listener &Heard;
   boost::asio::steady_timer Pause;
+  Milliseconds BetweenWatches{0};
   /// A key as last told.
   struct Seen {
     Revision At;
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -83,10 +83,22 @@
           this->AsOf = Page.AsOf;
         this->forgetDeleted();
         this->markReachable();
-        this->watch();
+        this->watchAfterPause();
       });
 }
 
+void KeyWatcher::watchAfterPause() {
+  if (this->BetweenWatches <= Milliseconds(0)) {
+    this->watch();
+    return;
+  }
+  this->Pause.expires_after(this->BetweenWatches);
+  this->Pause.async_wait([this](const auto &Error) {
+    if (!Error)
+      this->watch();
+  });
+}
+
 bool KeyWatcher::isNews(const KeyChange &Change) const {
   const auto Last = this->Known.find(Change.Item.Key);
   if (Last != this->Known.end())
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -116,3 +116,19 @@
   World.Watcher.offer({KeyChange{WatchWorld::item("a", "2", 11), false}});
   CHECK(World.Told == Texts{"a=2", "a-"});
 }
+
+TEST_CASE("Watcher: watches begin no more often than the pause allows") {
+  constexpr Milliseconds Pause{40};
+  WatchWorld World;
+  World.Watcher.setPause(Pause);
+  const auto Change = [](const char *Value, std::int64_t At) {
+    return KeyChange{WatchWorld::item("a", Value, At), false};
+  };
+  const Instant Start = World.Loop.now();
+  World.play({RangePage{{}, false, Revision(1)},
+              WatchPage{{Change("2", 2)}, Revision(2), false},
+              WatchPage{{Change("3", 3)}, Revision(3), false},
+              WatchPage{{Change("4", 4)}, Revision(4), false}});
+  CHECK(World.Told == Texts{"a=2", "a=3", "a=4"});
+  CHECK(Pause * 3 <= World.Loop.now() - Start);
+}
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -12,8 +12,7 @@
 constexpr Milliseconds FlushLimit{300};
 /// Configurations have to be in force two seconds after they are accepted. A
 /// watch that waits while the service forgets its history may hear nothing, so
-/// that the next one has to begin well within that time. Only the few replicas
-/// ask so often; they tell the relays.
+/// that the next one has to begin well within that time.
 constexpr Milliseconds WatchWait{1200};
 
 } // namespace
@@ -163,6 +162,7 @@
   this->connectPeers();
   this->Timers.subscribe(TickInterval, [this](Instant Now) {
     this->apply(LedgerTimePassed{Now});
+    this->Keys.setPause(watchPauseOf(this->State));
   });
   this->Timers.subscribe(HeartbeatInterval, [this](Instant) {
     for (const auto &[Host, Link] : this->Links)
@@ -213,6 +213,8 @@
     this->Links[Greeting->Host] = Id;
     if (!Greeting->Holder)
       this->greetRelay(Id);
+    else if (this->State.View.Version.Value > 0)
+      this->Hub.send(Id, ViewOffer{this->State.View});
     return;
   }
   const auto Host = this->Hosts.find(Id);
