Let turns wait at relays: programs under way first, then those that begin, then late ones

Only the end of a whole program counts for its caller. A turn of a program under way goes at once as before; a first turn goes while targets have free slots, one whose program is late below that; they wait here in the order of their program's end, at most half of their caller's time. A target that told no load is taken for as busy as the others, not for idle.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -55,6 +55,21 @@
   /// Requests per slot, beyond which a target gets no more: more would wait
   /// there longer than a caller's retry takes.
   double FullFactor = 2.5;
+  /// Requests per slot, up to which a target gets turns of programs that only
+  /// begin, and of programs whose time is up. Under it the targets' slots stay
+  /// in use; beyond it turns wait here, where they can be ordered, while those
+  /// of programs under way go first.
+  double StartFactor = 1.0;
+  double LateFactor = 0.85;
+  /// A turn that has waited here for this part of its caller's time goes like
+  /// any other: the rest leaves it time to run.
+  double WaitShare = 0.5;
+  /// The part of a program's time that its beginning may be waited for. A
+  /// program's time is at least a fifth more than it takes on idle targets.
+  double StartSlack = 0.25;
+  /// Waiting turns that may go in one tick, so that relays which see the same
+  /// free target don't all send theirs at once.
+  std::uint32_t SendsPerTick = 2;
   /// Slots of a target that does not tell.
   std::uint32_t DefaultSlots = 4;
   /// Bytes of an answer that are held back so that the request can be tried
@@ -107,6 +122,8 @@
   Confirming,
   /// The history is being collected.
   Collecting,
+  /// It waits here until a target has room.
+  Waiting,
   /// An attempt is at a target.
   Running,
   /// The turn is being made durable; only the end of its answer is missing.
@@ -149,6 +166,8 @@
   Instant Arrived;
   Instant Deadline;
   RelayPhase Phase = RelayPhase::Running;
+  /// Since when it has been waiting for room.
+  Instant WaitsSince;
   TurnLedger Ledger;
 
   /// The present attempt; 0 if none.
@@ -203,6 +222,8 @@
   /// Replicas with an open connection.
   std::set<HolderId> Connected;
   std::map<RequestId, RelayCall> Calls;
+  /// Calls that wait for room at a target.
+  std::set<RequestId> Waiting;
   std::map<RelayAttemptId, RequestId> Attempts;
   std::map<LedgerOperationId, RequestId> Opens;
   std::map<LedgerOperationId, PendingClose> Closes;
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -1,7 +1,7 @@
 #include "Attempts.h"
 
-#include "Placement.h"
 #include "Turns.h"
+#include "Waiting.h"
 
 #include <algorithm>
 
@@ -98,6 +98,7 @@
   releaseAttempt(Context, Call);
   Context.State.Opens.erase(Call.Ledger.Operation);
   const RequestId Request = Call.Request;
+  Context.State.Waiting.erase(Request);
   Context.State.Calls.erase(Request);
 }
 
@@ -330,8 +331,20 @@
 }
 
 void dispatchCall(RelayContext &Context, RelayCall &Call) {
+  const auto Chosen = chooseTarget(Context.State, Call);
+  const bool IsBusy = !Chosen && Chosen.error() == PlacementFailure::Busy;
+  // Nothing overtakes what waits and is as urgent.
+  const bool HasToQueue = !Context.State.Waiting.empty() &&
+                          urgencyOf(Context.State, Call) != Urgency::Underway;
+  if (IsBusy || HasToQueue)
+    parkCall(Context, Call);
+  else
+    sendCall(Context, Call, Chosen);
+}
+
+void sendCall(RelayContext &Context, RelayCall &Call,
+              const Result<TargetId, PlacementFailure> &Chosen) {
   RelayState &State = Context.State;
-  const auto Chosen = chooseTarget(State, Call);
   if (!Chosen) {
     const bool IsFull = Chosen.error() == PlacementFailure::Overloaded;
     refuseCall(Context, Call,
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_RELAY_ATTEMPTS_H
 #define TANAGERLANDING_DECISION_RELAY_ATTEMPTS_H
 
+#include "Placement.h"
 #include "RelayContext.h"
 
 namespace tanagerlanding {
@@ -10,10 +11,15 @@
 /// Takes a caller's request and begins to serve it, or refuses it.
 void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked);
 
-/// Sends the next attempt of a call to a target, or refuses the call. The call
-/// may be gone afterwards.
+/// Sends the next attempt of a call to a target, lets it wait, or refuses it.
+/// The call may be gone afterwards.
 void dispatchCall(RelayContext &Context, RelayCall &Call);
 
+/// Sends an attempt to the target that was chosen, or refuses the call where
+/// none could be. The call may be gone afterwards.
+void sendCall(RelayContext &Context, RelayCall &Call,
+              const Result<TargetId, PlacementFailure> &Chosen);
+
 /// Ends a call with the system's own answer. The call is gone afterwards.
 void refuseCall(RelayContext &Context, RelayCall &Call,
                 RelayRefusalReason Reason);
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -1,5 +1,7 @@
 #include "Placement.h"
 
+#include "Waiting.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -9,21 +11,47 @@
 /// A target's word about its load counts this long: requests last some
 /// hundred milliseconds, so that an older word tells nothing.
 constexpr Milliseconds LoadValidity{500};
+
 double slotsOf(const RelayState &State, const RelayTarget &Target) {
   return Target.Entry.Slots > 0 ? Target.Entry.Slots
                                 : State.Options.DefaultSlots;
 }
 
+bool hasToldLoad(const RelayState &State, const RelayTarget &Target) {
+  return State.Now - Target.LoadAt < LoadValidity;
+}
+
+/// Returns what others have on average at those targets of a service that have
+/// told their load. A relay hears from each target only now and then, so that
+/// this is the best guess for the rest.
+double typicalOthersLoad(const RelayState &State, const ServiceName &Service) {
+  const auto Listed = State.TargetsByService.find(Service);
+  if (Listed == State.TargetsByService.end())
+    return 0;
+  double Sum = 0;
+  double Count = 0;
+  for (const TargetId &Id : Listed->second) {
+    const RelayTarget &Target = State.Targets.at(Id);
+    if (!hasToldLoad(State, Target))
+      continue;
+    Sum += Target.OthersLoad;
+    ++Count;
+  }
+  return Count > 0 ? Sum / Count : 0;
+}
+
 /// Returns the requests at a target, own attempts counted exactly.
-double loadOf(const RelayState &State, const RelayTarget &Target) {
-  const bool IsRecent = State.Now - Target.LoadAt < LoadValidity;
-  return Target.Outstanding + (IsRecent ? Target.OthersLoad : 0);
+double loadOf(const RelayState &State, const RelayTarget &Target,
+              double TypicalOthers) {
+  const double Others =
+      hasToldLoad(State, Target) ? Target.OthersLoad : TypicalOthers;
+  return Target.Outstanding + Others;
 }
 
 /// Returns how much longer a request takes at a target for those that are
 /// there already, in milliseconds.
-double crowdingCost(const RelayState &State, const RelayTarget &Target) {
-  const double Load = loadOf(State, Target);
+double crowdingCost(const RelayState &State, const RelayTarget &Target,
+                    double Load) {
   const double Slots = slotsOf(State, Target);
   const double Free = std::min(Load, Slots);
   const double Waiting = std::max(0.0, Load + 1 - Slots);
@@ -82,6 +110,7 @@
 /// One target that may be chosen.
 struct Candidate {
   const RelayTarget *Target = nullptr;
+  double Load = 0;
   double Cost = 0;
   bool IsAvoided = false;
   std::uint64_t Rank = 0;
@@ -97,13 +126,15 @@
     return Found;
   const std::string Affinity = affinityOf(Call);
   const TargetId Home = homeOf(State, Call);
+  const double TypicalOthers = typicalOthersLoad(State, Call.Service);
   for (const TargetId &Id : Listed->second) {
     const RelayTarget &Target = State.Targets.at(Id);
     if (!isUsable(State, Target, Call))
       continue;
     Candidate Each;
     Each.Target = &Target;
-    Each.Cost = crowdingCost(State, Target);
+    Each.Load = loadOf(State, Target, TypicalOthers);
+    Each.Cost = crowdingCost(State, Target, Each.Load);
     if (!(Target.Entry.Zone == State.Zone))
       Each.Cost += static_cast<double>(State.Options.OtherZoneCost.count());
     if (!(Id == Home))
@@ -140,10 +171,18 @@
   if (Candidates.empty())
     return PlacementFailure::NoTarget;
   const Candidate *Best = cheapest(Candidates);
-  const double Full = State.Options.FullFactor * slotsOf(State, *Best->Target);
-  if (loadOf(State, *Best->Target) >= Full)
-    return PlacementFailure::Overloaded;
-  return Best->Target->Entry.Id;
+  const double Slots = slotsOf(State, *Best->Target);
+  if (Best->Load < loadLimitOf(State, Call) * Slots)
+    return Best->Target->Entry.Id;
+  const bool IsFull = State.Options.FullFactor * Slots <= Best->Load;
+  const bool MayWait = Call.Phase == RelayPhase::Waiting ||
+                       urgencyOf(State, Call) != Urgency::Underway;
+  return IsFull && !MayWait ? PlacementFailure::Overloaded
+                            : PlacementFailure::Busy;
+}
+
+bool hasHome(const RelayState &State, const RelayCall &Call) {
+  return !homeOf(State, Call).Value.empty();
 }
 
 void rememberHome(RelayState &State, const RelayCall &Call) {
--- a/packages/decision/src/relay/Placement.h
+++ b/packages/decision/src/relay/Placement.h
@@ -13,12 +13,17 @@
   NoTarget,
   /// Those that there are have more than they can serve in time.
   Overloaded,
+  /// Those that there are have no room now for a call that can wait.
+  Busy,
 };
 
 /// Returns the target for the next attempt of a call.
 Result<TargetId, PlacementFailure> chooseTarget(RelayState &State,
                                                 const RelayCall &Call);
 
+/// Returns whether this relay knows where the call's program ran.
+bool hasHome(const RelayState &State, const RelayCall &Call);
+
 /// Notes where a program's prompt is cached from now on.
 void rememberHome(RelayState &State, const RelayCall &Call);
 
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -5,6 +5,7 @@
 #include "Placement.h"
 #include "RelayContext.h"
 #include "Turns.h"
+#include "Waiting.h"
 
 namespace tanagerlanding {
 
@@ -57,6 +58,7 @@
     reviewLedger(this->Context);
     forgetMissingTargets(this->Context);
     reviewHomes(this->State);
+    reviewWaiting(this->Context, this->State.Options.SendsPerTick);
     reviewDraining(this->Context);
   }
 
@@ -78,6 +80,8 @@
 
   void operator()(const AttemptEnded &Event) {
     handleEnd(this->Context, Event);
+    // The room that it leaves.
+    reviewWaiting(this->Context, 1);
   }
 
   void operator()(const RelayConfigured &Event) {
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -374,6 +374,13 @@
   return hasClaim(Call) || previousOf(Call).has_value();
 }
 
+bool hasOtherClaims(const RelayCall &Call) {
+  const auto &Claims = Call.Ledger.Claims;
+  return std::any_of(Claims.begin(), Claims.end(), [&Call](const auto &Each) {
+    return !(Each.first == fingerprintOf(Call.Asked));
+  });
+}
+
 void openTurn(RelayContext &Context, RelayCall &Call) {
   Call.Phase = RelayPhase::Opening;
   if (!canSucceed(Context.State, Call)) {
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -10,6 +10,10 @@
 /// Returns whether a call needs the ledger before it may run.
 bool needsLedger(const RelayCall &Call);
 
+/// Returns whether other turns of the call's program have claimed tokens, as
+/// far as the ledger has told for this call.
+bool hasOtherClaims(const RelayCall &Call);
+
 /// Asks the ledger for the claim and the previous turn. The call goes on, or
 /// is refused, when enough replicas have answered.
 void openTurn(RelayContext &Context, RelayCall &Call);
