Count on no replica that has fallen silent; ask the store less; a fault soak of our own

A replica unheard for 0.7 s no longer counts for a quorum; after standing still itself a relay takes no silence for a loss.

tl_fault_soak plays faults from outside on real processes by seed: kills, freezes, wiped disks, stops, losses of all, a store that is down or forgets. It checks that no whole turn is unknown later, that workers get the exact chain, that nothing runs twice or after a refusal, and budgets.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -24,6 +24,12 @@
   /// How long the ledger may take to answer before the turn is refused: a
   /// replica answers within its disk's sync, so that more means it is gone.
   Milliseconds LedgerLimit{700};
+  /// A replica that has said nothing for this long is not counted on: its
+  /// heartbeats come every 400 ms.
+  Milliseconds ReplicaSilence{700};
+  /// Ticks come every 25 ms; after a longer pause this process itself stood
+  /// still, and what it did not hear says nothing about the others.
+  Milliseconds TickGap{200};
   /// How long a replica is given to send a history before another is asked.
   Milliseconds HistoryLimit{100};
   /// When a refused caller may come back: the time in which a connection is
@@ -221,6 +227,8 @@
   LedgerView View;
   /// Replicas with an open connection.
   std::set<HolderId> Connected;
+  /// When each of them last said anything.
+  std::map<HolderId, Instant> HeardAt;
   std::map<RequestId, RelayCall> Calls;
   /// Calls that wait for room at a target.
   std::set<RequestId> Waiting;
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -53,7 +53,11 @@
       : Context(Context), State(Context.State) {}
 
   void operator()(const RelayTimePassed &Event) {
+    const bool HasStoodStill =
+        this->State.Options.TickGap < Event.Now - this->State.Now;
     this->State.Now = Event.Now;
+    if (HasStoodStill)
+      forgiveSilence(this->State);
     reviewDeadlines(this->Context);
     reviewLedger(this->Context);
     forgetMissingTargets(this->Context);
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -35,6 +35,16 @@
   return countIn(Holders, View.Current) >= View.readQuorum();
 }
 
+/// Returns the replicas that are connected and have been heard lately.
+std::set<HolderId> liveReplicas(const RelayState &State) {
+  std::set<HolderId> Live;
+  for (const HolderId &Each : State.Connected) {
+    if (State.Now - State.HeardAt.at(Each) < State.Options.ReplicaSilence)
+      Live.insert(Each);
+  }
+  return Live;
+}
+
 bool hasClaim(const RelayCall &Call) {
   return Call.Asked.Program && Call.Asked.Program->Budget;
 }
@@ -114,7 +124,7 @@
 /// Returns whether replicas that may still answer can make up a quorum.
 bool canSucceed(const RelayState &State, const RelayCall &Call) {
   std::set<HolderId> Possible = Call.Ledger.Answered;
-  for (const HolderId &Each : State.Connected) {
+  for (const HolderId &Each : liveReplicas(State)) {
     if (Call.Ledger.Refused.count(Each) == 0)
       Possible.insert(Each);
   }
@@ -123,6 +133,11 @@
   return !Call.Ledger.HasClaim || isWritten(State.View, Possible);
 }
 
+/// Returns whether a turn that waits for a quorum will not get one.
+bool isHopeless(const RelayState &State, const RelayCall &Call) {
+  return Call.Phase != RelayPhase::Collecting && !canSucceed(State, Call);
+}
+
 /// Returns the tokens that other turns of the program have claimed.
 TokenCount claimedByOthers(const RelayCall &Call) {
   TokenCount Sum;
@@ -422,12 +437,16 @@
 
 void handleReplica(RelayContext &Context, const HolderId &Holder,
                    const Message &Body) {
+  const auto Heard = Context.State.HeardAt.find(Holder);
+  if (Heard != Context.State.HeardAt.end())
+    Heard->second = Context.now();
   std::visit(ReplicaMessageHandler(Context, Holder), Body);
 }
 
 void connectReplica(RelayContext &Context, const HolderId &Holder) {
   RelayState &State = Context.State;
   State.Connected.insert(Holder);
+  State.HeardAt[Holder] = State.Now;
   Context.log("replica_connected", {{"holder", Holder.Value}});
   for (auto &[Operation, Close] : State.Closes) {
     if (Close.Confirmed.count(Holder) == 0)
@@ -438,6 +457,7 @@
 void disconnectReplica(RelayContext &Context, const HolderId &Holder) {
   RelayState &State = Context.State;
   State.Connected.erase(Holder);
+  State.HeardAt.erase(Holder);
   Context.log("replica_disconnected", {{"holder", Holder.Value}});
   for (const RequestId Request : waitingCalls(State)) {
     const auto Found = State.Calls.find(Request);
@@ -471,20 +491,27 @@
 
 void reviewQuorum(RelayContext &Context) {
   RelayState &State = Context.State;
+  const std::set<HolderId> Live = liveReplicas(State);
   const bool HasQuorum = !State.View.Current.empty() &&
-                         isRead(State.View, State.Connected) &&
-                         isWritten(State.View, State.Connected);
+                         isRead(State.View, Live) &&
+                         isWritten(State.View, Live);
   if (HasQuorum == !State.LedgerLostSince)
     return;
   Context.log(HasQuorum ? "ledger_regained" : "ledger_lost",
               {{"view", std::to_string(State.View.Version.Value)},
-               {"connected", std::to_string(State.Connected.size())}});
+               {"connected", std::to_string(State.Connected.size())},
+               {"live", std::to_string(Live.size())}});
   if (HasQuorum)
     State.LedgerLostSince.reset();
   else
     State.LedgerLostSince = State.Now;
 }
 
+void forgiveSilence(RelayState &State) {
+  for (auto &[Holder, Heard] : State.HeardAt)
+    Heard = State.Now;
+}
+
 void reviewLedger(RelayContext &Context) {
   RelayState &State = Context.State;
   for (const RequestId Request : waitingCalls(State)) {
@@ -493,7 +520,9 @@
       continue;
     RelayCall &Call = Found->second;
     const TurnLedger &Ledger = Call.Ledger;
-    if (State.Options.LedgerLimit <= State.Now - Ledger.AskedAt)
+    const bool IsOverdue =
+        State.Options.LedgerLimit <= State.Now - Ledger.AskedAt;
+    if (IsOverdue || isHopeless(State, Call))
       refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
     else if (Call.Phase == RelayPhase::Collecting &&
              State.Options.HistoryLimit <= State.Now - Ledger.HistoryAskedAt)
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -34,6 +34,9 @@
 /// Notes whether enough replicas are connected to serve turns.
 void reviewQuorum(RelayContext &Context);
 
+/// Counts all replicas as heard, after this process itself stood still.
+void forgiveSilence(RelayState &State);
+
 /// Refuses turns that the ledger leaves without an answer, and gives closes
 /// up that nobody waits for any more.
 void reviewLedger(RelayContext &Context);
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -293,6 +293,37 @@
   CHECK(isRelayReady(World.State));
 }
 
+TEST_CASE("Relay: replicas that fall silent are not counted on") {
+  RelayWorld World;
+  World.makeReady();
+  const auto passTicks = [&World](int Millis) {
+    for (int Passed = 0; Passed < Millis; Passed += 25)
+      World.passTime(Milliseconds(25));
+  };
+  passTicks(500);
+  World.askTurn(1000, 50, "waits");
+  passTicks(225);
+  // Refused with the silence of the replicas, not after a limit of its own.
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  World.askTurn(1000, 50, "late");
+  CHECK(World.all<RefuseCaller>().size() == 2);
+  passTicks(300);
+  CHECK_FALSE(isRelayReady(World.State));
+  for (const char *Name : {"a", "c"})
+    World.apply(ReplicaSaid{HolderId(Name), Heartbeat{}});
+  CHECK(isRelayReady(World.State));
+  World.askTurn(1000, 50, "back");
+  CHECK(World.all<RefuseCaller>().size() == 2);
+}
+
+TEST_CASE("Relay: after standing still it takes no silence for a loss") {
+  RelayWorld World;
+  World.makeReady();
+  World.passTime(Milliseconds(3000));
+  World.askTurn(1000, 50);
+  CHECK(World.all<RefuseCaller>().empty());
+}
+
 TEST_CASE("Relay: it isn't ready before it has found the ledger") {
   RelayWorld World;
   World.configure();
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -11,6 +11,10 @@
 /// Several fit into PeerIdleLimit.
 constexpr Milliseconds HeartbeatInterval{400};
 constexpr Milliseconds MetricsInterval{2000};
+/// How long after an answer a relay asks the service for changes again. The
+/// ledger's replicas tell it sooner; where it reaches none of them, this is
+/// half of the time in which a configuration has to be in force.
+constexpr Milliseconds WatchPause{1000};
 constexpr Milliseconds FlushPause{5};
 /// What is left of the grace before the kill for the process's own end.
 constexpr Milliseconds StopMargin{700};
@@ -130,6 +134,7 @@
   this->Timers.subscribe(MetricsInterval,
                          [this](Instant) { this->publishMetrics(); });
   this->connectReplicas(this->Settings.Seeds);
+  this->Keys.setPause(WatchPause);
   this->Keys.start();
   this->Loop.run();
   logEvent("relay_ended", {{"host", this->Settings.Host.Value}});
--- /dev/null
+++ b/tests/harness/PlatformSite.cpp
@@ -0,0 +1,183 @@
+#include "PlatformSite.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <stdexcept>
+
+namespace tanagerlanding::test {
+
+namespace {
+
+namespace fs = std::filesystem;
+using Json = nlohmann::json;
+
+/// Returns a folder of its own for each site, as one may be kept for its logs.
+fs::path freshFolder() {
+  static int Number = 0;
+  return fs::temp_directory_path() /
+         ("tanagerlanding-platform-" + std::to_string(::getpid()) + "-" +
+          std::to_string(++Number));
+}
+
+std::string loopback(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+Json bootSettings(const PlatformSite &Site, const std::string &Name) {
+  return {{"nodeName", Name},
+          {"zone", "z"},
+          {"ipAddress", "127.0.0.1"},
+          {"internalPortRange", {7380, 7395}},
+          {"seeds", {loopback(Site.PeerPorts[0]), loopback(Site.PeerPorts[1])}},
+          {"faultTolerance", {{"machines", 1}}},
+          {"bounds", {{"graceS", 8}}},
+          {"platform", {{"address", loopback(Site.Store.port())}}}};
+}
+
+Json route(const char *Prefix, const char *Kind) {
+  return Json{{"name", Prefix},
+              {"host", PlatformSite::Host},
+              {"pathPrefix", Prefix},
+              {"kind", Kind},
+              {"timeoutMs", 5000},
+              {"targetLatencyMs", 200},
+              {"priority", 0},
+              {"service", "app"},
+              {"attempts", 2},
+              {"retentionS", 60.0},
+              {"keepsHistory", std::string(Kind) == "streaming"}};
+}
+
+} // namespace
+
+PlatformSite::PlatformSite(std::size_t RelayCount)
+    : Folder(freshFolder()), First("i-1"), Second("i-2"), Relays(RelayCount) {
+  fs::remove_all(this->Folder);
+  fs::create_directories(this->Folder);
+  for (std::size_t Number = 0; Number < RelayCount; ++Number) {
+    this->CallerPorts.push_back(freePort());
+    this->StatusPorts.push_back(freePort());
+  }
+  for (std::uint16_t &Port : this->PeerPorts)
+    Port = freePort();
+  this->Store.put("op/config", configuration(1));
+  this->Store.put("servers/i-1", this->First.entry("app"));
+  this->Store.put("servers/i-2", this->Second.entry("app"));
+  for (std::size_t Number = 0; Number < ReplicaCount; ++Number)
+    this->startLedger(Number);
+  for (std::size_t Number = 0; Number < RelayCount; ++Number)
+    this->startRelay(Number);
+  for (std::size_t Number = 0; Number < RelayCount; ++Number) {
+    if (!this->awaitReady(Number))
+      throw std::runtime_error("relay not ready: " + this->Folder.string());
+  }
+}
+
+PlatformSite::~PlatformSite() {
+  for (ChildProcess &Each : this->Relays)
+    Each.kill();
+  for (ChildProcess &Each : this->Ledgers)
+    Each.kill();
+  if (!std::getenv("TANAGERLANDING_KEEP_FOLDERS"))
+    fs::remove_all(this->Folder);
+}
+
+std::string PlatformSite::configuration(int Version) {
+  const Json Document = {
+      {"version", Version},
+      {"routes",
+       {route("/plain/", "idempotent"), route("/turn/", "streaming")}},
+      {"services",
+       {{{"name", "app"},
+         {"connectionLimit", 64},
+         {"engine", {{"tokensPerEvent", TokensPerEvent}}}}}},
+      {"limits",
+       {{"headerBytes", 16384},
+        {"bodyBytes", 1000000},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}};
+  return Document.dump();
+}
+
+fs::path PlatformSite::ledgerFolder(std::size_t Number) const {
+  return this->Folder / ("storage-" + std::to_string(Number));
+}
+
+void PlatformSite::startLedger(std::size_t Number) {
+  const std::string Name = "storage-" + std::to_string(Number);
+  Json Boot = bootSettings(*this, Name);
+  Boot["listenAddresses"] = {{"control", loopback(this->PeerPorts[Number])}};
+  Boot["dataDirectory"] = this->ledgerFolder(Number).string();
+  this->Ledgers[Number] = this->start(Name, "ledger", Boot.dump());
+}
+
+void PlatformSite::startRelay(std::size_t Number) {
+  const std::string Name = "front-" + std::to_string(Number);
+  Json Boot = bootSettings(*this, Name);
+  Boot["listenAddresses"] = {{"front", loopback(this->CallerPorts[Number])},
+                             {"ready", loopback(this->StatusPorts[Number])}};
+  this->Relays[Number] = this->start(Name, "relay", Boot.dump());
+}
+
+ChildProcess PlatformSite::start(const std::string &Name,
+                                 const std::string &Role,
+                                 const std::string &Settings) const {
+  const fs::path File = this->Folder / (Name + ".json");
+  std::ofstream(File) << Settings;
+  ::setenv("TANAGERLANDING_BOOT", File.c_str(), 1);
+  return ChildProcess("tanagerlandingd", {Role},
+                      (this->Folder / (Name + ".log")).string());
+}
+
+bool PlatformSite::awaitReady(std::size_t Relay) {
+  return waitFor([&] {
+    Request Asked;
+    Asked.Url = "http://" + loopback(this->StatusPorts[Relay]) + "/ready";
+    return send(Asked).Status == 200;
+  });
+}
+
+Response PlatformSite::plain(const std::string &Id) {
+  Request Asked;
+  Asked.Url = "http://" + loopback(this->CallerPorts[0]) + "/plain/x";
+  Asked.Headers = {std::string("Host: ") + Host, "Request-Id: " + Id,
+                   "Time-Remaining: 4000"};
+  return send(Asked);
+}
+
+Response PlatformSite::turn(const TurnRequest &Wanted, std::size_t Relay) {
+  Request Asked;
+  Asked.Method = "POST";
+  Asked.Url = "http://" + loopback(this->CallerPorts[Relay]) + "/turn/x";
+  Asked.Headers = {std::string("Host: ") + Host,
+                   "Request-Id: " + Wanted.Id,
+                   "Time-Remaining: 4000",
+                   "Program-Id: " + Wanted.Program,
+                   "Session-Id: s",
+                   "Token-Usage: 100," + std::to_string(MostTokens),
+                   "Token-Budget: " + std::to_string(Wanted.Budget)};
+  if (!Wanted.Previous.empty())
+    Asked.Headers.push_back("Previous-Turn: " + Wanted.Previous);
+  Asked.Body = Wanted.Input;
+  return send(Asked);
+}
+
+Response PlatformSite::turn(const std::string &Id, const std::string &Previous,
+                            const std::string &Input, int Budget) {
+  return this->turn(TurnRequest{Id, "p", Previous, Input, Budget});
+}
+
+Response PlatformSite::turnUntilServed(const std::string &Id,
+                                       const std::string &Previous,
+                                       const std::string &Input) {
+  Response Got;
+  int Try = 0;
+  waitFor([&] {
+    Got = this->turn(Id + "-" + std::to_string(Try++), Previous, Input);
+    return Got.Status != 503 && Got.Status != 0;
+  });
+  return Got;
+}
+
+} // namespace tanagerlanding::test
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -306,9 +306,16 @@
   return Entry.dump();
 }
 
-std::vector<std::string> WorkerStandin::bodies() {
+std::vector<WorkerStandin::Run> WorkerStandin::runs() {
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  return this->Bodies;
+  return this->Runs;
+}
+
+std::vector<std::string> WorkerStandin::bodies() {
+  std::vector<std::string> Bodies;
+  for (const Run &Each : this->runs())
+    Bodies.push_back(Each.Body);
+  return Bodies;
 }
 
 bool WorkerStandin::handle(const BlockingServer::Request &Asked,
@@ -321,7 +328,7 @@
   }
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
-    this->Bodies.push_back(Asked.body());
+    this->Runs.push_back(Run{std::string(Asked["Request-Id"]), Asked.body()});
   }
   std::this_thread::sleep_for(this->Pause.load());
   if (Asked["Token-Usage"].empty()) {
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -120,6 +120,13 @@
   /// Returns the entry that the worker has in the store.
   std::string entry(const std::string &Service,
                     const std::string &State = "ready") const;
+  /// A request that it ran.
+  struct Run {
+    std::string RequestId;
+    std::string Body;
+  };
+  /// Returns what it ran, in order.
+  std::vector<Run> runs();
   /// Returns the bodies that it ran, in order.
   std::vector<std::string> bodies();
   /// The pause before each event and each answer.
@@ -131,7 +138,7 @@
 
   const std::string Id;
   std::mutex Lock;
-  std::vector<std::string> Bodies;
+  std::vector<Run> Runs;
   std::atomic<std::chrono::milliseconds> Pause{std::chrono::milliseconds(0)};
   std::unique_ptr<BlockingServer> Server;
 };
--- /dev/null
+++ b/tests/soak/FaultSoak.cpp
@@ -0,0 +1,60 @@
+/// Plays faults from outside on real relays and replicas while callers run
+/// programs, and checks what may never be seen. A seed draws the same faults
+/// again; their timing against the processes differs.
+///
+///     tl_fault_soak --seed 7 --seconds 60
+#include "SoakCallers.h"
+#include "SoakFaults.h"
+
+#include <CLI/CLI.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace tanagerlanding::test;
+
+namespace {
+
+constexpr unsigned CallerThreads = 4;
+constexpr std::size_t RelayCount = 2;
+/// The longest that service may take to be back after the last fault.
+constexpr std::chrono::seconds RecoverLimit{15};
+
+int soak(std::uint32_t Seed, int Seconds) {
+  PlatformSite Site(RelayCount);
+  SoakCallers Callers(Site, Seed, CallerThreads);
+  SoakFaults Faults(Site, Seed);
+  const auto End =
+      std::chrono::steady_clock::now() + std::chrono::seconds(Seconds);
+  std::string Played;
+  while (std::chrono::steady_clock::now() < End)
+    Played += " " + Faults.play();
+  Callers.stop();
+  Callers.checkKept(RecoverLimit);
+  Callers.checkRuns();
+  const auto Broken = Callers.broken();
+  std::cout << "seed " << Seed << ":" << Played << "\nserved "
+            << Callers.servedCount() << " refused " << Callers.refusedCount()
+            << " broken " << Broken.size() << "\n";
+  for (const std::string &Each : Broken)
+    std::cout << "  " << Each << "\n";
+  return Broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  CLI::App App{"plays faults on relays and replicas and checks promises"};
+  std::uint32_t Seed = 1;
+  int Seconds = 20;
+  App.add_option("--seed", Seed, "draws the faults");
+  App.add_option("--seconds", Seconds, "how long faults are played")
+      ->check(CLI::Range(1, 3600));
+  CLI11_PARSE(App, Count, Arguments);
+  try {
+    return soak(Seed, Seconds);
+  } catch (const std::exception &Error) {
+    std::cout << "seed " << Seed << ": " << Error.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/tests/soak/SoakFaults.cpp
@@ -0,0 +1,118 @@
+#include "SoakFaults.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace tanagerlanding::test {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::seconds ExitLimit{10};
+
+Json viewOf(PlatformSite &Site) {
+  return Json::parse(Site.Store.get("tanagerlanding/ledger/view"));
+}
+
+} // namespace
+
+SoakFaults::SoakFaults(PlatformSite &Site, std::uint32_t Seed)
+    : Site(Site), Random(Seed) {
+  this->Faults = {
+      {"kill_replica", [this] { this->killReplica(); }},
+      {"freeze_replica", [this] { this->freezeReplica(); }},
+      {"wipe_replica", [this] { this->wipeReplica(); }},
+      {"kill_relay", [this] { this->killRelay(); }},
+      {"stop_relay", [this] { this->stopRelay(); }},
+      {"kill_all", [this] { this->killAll(); }},
+      {"store_down", [this] { this->stopStore(); }},
+      {"store_forgets", [this] { this->Site.Store.forgetHistory(); }}};
+}
+
+std::string SoakFaults::play() {
+  const Fault &Chosen = this->Faults[this->pick(this->Faults.size())];
+  Chosen.Play();
+  this->rest(100, 900);
+  return Chosen.Name;
+}
+
+std::size_t SoakFaults::pick(std::size_t Count) {
+  return std::uniform_int_distribution<std::size_t>(0, Count - 1)(this->Random);
+}
+
+void SoakFaults::rest(int LeastMillis, int MostMillis) {
+  std::uniform_int_distribution<int> Millis(LeastMillis, MostMillis);
+  std::this_thread::sleep_for(std::chrono::milliseconds(Millis(this->Random)));
+}
+
+void SoakFaults::killReplica() {
+  const std::size_t Number = this->pick(PlatformSite::ReplicaCount);
+  this->Site.Ledgers[Number].kill();
+  this->rest(50, 2500);
+  this->Site.startLedger(Number);
+}
+
+void SoakFaults::freezeReplica() {
+  ChildProcess &Frozen =
+      this->Site.Ledgers[this->pick(PlatformSite::ReplicaCount)];
+  Frozen.signal(SIGSTOP);
+  this->rest(200, 3000);
+  Frozen.signal(SIGCONT);
+}
+
+void SoakFaults::wipeReplica() {
+  const std::size_t Number = this->pick(PlatformSite::ReplicaCount);
+  const int Before = viewOf(this->Site)["version"];
+  this->Site.Ledgers[Number].kill();
+  std::filesystem::remove_all(this->Site.ledgerFolder(Number));
+  this->rest(0, 500);
+  this->Site.startLedger(Number);
+  const bool IsReplaced = waitFor([&] {
+    const Json View = viewOf(this->Site);
+    return View["version"] > Before && View["next"].empty();
+  });
+  if (!IsReplaced)
+    throw std::runtime_error("a replica that lost its disk was not replaced");
+}
+
+void SoakFaults::killRelay() {
+  const std::size_t Number = this->pick(this->Site.Relays.size());
+  this->Site.Relays[Number].kill();
+  this->rest(50, 800);
+  this->Site.startRelay(Number);
+}
+
+void SoakFaults::stopRelay() {
+  const std::size_t Number = this->pick(this->Site.Relays.size());
+  this->Site.Relays[Number].signal(SIGTERM);
+  if (this->Site.Relays[Number].awaitExit(ExitLimit) != 0)
+    throw std::runtime_error("a relay that was asked to stop did not exit");
+  this->Site.startRelay(Number);
+}
+
+void SoakFaults::killAll() {
+  for (ChildProcess &Each : this->Site.Relays)
+    Each.kill();
+  for (ChildProcess &Each : this->Site.Ledgers)
+    Each.kill();
+  this->rest(0, 1000);
+  for (std::size_t Each = 0; Each < PlatformSite::ReplicaCount; ++Each)
+    this->Site.startLedger(Each);
+  for (std::size_t Each = 0; Each < this->Site.Relays.size(); ++Each)
+    this->Site.startRelay(Each);
+}
+
+void SoakFaults::stopStore() {
+  this->Site.Store.setDown(true);
+  this->rest(200, 4000);
+  // With the store down, so that they start without it.
+  if (this->pick(2) == 0)
+    this->killAll();
+  this->Site.Store.setDown(false);
+}
+
+} // namespace tanagerlanding::test
