Tell a retiring host's end in its place where it is gone

Nobody else told that it keeps nothing. Now the first member tells for a retiring host without a registration for a second, once it is out of the view. Ruled out: a watch that hangs (a trial with each watch logged shows them in order up to the end of the host). LedgerTest: told once for a host outside and one inside the view; before, never.

--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -58,8 +58,9 @@
   HostId Host;
   bool IsWanted = true;
 };
-/// A report of this replica's retirement did not reach the operators.
+/// A report of a host's retirement did not reach the operators.
 struct RetirementReportFailed {
+  HostId Host;
   bool IsCompleted = false;
 };
 /// The key-value service has told all that it holds.
@@ -106,8 +107,9 @@
 struct WriteSynced {
   ViewVersion View;
 };
-/// Tell the operators how far this replica's retirement is.
+/// Tell the operators how far a host's retirement is.
 struct TellRetirement {
+  HostId Host;
   bool IsCompleted = false;
 };
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -126,6 +126,10 @@
   /// What was last told about this replica's own retirement.
   bool HasToldRetiring = false;
   bool HasToldRetired = false;
+  /// Since when retiring hosts have had no registration, and those that were
+  /// told as retired in their place.
+  std::map<HostId, Instant> RetiringLostSince;
+  std::set<HostId> ToldForLost;
   /// Since when a change of the view has been due.
   std::optional<Instant> ProposalDueSince;
   Instant ProposedAt;
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -202,7 +202,7 @@
   if (!State.HasToldRetiring) {
     State.HasToldRetiring = true;
     Context.log("retirement_started", {{"host", State.Self.Host.Value}});
-    Context.add(TellRetirement{false});
+    Context.add(TellRetirement{State.Self.Host, false});
   }
   const bool IsMember =
       containsHolder(State.View.allMembers(), State.Self.Holder);
@@ -213,7 +213,44 @@
   Context.log("retirement_completed",
               {{"host", State.Self.Host.Value},
                {"view", std::to_string(State.View.Version.Value)}});
-  Context.add(TellRetirement{true});
+  Context.add(TellRetirement{State.Self.Host, true});
+}
+
+/// Returns whether no registered member comes before this one.
+bool isFirstMember(const LedgerState &State) {
+  const auto &Members = State.View.Current;
+  return containsHolder(Members, State.Self.Holder) &&
+         std::none_of(Members.begin(), Members.end(),
+                      [&State](const auto &Each) {
+                        return Each.Host < State.Self.Host &&
+                               State.Registered.count(Each.Host) > 0;
+                      });
+}
+
+/// Tells for retiring hosts that are gone and can't tell themselves. They keep
+/// nothing that is needed once they are out of the view.
+void tellRetirementOfLost(LedgerContext &Context) {
+  LedgerState &State = Context.State;
+  const auto Members = State.View.allMembers();
+  for (const HostId &Host : State.Retiring) {
+    if (State.Registered.count(Host) > 0) {
+      State.RetiringLostSince.erase(Host);
+      continue;
+    }
+    const Instant Since =
+        State.RetiringLostSince.emplace(Host, State.Now).first->second;
+    const bool IsMember = std::any_of(
+        Members.begin(), Members.end(),
+        [&Host](const LedgerMember &Each) { return Each.Host == Host; });
+    const bool IsDue = State.Options.DeadAfter <= State.Now - Since;
+    if (IsMember || !IsDue || !isFirstMember(State) ||
+        !State.ToldForLost.insert(Host).second)
+      continue;
+    Context.log("retirement_completed_for_lost",
+                {{"host", Host.Value},
+                 {"view", std::to_string(State.View.Version.Value)}});
+    Context.add(TellRetirement{Host, true});
+  }
 }
 
 void offerView(LedgerContext &Context) {
@@ -267,14 +304,8 @@
   const LedgerOptions &Options = State.Options;
   if (State.View.Version.Value == 0)
     return Options.WatchPauseFirst;
-  if (!containsHolder(State.View.Current, State.Self.Holder))
-    return Options.WatchPauseOthers;
-  const auto IsBefore = [&State](const LedgerMember &Each) {
-    return Each.Host < State.Self.Host && State.Registered.count(Each.Host) > 0;
-  };
-  const auto &Members = State.View.Current;
-  const bool IsFirst = std::none_of(Members.begin(), Members.end(), IsBefore);
-  return IsFirst ? Options.WatchPauseFirst : Options.WatchPauseOthers;
+  return isFirstMember(State) ? Options.WatchPauseFirst
+                              : Options.WatchPauseOthers;
 }
 
 void reviewMembership(LedgerContext &Context) {
@@ -288,6 +319,7 @@
       State.MissingSince.emplace(Each.Holder, State.Now);
   }
   tellRetirement(Context);
+  tellRetirementOfLost(Context);
   proposeView(Context);
 }
 
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -214,17 +214,15 @@
     if (Event.IsWanted)
       this->State.Retiring.insert(Event.Host);
     else
-      this->State.Retiring.erase(Event.Host);
-    if (!Event.IsWanted && Event.Host == this->State.Self.Host) {
-      this->State.HasToldRetiring = false;
-      this->State.HasToldRetired = false;
-    }
+      this->forgetRetirement(Event.Host);
     reviewMembership(this->Context);
   }
 
   void operator()(const RetirementReportFailed &Event) {
     // Told again with the next review.
-    if (Event.IsCompleted)
+    if (!(Event.Host == this->State.Self.Host))
+      this->State.ToldForLost.erase(Event.Host);
+    else if (Event.IsCompleted)
       this->State.HasToldRetired = false;
     else
       this->State.HasToldRetiring = false;
@@ -241,6 +239,16 @@
   }
 
 private:
+  void forgetRetirement(const HostId &Host) {
+    this->State.Retiring.erase(Host);
+    this->State.RetiringLostSince.erase(Host);
+    this->State.ToldForLost.erase(Host);
+    if (!(Host == this->State.Self.Host))
+      return;
+    this->State.HasToldRetiring = false;
+    this->State.HasToldRetired = false;
+  }
+
   LedgerContext &Context;
   LedgerState &State;
 };
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -101,6 +101,8 @@
   /// Messages to the relay.
   std::vector<Message> ToRelay;
   std::vector<bool> RetirementReports;
+  /// How often each host was told as retired.
+  std::map<HostId, int> Retired;
   Instant Now;
 
 private:
@@ -134,6 +136,7 @@
       for (auto &[Id, Each] : this->Nodes)
         this->apply(Id, ReplicaSynced{Holder, Told->View});
     } else if (const auto *Report = std::get_if<TellRetirement>(&Effect)) {
+      this->Retired[Report->Host] += Report->IsCompleted ? 1 : 0;
       this->RetirementReports.push_back(Report->IsCompleted);
     }
   }
@@ -330,6 +333,22 @@
   CHECK(World.knows("h2", "t1"));
 }
 
+TEST_CASE("Ledger: a retiring host that is gone is told in its place") {
+  LedgerWorld World;
+  startThree(World);
+  World.start("h4", "d");
+  World.pass(Milliseconds(1000));
+  const HostId Lost = GENERATE(HostId("h4"), HostId("h3"));
+  World.stop(Lost.Value);
+  for (const char *Host : {"h1", "h2", "h3", "h4"})
+    World.apply(HostId(Host), RetirementAsked{Lost, true});
+  World.pass(Milliseconds(500));
+  // It may come back and tell itself.
+  CHECK(World.Retired[Lost] == 0);
+  World.pass(Milliseconds(5000));
+  CHECK(World.Retired[Lost] == 1);
+}
+
 TEST_CASE("Ledger: claims are answered for with all that is known") {
   LedgerWorld World;
   startThree(World);
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -72,7 +72,7 @@
   void connectPeers();
   void apply(const LedgerEvent &Event);
   void writeView(const WriteLedgerView &Effect);
-  void tellRetirement(bool IsCompleted);
+  void tellRetirement(const TellRetirement &Effect);
 
   const LedgerSettings Settings;
   const DirectoryProtocol Directory;
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -73,7 +73,7 @@
     this->Owner.Registration.tellSynced(Effect.View);
   }
   void operator()(const TellRetirement &Effect) {
-    this->Owner.tellRetirement(Effect.IsCompleted);
+    this->Owner.tellRetirement(Effect);
   }
   void operator()(const SendHost &Effect) {
     this->Owner.sendTo(Effect.Host, Effect.Body);
@@ -341,18 +341,19 @@
       });
 }
 
-void LedgerProcess::tellRetirement(bool IsCompleted) {
+void LedgerProcess::tellRetirement(const TellRetirement &Effect) {
   const std::string Key =
-      this->Directory.RetirementStatusPrefix + this->Settings.Host.Value;
+      this->Directory.RetirementStatusPrefix + Effect.Host.Value;
   ConditionalWrite Write;
   Write.Writes.push_back(
-      {Key, this->Directory.EncodeRetirement(IsCompleted), LeaseId()});
-  this->Service.write(std::move(Write), [this, IsCompleted](auto Answer) {
+      {Key, this->Directory.EncodeRetirement(Effect.IsCompleted), LeaseId()});
+  this->Service.write(std::move(Write), [this, Effect](auto Answer) {
     if (Answer && Answer.value().Succeeded)
       return;
     logEvent("retirement_report_failed",
-             {{"completed", IsCompleted ? "yes" : "no"}});
-    this->apply(RetirementReportFailed{IsCompleted});
+             {{"host", Effect.Host.Value},
+              {"completed", Effect.IsCompleted ? "yes" : "no"}});
+    this->apply(RetirementReportFailed{Effect.Host, Effect.IsCompleted});
   });
 }
 
