Copy records only to replicas that join, from as many as are needed

A record has f+1 copies, each that leaves takes one along and each that joins brings one, so that those that stay need none where as many join as leave. A joining one now asks as many as make a read quorum, nearest first, the rest if these fall silent. Ruled out: a stuck pull (pages came all the time). LedgerTest: only the joining one copies; before, all did, from all.

--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -107,13 +107,35 @@
   return Members;
 }
 
+std::size_t countMissingFrom(const std::vector<LedgerMember> &Set,
+                             const std::vector<LedgerMember> &Other) {
+  return static_cast<std::size_t>(
+      std::count_if(Set.begin(), Set.end(), [&](const LedgerMember &Each) {
+        return !containsHolder(Other, Each.Holder);
+      }));
+}
+
+/// Returns whether a member of the next view has to copy all records first.
+///
+/// A record is at f+1 present members. Each member that leaves takes at most
+/// one copy along, and each that joins adds one, as it copies everything. So
+/// where as many join as leave f+1 copies remain, and those that stay need
+/// nothing. Otherwise they have to make up for the copies that go.
+bool mustCopy(const LedgerView &View, const HolderId &Holder) {
+  if (!containsHolder(View.Current, Holder))
+    return true;
+  return countMissingFrom(View.Next, View.Current) <
+         countMissingFrom(View.Current, View.Next);
+}
+
 bool isChangeComplete(const LedgerState &State) {
   const auto &Next = State.View.Next;
   return State.View.isChanging() &&
          std::all_of(Next.begin(), Next.end(), [&](const LedgerMember &Each) {
            const auto Synced = State.Synced.find(Each.Holder);
-           return Synced != State.Synced.end() &&
-                  Synced->second == State.View.Version;
+           const bool HasCopied = Synced != State.Synced.end() &&
+                                  Synced->second == State.View.Version;
+           return HasCopied || !mustCopy(State.View, Each.Holder);
          });
 }
 
@@ -260,6 +282,26 @@
   }
 }
 
+/// Returns the present members, this replica itself and those of its zone
+/// first, and of the rest those first that are registered.
+std::vector<LedgerMember> nearestFirst(const LedgerState &State) {
+  std::vector<LedgerMember> Members = State.View.Current;
+  const auto Distance = [&State](const LedgerMember &Each) {
+    if (Each.Holder == State.Self.Holder)
+      return 0;
+    const bool IsPresent =
+        State.Registered.count(Each.Host) > 0 && !isDead(State, Each);
+    if (!IsPresent)
+      return 3;
+    return Each.Zone == State.Self.Zone ? 1 : 2;
+  };
+  std::stable_sort(Members.begin(), Members.end(),
+                   [&](const LedgerMember &Left, const LedgerMember &Right) {
+                     return Distance(Left) < Distance(Right);
+                   });
+  return Members;
+}
+
 void startPull(LedgerContext &Context) {
   LedgerState &State = Context.State;
   RecordsPull Pull;
@@ -273,7 +315,12 @@
               {{"view", std::to_string(State.View.Version.Value)},
                {"sources", namesOf(State.View.Current)}});
   State.Pull->AskedAt = State.Now;
-  for (const LedgerMember &Each : State.View.Current) {
+  // As many as are needed; the rest where these fall silent.
+  std::size_t Needed = State.View.readQuorum();
+  for (const LedgerMember &Each : nearestFirst(State)) {
+    if (Needed == 0)
+      return;
+    --Needed;
     if (!(Each.Holder == State.Self.Holder))
       Context.send(Each.Host, PullRecords{State.View, 0});
   }
@@ -296,7 +343,8 @@
   // The others may ask the service for changes less often than this one.
   if (View.Version == State.Proposed)
     offerView(Context);
-  if (containsHolder(View.Next, State.Self.Holder))
+  if (containsHolder(View.Next, State.Self.Holder) &&
+      mustCopy(View, State.Self.Holder))
     startPull(Context);
 }
 
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -101,6 +101,8 @@
   /// Messages to the relay.
   std::vector<Message> ToRelay;
   std::vector<bool> RetirementReports;
+  /// Pages of records that were sent.
+  int Pulls = 0;
   /// How often each host was told as retired.
   std::map<HostId, int> Retired;
   Instant Now;
@@ -120,6 +122,7 @@
     } else if (const auto *Send = std::get_if<SendHost>(&Effect)) {
       this->deliver(Host, Send->Host, Send->Body);
     } else if (const auto *Page = std::get_if<SendRecords>(&Effect)) {
+      ++this->Pulls;
       RecordsPage Body = Page->Head;
       for (const RecordPlace &Each : Page->Batches)
         Body.Batches.push_back(At.Disk.at(Each.Offset));
@@ -333,6 +336,23 @@
   CHECK(World.knows("h2", "t1"));
 }
 
+TEST_CASE("Ledger: where one takes another's place, only that one copies") {
+  LedgerWorld World;
+  startThree(World);
+  World.keep("h1", "t1");
+  World.keep("h3", "t1");
+  World.stop("h3");
+  World.start("h4", "d");
+  World.pass(Milliseconds(4000));
+  CHECK_FALSE(World.View.isChanging());
+  CHECK(containsHolder(World.View.Current, HolderId("d")));
+  CHECK(World.knows("h4", "t1"));
+  // Two copies are left; it got all it needs from one of the others.
+  CHECK_FALSE(World.knows("h2", "t1"));
+  CHECK(World.Synced.size() == 1);
+  CHECK(World.Pulls <= 2);
+}
+
 TEST_CASE("Ledger: a retiring host that is gone is told in its place") {
   LedgerWorld World;
   startThree(World);
