--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -175,8 +175,9 @@
   if (Best->Load < loadLimitOf(State, Call) * Slots)
     return Best->Target->Entry.Id;
   const bool IsFull = State.Options.FullFactor * Slots <= Best->Load;
-  const bool MayWait = Call.Phase == RelayPhase::Waiting ||
-                       urgencyOf(State, Call) != Urgency::Underway;
+  const bool IsWaiting =
+      Call.Phase == RelayPhase::Waiting && !hasWaitedEnough(State, Call);
+  const bool MayWait = IsWaiting || urgencyOf(State, Call) != Urgency::Underway;
   return IsFull && !MayWait ? PlacementFailure::Overloaded
                             : PlacementFailure::Busy;
 }
--- a/packages/decision/src/relay/Waiting.cpp
+++ b/packages/decision/src/relay/Waiting.cpp
@@ -45,6 +45,8 @@
       static_cast<std::int64_t>(Share * static_cast<double>(Whole.count())));
 }
 
+} // namespace
+
 bool hasWaitedEnough(const RelayState &State, const RelayCall &Call) {
   const Milliseconds Limit =
       shareOf(Call.Deadline - Call.Arrived, State.Options.WaitShare);
@@ -52,8 +54,6 @@
          Limit <= State.Now - Call.WaitsSince;
 }
 
-} // namespace
-
 Urgency urgencyOf(const RelayState &State, const RelayCall &Call) {
   const auto &Program = Call.Asked.Program;
   const bool IsTimed =
--- a/packages/decision/src/relay/Waiting.h
+++ b/packages/decision/src/relay/Waiting.h
@@ -23,6 +23,9 @@
 
 Urgency urgencyOf(const RelayState &State, const RelayCall &Call);
 
+/// Returns whether a call that waits has waited as long as it may.
+bool hasWaitedEnough(const RelayState &State, const RelayCall &Call);
+
 /// Returns the requests per slot up to which a target may get this call.
 double loadLimitOf(const RelayState &State, const RelayCall &Call);
 
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -296,18 +296,18 @@
 TEST_CASE("Relay: replicas that fall silent are not counted on") {
   RelayWorld World;
   World.makeReady();
-  const auto passTicks = [&World](int Millis) {
+  const auto PassTicks = [&World](int Millis) {
     for (int Passed = 0; Passed < Millis; Passed += 25)
       World.passTime(Milliseconds(25));
   };
-  passTicks(500);
+  PassTicks(500);
   World.askTurn(1000, 50, "waits");
-  passTicks(225);
+  PassTicks(225);
   // Refused with the silence of the replicas, not after a limit of its own.
   REQUIRE(World.all<RefuseCaller>().size() == 1);
   World.askTurn(1000, 50, "late");
   CHECK(World.all<RefuseCaller>().size() == 2);
-  passTicks(300);
+  PassTicks(300);
   CHECK_FALSE(isRelayReady(World.State));
   for (const char *Name : {"a", "c"})
     World.apply(ReplicaSaid{HolderId(Name), Heartbeat{}});
--- a/packages/decision/tests/RelayWaitingTest.cpp
+++ b/packages/decision/tests/RelayWaitingTest.cpp
@@ -120,6 +120,23 @@
   CHECK(World.sent() == 1);
 }
 
+TEST_CASE("Waiting: what has waited enough is refused where there is no room") {
+  WaitingWorld World;
+  World.fill();
+  // Two and a half for each slot: nobody gets more.
+  for (int Number = 4; Number < 10; ++Number)
+    World.turn("old-" + std::to_string(Number), false);
+  World.turn("new", true);
+  World.passTime(Milliseconds(499));
+  CHECK(World.all<RefuseCaller>().empty());
+  World.passTime(Milliseconds(1));
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  const RelayRefusal Refusal = World.all<RefuseCaller>()[0].Refusal;
+  CHECK(Refusal.Reason == RelayRefusalReason::Overloaded);
+  CHECK(Refusal.Ran == Execution::NotRun);
+  CHECK(Refusal.RetryAfter > Milliseconds(0));
+}
+
 TEST_CASE("Waiting: a caller that leaves and a time that ends end the wait") {
   WaitingWorld World;
   World.fill();
