Let a leaving sidecar stay for what its owners have already sent

Cause, by reading: a sidecar with nothing to do exited in the moment it was asked to stop. A call that its owner had sent before it heard of the leave met a closed connection and counted as unknown instead of as not run. It now stays 500 ms while it has owners. The performer of ExitSidecar kept a pointer to itself beyond its life; it now keeps the process. SidecarTest "what was on its way as it began to leave is refused" is new.

--- a/packages/daemon/src/SidecarProcess.cpp
+++ b/packages/daemon/src/SidecarProcess.cpp
@@ -35,7 +35,9 @@
   }
 
   void operator()(const ExitSidecar &) {
-    this->Process.Hub.flush(FlushLimit, [this] { this->Process.Loop.stop(); });
+    // This performer is gone by the time that all is sent.
+    SidecarProcess &Stopping = this->Process;
+    Stopping.Hub.flush(FlushLimit, [&Stopping] { Stopping.Loop.stop(); });
   }
 
 private:
--- a/packages/decision/include/tanagerlanding/decision/SidecarReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/SidecarReducer.h
@@ -30,6 +30,10 @@
   /// How long a target may be silent before what it runs is given up, as far
   /// as that may be run again elsewhere.
   Milliseconds SilenceLimit{1500};
+  /// How long a leaving sidecar with nothing to do stays for its owners: what
+  /// they sent before they heard of it is refused, not lost. A message takes
+  /// milliseconds, on a busy host some hundred.
+  Milliseconds LeaveLinger{500};
   /// Probes that a target may leave unanswered in a row: on a busy host a
   /// single one can take longer than it waits for, while the target works.
   std::uint32_t SilentProbesAllowed = 1;
@@ -87,6 +91,7 @@
   /// Since when health probes have failed.
   Instant UnhealthySince;
   bool Leaving = false;
+  Instant LeavingSince;
   bool ProbeRunning = false;
   /// Probes in a row that were taken and not answered.
   std::uint32_t SilentProbes = 0;
--- a/packages/decision/src/SidecarReducer.cpp
+++ b/packages/decision/src/SidecarReducer.cpp
@@ -1,27 +1,25 @@
 #include "tanagerlanding/decision/SidecarReducer.h"
 
+#include "SidecarPrefixes.h"
+
 #include <algorithm>
 #include <tuple>
 
 namespace tanagerlanding {
 
-std::string prefixName(const ProgramId &Program, const AgentId &Agent) {
-  return Program.Value + "/" + Agent.Value;
-}
-
 namespace {
 
 /// Handles the events of a sidecar, one overload for each.
 class SidecarHandler {
 public:
   SidecarHandler(SidecarState &State, std::vector<SidecarEffect> &Effects)
-      : State(State), Effects(Effects) {}
+      : State(State), Effects(Effects), Prefixes(State, Effects) {}
 
   void operator()(const SidecarTimePassed &Event) {
     this->State.Now = Event.Now;
     this->dropExpired();
     this->cancelOrphans();
-    this->releaseExpiredPrefixes();
+    this->Prefixes.releaseExpired();
     this->refuseLate();
     this->giveUpSilentTarget();
     this->startNext();
@@ -40,10 +38,7 @@
       if (Attempt.Owner == Event.Connection)
         Attempt.OrphanedAt = this->State.Now;
     }
-    for (auto &[Name, Prefix] : this->State.Prefixes) {
-      if (Prefix.Owner == Event.Connection)
-        Prefix.ExpiresAt = this->State.Now + this->State.Options.PrefixLease;
-    }
+    this->Prefixes.loseOwner(Event.Connection);
   }
 
   void operator()(const OwnerSaid &Event) {
@@ -69,7 +64,7 @@
     this->State.Healthy = false;
     this->probe();
     this->refuse(Attempt->Owner, Event.Attempt, CallError::TargetFailed);
-    this->leaseFreshPrefix(*Attempt);
+    this->Prefixes.leaseFresh(*Attempt);
     this->State.Attempts.erase(Event.Attempt);
     this->startNext();
   }
@@ -98,7 +93,7 @@
     this->State.Healthy = Event.Alive;
     this->settleBroken(!Event.Alive);
     if (Event.Alive)
-      this->adoptPrefixes(Event.HeldPrefixes);
+      this->Prefixes.adopt(Event.HeldPrefixes);
     if (Changed)
       this->reportToAll();
     this->startNext();
@@ -108,6 +103,7 @@
     if (this->State.Leaving)
       return;
     this->State.Leaving = true;
+    this->State.LeavingSince = this->State.Now;
     this->refuseQueued(CallError::Draining);
     this->reportToAll();
     this->exitIfDone();
@@ -204,17 +200,11 @@
   }
 
   void handle(ConnectionId Connection, const KeepPrefixes &Asked) {
-    for (const std::string &Name : Asked.Prefixes) {
-      HeldPrefix &Prefix = this->State.Prefixes[Name];
-      Prefix.Owner = Connection;
-      Prefix.ExpiresAt.reset();
-    }
+    this->Prefixes.keep(Connection, Asked.Prefixes);
   }
 
   void handle(ConnectionId, const ReleasePrefixes &Asked) {
-    for (const std::string &Name : Asked.Prefixes)
-      this->State.Prefixes.erase(Name);
-    this->Effects.push_back(ReleaseTargetPrefixes{Asked.Prefixes});
+    this->Prefixes.release(Asked.Prefixes);
   }
 
   void handle(ConnectionId Connection, const Heartbeat &Beat) {
@@ -241,7 +231,7 @@
         return;
       Next->Running = true;
       if (Next->Work.Kind == CallKind::Chat)
-        this->holdPrefix(*Next);
+        this->Prefixes.hold(*Next);
       this->Effects.push_back(CallTarget{Next->Work});
     }
   }
@@ -278,51 +268,6 @@
     return {Attained - Aged, Attempt.Arrived.SinceStart};
   }
 
-  void holdPrefix(SidecarAttempt &Attempt) {
-    const std::string Name =
-        prefixName(Attempt.Work.Program, Attempt.Work.Agent);
-    Attempt.HasFreshPrefix = this->State.Prefixes.count(Name) == 0;
-    this->State.Prefixes[Name] = HeldPrefix{Attempt.Owner, std::nullopt};
-  }
-
-  /// The owner of an attempt that broke off counts its prefix as never made
-  /// here, and will not ask for its release.
-  void leaseFreshPrefix(const SidecarAttempt &Attempt) {
-    if (!Attempt.HasFreshPrefix)
-      return;
-    const auto Held = this->State.Prefixes.find(
-        prefixName(Attempt.Work.Program, Attempt.Work.Agent));
-    if (Held != this->State.Prefixes.end())
-      Held->second.ExpiresAt =
-          this->State.Now + this->State.Options.PrefixLease;
-  }
-
-  /// Prefixes that the target holds and nobody here knows get one lease.
-  void adoptPrefixes(const std::vector<std::string> &Held) {
-    for (const std::string &Name : Held) {
-      if (this->State.Prefixes.count(Name) > 0)
-        continue;
-      const Instant Until = this->State.Now + this->State.Options.PrefixLease;
-      this->State.Prefixes[Name] = HeldPrefix{ConnectionId(), Until};
-    }
-  }
-
-  void releaseExpiredPrefixes() {
-    std::vector<std::string> Expired;
-    for (auto Item = this->State.Prefixes.begin();
-         Item != this->State.Prefixes.end();) {
-      const std::optional<Instant> &Until = Item->second.ExpiresAt;
-      if (!Until || this->State.Now < *Until) {
-        ++Item;
-        continue;
-      }
-      Expired.push_back(Item->first);
-      Item = this->State.Prefixes.erase(Item);
-    }
-    if (!Expired.empty())
-      this->Effects.push_back(ReleaseTargetPrefixes{Expired});
-  }
-
   void finish(const AttemptFinished &Outcome) {
     const SidecarAttempt *Attempt = this->find(Outcome.Attempt);
     if (!Attempt)
@@ -332,7 +277,7 @@
     if (!Attempt->OrphanedAt)
       this->send(Attempt->Owner, Outcome);
     if (Outcome.Ran != Execution::Ran)
-      this->leaseFreshPrefix(*Attempt);
+      this->Prefixes.leaseFresh(*Attempt);
     this->State.Attempts.erase(Outcome.Attempt);
     this->startNext();
     this->exitIfDone();
@@ -496,9 +441,12 @@
   }
 
   void exitIfDone() {
+    const bool HasLingered = this->State.Options.LeaveLinger <=
+                             this->State.Now - this->State.LeavingSince;
+    const bool OwesNothing = this->State.Owners.empty() ||
+                             (HasLingered && this->State.Outcomes.empty());
     const bool IsDone =
-        this->State.Leaving && this->State.Attempts.empty() &&
-        (this->State.Outcomes.empty() || this->State.Owners.empty());
+        this->State.Leaving && this->State.Attempts.empty() && OwesNothing;
     if (!IsDone || this->State.ExitAsked)
       return;
     this->State.ExitAsked = true;
@@ -523,6 +471,7 @@
 
   SidecarState &State;
   std::vector<SidecarEffect> &Effects;
+  SidecarPrefixes Prefixes;
 };
 
 } // namespace
--- a/packages/decision/tests/SidecarTest.cpp
+++ b/packages/decision/tests/SidecarTest.cpp
@@ -95,6 +95,24 @@
   CHECK(World.count<ReleaseTargetPrefixes>() == 0);
 }
 
+TEST_CASE("Sidecar: what was on its way as it began to leave is refused") {
+  SidecarWorld World;
+  World.apply(SidecarStopAsked{});
+  // Its owners may not have heard of it yet.
+  CHECK(World.count<ExitSidecar>() == 0);
+  World.dispatch(1);
+  CHECK(World.countSent<AttemptRefused>() == 1);
+  World.pass(World.State.Options.LeaveLinger);
+  CHECK(World.count<ExitSidecar>() == 1);
+}
+
+TEST_CASE("Sidecar: without owners it leaves at once") {
+  SidecarWorld World;
+  World.apply(OwnerDisconnected{Link});
+  World.apply(SidecarStopAsked{});
+  CHECK(World.count<ExitSidecar>() == 1);
+}
+
 TEST_CASE("Sidecar: one probe without an answer says nothing") {
   SidecarWorld World;
   TargetProbed Silent;
