--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -24,6 +24,9 @@
   bool IsSettled = false;
 };
 
+/// Returns a turn's name in claims.
+Fingerprint fingerprintOf(const TurnId &Turn);
+
 /// A turn whose answer is complete.
 struct TurnKept {
   TurnId Turn;
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -86,11 +86,6 @@
   LedgerBatch Batch;
 };
 
-/// A replica as registered in the key-value service.
-struct RegisteredReplica {
-  LedgerMember Member;
-};
-
 /// The copying of records before this replica may serve in a new view.
 struct RecordsPull {
   struct Source {
@@ -117,7 +112,8 @@
   bool HasReadService = false;
   Revision ViewRevision;
   Instant ServiceReadAt;
-  std::map<HostId, RegisteredReplica> Registered;
+  /// Replicas as registered in the key-value service.
+  std::map<HostId, LedgerMember> Registered;
   /// Since when a member has had no registration.
   std::map<HolderId, Instant> MissingSince;
   /// The view for which each replica has copied all records.
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerView.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerView.h
@@ -6,6 +6,7 @@
 #include "tanagerlanding/basics.h"
 
 #include <cstddef>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,10 @@
   std::size_t writeQuorum(const std::vector<LedgerMember> &Set) const;
   /// Returns how many replicas of Current must answer a read.
   std::size_t readQuorum() const;
+  /// Returns whether enough replicas have a record for it to be durable.
+  bool isWrittenBy(const std::set<HolderId> &Holders) const;
+  /// Returns whether enough replicas have answered for it to be certain.
+  bool isReadBy(const std::set<HolderId> &Holders) const;
   /// Returns whether the membership is changing.
   bool isChanging() const { return !this->Next.empty(); }
   /// Returns all replicas of Current and Next, each once.
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -48,8 +48,6 @@
   TokenCount MostTokens;
   /// Names the object that the request concerns.
   std::optional<std::string> AffinityKey;
-  /// The last event that the caller has of a broken stream.
-  std::optional<std::uint64_t> ResumeAfter;
 };
 
 /// The beginning of a target's answer.
@@ -82,8 +80,6 @@
   LedgerUnavailable,
   NoTarget,
   Overloaded,
-  Draining,
-  Quarantined,
   TargetFailed,
   DeadlinePassed,
 };
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -140,7 +140,6 @@
 struct TurnLedger {
   bool HasClaim = false;
   bool IsSettled = false;
-  LedgerOperationId Operation;
   /// What the replicas were asked last, but for who is to send the history.
   OpenTurn Asked;
   Instant AskedAt;
@@ -179,7 +178,6 @@
   /// The present attempt; 0 if none.
   RelayAttemptId Attempt;
   TargetId Target;
-  Instant SentAt;
   std::set<TargetId> Tried;
   /// Sends after which the request may have run, and those refused.
   std::uint32_t MayHaveRun = 0;
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -20,7 +20,7 @@
   const auto Present = State.Registered.find(Member.Host);
   // The host came back with an empty disk: that replica is no more.
   if (Present != State.Registered.end() &&
-      !(Present->second.Member.Holder == Member.Holder))
+      !(Present->second.Holder == Member.Holder))
     return true;
   const auto Missing = State.MissingSince.find(Member.Holder);
   return Missing != State.MissingSince.end() &&
@@ -37,9 +37,8 @@
                                         const std::vector<LedgerMember> &Kept) {
   std::vector<LedgerMember> Found;
   for (const auto &[Host, Each] : State.Registered) {
-    if (!containsHolder(Kept, Each.Member.Holder) &&
-        !isRetiring(State, Each.Member))
-      Found.push_back(Each.Member);
+    if (!containsHolder(Kept, Each.Holder) && !isRetiring(State, Each))
+      Found.push_back(Each);
   }
   const auto Covered = [&Kept](const LedgerMember &Each) {
     return std::count_if(
@@ -101,8 +100,8 @@
   for (LedgerMember &Each : Members) {
     const auto Present = State.Registered.find(Each.Host);
     if (Present != State.Registered.end() &&
-        Present->second.Member.Holder == Each.Holder)
-      Each = Present->second.Member;
+        Present->second.Holder == Each.Holder)
+      Each = Present->second;
   }
   return Members;
 }
@@ -186,7 +185,7 @@
 Milliseconds proposalDelay(const LedgerState &State) {
   int Rank = 0;
   for (const auto &[Host, Each] : State.Registered) {
-    if (Host < State.Self.Host && !isRetiring(State, Each.Member))
+    if (Host < State.Self.Host && !isRetiring(State, Each))
       ++Rank;
   }
   return State.Options.ProposalStagger * Rank;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-Fingerprint fingerprintOf(const TurnId &Turn) {
-  return Fingerprint(hashBytes(Turn.Value));
-}
-
 /// Answers an open, with the history where it was asked for and is known.
 void sendOpened(LedgerContext &Context, const HostId &Peer,
                 const OpenTurn &Asked) {
@@ -196,7 +192,7 @@
   }
 
   void operator()(const ReplicaRegistered &Event) {
-    this->State.Registered[Event.Member.Host] = RegisteredReplica{Event.Member};
+    this->State.Registered[Event.Member.Host] = Event.Member;
     reviewMembership(this->Context);
   }
 
--- a/packages/decision/src/ledger/LedgerView.cpp
+++ b/packages/decision/src/ledger/LedgerView.cpp
@@ -4,6 +4,18 @@
 
 namespace tanagerlanding {
 
+namespace {
+
+std::size_t countIn(const std::set<HolderId> &Holders,
+                    const std::vector<LedgerMember> &Members) {
+  return static_cast<std::size_t>(std::count_if(
+      Members.begin(), Members.end(), [&](const LedgerMember &Each) {
+        return Holders.count(Each.Holder) > 0;
+      }));
+}
+
+} // namespace
+
 std::size_t
 LedgerView::writeQuorum(const std::vector<LedgerMember> &Set) const {
   return std::min<std::size_t>(Set.size(), this->Tolerated + 1);
@@ -14,6 +26,15 @@
   return Size > this->Tolerated ? Size - this->Tolerated : 1;
 }
 
+bool LedgerView::isWrittenBy(const std::set<HolderId> &Holders) const {
+  return countIn(Holders, this->Current) >= this->writeQuorum(this->Current) &&
+         countIn(Holders, this->Next) >= this->writeQuorum(this->Next);
+}
+
+bool LedgerView::isReadBy(const std::set<HolderId> &Holders) const {
+  return countIn(Holders, this->Current) >= this->readQuorum();
+}
+
 std::vector<LedgerMember> LedgerView::allMembers() const {
   std::vector<LedgerMember> All = this->Current;
   for (const LedgerMember &Each : this->Next) {
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -1,5 +1,6 @@
 #include "Attempts.h"
 
+#include "TurnCloses.h"
 #include "Turns.h"
 #include "Waiting.h"
 
@@ -96,7 +97,7 @@
 
 void removeCall(RelayContext &Context, RelayCall &Call) {
   releaseAttempt(Context, Call);
-  Context.State.Opens.erase(Call.Ledger.Operation);
+  Context.State.Opens.erase(Call.Ledger.Asked.Operation);
   const RequestId Request = Call.Request;
   Context.State.Waiting.erase(Request);
   Context.State.Calls.erase(Request);
@@ -331,12 +332,15 @@
 }
 
 void dispatchCall(RelayContext &Context, RelayCall &Call) {
-  const auto Chosen = chooseTarget(Context.State, Call);
-  const bool IsBusy = !Chosen && Chosen.error() == PlacementFailure::Busy;
   // Nothing overtakes what waits and is as urgent.
   const bool HasToQueue = !Context.State.Waiting.empty() &&
                           urgencyOf(Context.State, Call) != Urgency::Underway;
-  if (IsBusy || HasToQueue)
+  if (HasToQueue) {
+    parkCall(Context, Call);
+    return;
+  }
+  const auto Chosen = chooseTarget(Context.State, Call);
+  if (!Chosen && Chosen.error() == PlacementFailure::Busy)
     parkCall(Context, Call);
   else
     sendCall(Context, Call, Chosen);
@@ -356,7 +360,6 @@
   Call.Phase = RelayPhase::Running;
   Call.Attempt = RelayAttemptId(State.NextAttempt++);
   Call.Target = Chosen.value();
-  Call.SentAt = State.Now;
   Call.Tried.insert(Call.Target);
   State.Attempts[Call.Attempt] = Call.Request;
   SendAttempt Send;
--- a/packages/decision/src/relay/RelayRefusal.cpp
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -26,10 +26,6 @@
     return "no_target";
   case RelayRefusalReason::Overloaded:
     return "overloaded";
-  case RelayRefusalReason::Draining:
-    return "draining";
-  case RelayRefusalReason::Quarantined:
-    return "quarantined";
   case RelayRefusalReason::TargetFailed:
     return "target_failed";
   case RelayRefusalReason::DeadlinePassed:
--- /dev/null
+++ b/packages/decision/src/relay/TurnCloses.cpp
@@ -0,0 +1,99 @@
+#include "TurnCloses.h"
+
+#include "Attempts.h"
+#include "Turns.h"
+
+namespace tanagerlanding {
+
+namespace {
+
+/// A close that nobody waits for is given up after this time; until a replica
+/// has it the claim counts in full, which is safe.
+constexpr Milliseconds CloseLimit{10000};
+
+void sendClose(RelayContext &Context, PendingClose &Close) {
+  RelayState &State = Context.State;
+  Close.Message.View = State.View.Version;
+  for (const LedgerMember &Each : State.View.allMembers()) {
+    if (State.Connected.count(Each.Holder) > 0 &&
+        Close.Confirmed.count(Each.Holder) == 0)
+      Context.send(Each.Holder, Close.Message);
+  }
+}
+
+/// Ends a close that enough replicas have confirmed.
+void completeClose(RelayContext &Context, LedgerOperationId Operation) {
+  RelayState &State = Context.State;
+  const auto Found = State.Closes.find(Operation);
+  if (!State.View.isWrittenBy(Found->second.Confirmed))
+    return;
+  const auto Waiting = Found->second.Waiting;
+  State.Closes.erase(Found);
+  if (!Waiting)
+    return;
+  const auto Call = State.Calls.find(*Waiting);
+  if (Call != State.Calls.end())
+    finishCall(Context, Call->second);
+}
+
+} // namespace
+
+std::optional<LedgerOperationId> closeTurn(RelayContext &Context,
+                                           RelayCall &Call, bool IsKept) {
+  RelayState &State = Context.State;
+  TurnLedger &Ledger = Call.Ledger;
+  const bool HasOpenClaim = Ledger.HasClaim && !Ledger.IsSettled;
+  if (!HasOpenClaim && !IsKept)
+    return std::nullopt;
+  Ledger.IsSettled = true;
+  PendingClose Close;
+  Close.Since = State.Now;
+  Close.Message.Operation = LedgerOperationId(State.NextOperation++);
+  Close.Message.Program = programOf(Call);
+  Close.Message.Turn = Call.Asked.Id;
+  Close.Message.Retention = Call.Route.Retention;
+  if (HasOpenClaim)
+    Close.Message.Used =
+        TokenCount{Call.EventsSent * Call.TokensPerEvent.Value};
+  if (IsKept) {
+    Close.Message.IsKept = true;
+    Close.Message.Previous = previousOf(Call);
+    Close.Message.Input = std::move(Call.Asked.Body);
+    Close.Message.Output = std::move(Call.Output);
+    Close.Message.Target = Call.Target;
+  }
+  const LedgerOperationId Operation = Close.Message.Operation;
+  PendingClose &Kept = State.Closes[Operation] = std::move(Close);
+  sendClose(Context, Kept);
+  return Operation;
+}
+
+void handleClosed(RelayContext &Context, const HolderId &Holder,
+                  const TurnClosed &Reply) {
+  const auto Found = Context.State.Closes.find(Reply.Operation);
+  if (Found == Context.State.Closes.end())
+    return;
+  Found->second.Confirmed.insert(Holder);
+  completeClose(Context, Reply.Operation);
+}
+
+void repeatCloses(RelayContext &Context) {
+  for (auto &[Operation, Close] : Context.State.Closes)
+    sendClose(Context, Close);
+}
+
+void repeatClosesTo(RelayContext &Context, const HolderId &Holder) {
+  for (const auto &[Operation, Close] : Context.State.Closes) {
+    if (Close.Confirmed.count(Holder) == 0)
+      Context.send(Holder, Close.Message);
+  }
+}
+
+void dropOldCloses(RelayState &State) {
+  for (auto Each = State.Closes.begin(); Each != State.Closes.end();) {
+    const bool IsOld = CloseLimit <= State.Now - Each->second.Since;
+    Each = IsOld ? State.Closes.erase(Each) : std::next(Each);
+  }
+}
+
+} // namespace tanagerlanding
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -1,6 +1,7 @@
 #include "Turns.h"
 
 #include "Attempts.h"
+#include "TurnCloses.h"
 
 #include <algorithm>
 
@@ -8,33 +9,6 @@
 
 namespace {
 
-/// A close that nobody waits for is given up after this time; until a replica
-/// has it the claim counts in full, which is safe.
-constexpr Milliseconds CloseLimit{10000};
-
-Fingerprint fingerprintOf(const CallerRequest &Asked) {
-  return Fingerprint(hashBytes(Asked.Id.Value));
-}
-
-std::size_t countIn(const std::set<HolderId> &Holders,
-                    const std::vector<LedgerMember> &Members) {
-  return static_cast<std::size_t>(std::count_if(
-      Members.begin(), Members.end(), [&](const LedgerMember &Each) {
-        return Holders.count(Each.Holder) > 0;
-      }));
-}
-
-/// Returns whether enough replicas have written.
-bool isWritten(const LedgerView &View, const std::set<HolderId> &Holders) {
-  return countIn(Holders, View.Current) >= View.writeQuorum(View.Current) &&
-         countIn(Holders, View.Next) >= View.writeQuorum(View.Next);
-}
-
-/// Returns whether enough replicas have answered for the answer to be certain.
-bool isRead(const LedgerView &View, const std::set<HolderId> &Holders) {
-  return countIn(Holders, View.Current) >= View.readQuorum();
-}
-
 /// Returns the replicas that are connected and have been heard lately.
 std::set<HolderId> liveReplicas(const RelayState &State) {
   std::set<HolderId> Live;
@@ -49,14 +23,6 @@
   return Call.Asked.Program && Call.Asked.Program->Budget;
 }
 
-std::optional<TurnId> previousOf(const RelayCall &Call) {
-  return Call.Route.KeepsHistory ? Call.Asked.Previous : std::nullopt;
-}
-
-ProgramId programOf(const RelayCall &Call) {
-  return Call.Asked.Program ? Call.Asked.Program->Program : ProgramId();
-}
-
 /// Returns the replica whose history is the cheapest to get: one in this zone.
 std::optional<HolderId> pickHistorySource(const RelayState &State,
                                           const std::set<HolderId> &Tried) {
@@ -88,14 +54,13 @@
 void sendOpen(RelayContext &Context, RelayCall &Call, bool IsFirst) {
   RelayState &State = Context.State;
   TurnLedger &Ledger = Call.Ledger;
-  State.Opens.erase(Ledger.Operation);
-  Ledger.Operation = LedgerOperationId(State.NextOperation++);
+  State.Opens.erase(Ledger.Asked.Operation);
   Ledger.AskedAt = State.Now;
   Ledger.Answered.clear();
   Ledger.Refused.clear();
-  State.Opens[Ledger.Operation] = Call.Request;
   OpenTurn &Open = Ledger.Asked = OpenTurn();
-  Open.Operation = Ledger.Operation;
+  Open.Operation = LedgerOperationId(State.NextOperation++);
+  State.Opens[Open.Operation] = Call.Request;
   Open.View = State.View.Version;
   Open.Turn = Call.Asked.Id;
   Open.Program = programOf(Call);
@@ -128,9 +93,9 @@
     if (Call.Ledger.Refused.count(Each) == 0)
       Possible.insert(Each);
   }
-  if (!isRead(State.View, Possible))
+  if (!State.View.isReadBy(Possible))
     return false;
-  return !Call.Ledger.HasClaim || isWritten(State.View, Possible);
+  return !Call.Ledger.HasClaim || State.View.isWrittenBy(Possible);
 }
 
 /// Returns whether a turn that waits for a quorum will not get one.
@@ -140,9 +105,10 @@
 
 /// Returns the tokens that other turns of the program have claimed.
 TokenCount claimedByOthers(const RelayCall &Call) {
+  const Fingerprint Own = fingerprintOf(Call.Asked.Id);
   TokenCount Sum;
   for (const auto &[Turn, Claim] : Call.Ledger.Claims) {
-    if (!(Turn == fingerprintOf(Call.Asked)))
+    if (!(Turn == Own))
       Sum = Sum + Claim.Tokens;
   }
   return Sum;
@@ -169,14 +135,15 @@
   Ledger.HistoryAsked = *Source;
   Ledger.HistoryAskedAt = State.Now;
   Ledger.HistoryTried.insert(*Source);
-  OpenTurn &Read = Ledger.Asked = OpenTurn();
-  Read.Operation = Ledger.Operation;
+  OpenTurn Read;
+  Read.Operation = Ledger.Asked.Operation;
   Read.View = State.View.Version;
   Read.Turn = Call.Asked.Id;
   Read.Program = programOf(Call);
   Read.Previous = Ledger.HistoryNeeded;
   Read.Retention = Call.Route.Retention;
-  State.Opens[Ledger.Operation] = Call.Request;
+  State.Opens[Read.Operation] = Call.Request;
+  Ledger.Asked = std::move(Read);
   askReplica(Context, Ledger, *Source);
 }
 
@@ -184,7 +151,7 @@
 void proceed(RelayContext &Context, RelayCall &Call) {
   TurnLedger &Ledger = Call.Ledger;
   if (!Ledger.HistoryNeeded) {
-    Context.State.Opens.erase(Ledger.Operation);
+    Context.State.Opens.erase(Ledger.Asked.Operation);
     dispatchCall(Context, Call);
     return;
   }
@@ -202,8 +169,8 @@
   TurnLedger &Ledger = Call.Ledger;
   const bool IsClaiming = Call.Phase == RelayPhase::Opening && Ledger.HasClaim;
   const bool IsCertain =
-      isRead(State.View, Ledger.Answered) &&
-      (!IsClaiming || isWritten(State.View, Ledger.Answered));
+      State.View.isReadBy(Ledger.Answered) &&
+      (!IsClaiming || State.View.isWrittenBy(Ledger.Answered));
   if (!IsCertain) {
     if (!canSucceed(State, Call))
       refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
@@ -275,40 +242,6 @@
     collectHistory(Context, Call);
 }
 
-void sendClose(RelayContext &Context, PendingClose &Close) {
-  RelayState &State = Context.State;
-  Close.Message.View = State.View.Version;
-  for (const LedgerMember &Each : State.View.allMembers()) {
-    if (State.Connected.count(Each.Holder) > 0 &&
-        Close.Confirmed.count(Each.Holder) == 0)
-      Context.send(Each.Holder, Close.Message);
-  }
-}
-
-/// Ends a close that enough replicas have confirmed.
-void completeClose(RelayContext &Context, LedgerOperationId Operation) {
-  RelayState &State = Context.State;
-  const auto Found = State.Closes.find(Operation);
-  if (!isWritten(State.View, Found->second.Confirmed))
-    return;
-  const auto Waiting = Found->second.Waiting;
-  State.Closes.erase(Found);
-  if (!Waiting)
-    return;
-  const auto Call = State.Calls.find(*Waiting);
-  if (Call != State.Calls.end())
-    finishCall(Context, Call->second);
-}
-
-void handleClosed(RelayContext &Context, const HolderId &Holder,
-                  const TurnClosed &Reply) {
-  const auto Found = Context.State.Closes.find(Reply.Operation);
-  if (Found == Context.State.Closes.end())
-    return;
-  Found->second.Confirmed.insert(Holder);
-  completeClose(Context, Reply.Operation);
-}
-
 /// Tells a replica that has not heard of the present view, and repeats what it
 /// refused for that.
 void bringUpToView(RelayContext &Context, const HolderId &Holder,
@@ -385,15 +318,23 @@
 
 } // namespace
 
+std::optional<TurnId> previousOf(const RelayCall &Call) {
+  return Call.Route.KeepsHistory ? Call.Asked.Previous : std::nullopt;
+}
+
+ProgramId programOf(const RelayCall &Call) {
+  return Call.Asked.Program ? Call.Asked.Program->Program : ProgramId();
+}
+
 bool needsLedger(const RelayCall &Call) {
   return hasClaim(Call) || previousOf(Call).has_value();
 }
 
 bool hasOtherClaims(const RelayCall &Call) {
+  const Fingerprint Own = fingerprintOf(Call.Asked.Id);
   const auto &Claims = Call.Ledger.Claims;
-  return std::any_of(Claims.begin(), Claims.end(), [&Call](const auto &Each) {
-    return !(Each.first == fingerprintOf(Call.Asked));
-  });
+  return std::any_of(Claims.begin(), Claims.end(),
+                     [&Own](const auto &Each) { return !(Each.first == Own); });
 }
 
 void openTurn(RelayContext &Context, RelayCall &Call) {
@@ -405,36 +346,6 @@
   sendOpen(Context, Call, true);
 }
 
-std::optional<LedgerOperationId> closeTurn(RelayContext &Context,
-                                           RelayCall &Call, bool IsKept) {
-  RelayState &State = Context.State;
-  TurnLedger &Ledger = Call.Ledger;
-  const bool HasOpenClaim = Ledger.HasClaim && !Ledger.IsSettled;
-  if (!HasOpenClaim && !IsKept)
-    return std::nullopt;
-  Ledger.IsSettled = true;
-  PendingClose Close;
-  Close.Since = State.Now;
-  Close.Message.Operation = LedgerOperationId(State.NextOperation++);
-  Close.Message.Program = programOf(Call);
-  Close.Message.Turn = Call.Asked.Id;
-  Close.Message.Retention = Call.Route.Retention;
-  if (HasOpenClaim)
-    Close.Message.Used =
-        TokenCount{Call.EventsSent * Call.TokensPerEvent.Value};
-  if (IsKept) {
-    Close.Message.IsKept = true;
-    Close.Message.Previous = previousOf(Call);
-    Close.Message.Input = std::move(Call.Asked.Body);
-    Close.Message.Output = std::move(Call.Output);
-    Close.Message.Target = Call.Target;
-  }
-  const LedgerOperationId Operation = Close.Message.Operation;
-  PendingClose &Kept = State.Closes[Operation] = std::move(Close);
-  sendClose(Context, Kept);
-  return Operation;
-}
-
 void handleReplica(RelayContext &Context, const HolderId &Holder,
                    const Message &Body) {
   const auto Heard = Context.State.HeardAt.find(Holder);
@@ -448,10 +359,7 @@
   State.Connected.insert(Holder);
   State.HeardAt[Holder] = State.Now;
   Context.log("replica_connected", {{"holder", Holder.Value}});
-  for (auto &[Operation, Close] : State.Closes) {
-    if (Close.Confirmed.count(Holder) == 0)
-      Context.send(Holder, Close.Message);
-  }
+  repeatClosesTo(Context, Holder);
 }
 
 void disconnectReplica(RelayContext &Context, const HolderId &Holder) {
@@ -485,16 +393,15 @@
     if (Found != State.Calls.end())
       openTurn(Context, Found->second);
   }
-  for (auto &[Operation, Close] : State.Closes)
-    sendClose(Context, Close);
+  repeatCloses(Context);
 }
 
 void reviewQuorum(RelayContext &Context) {
   RelayState &State = Context.State;
   const std::set<HolderId> Live = liveReplicas(State);
   const bool HasQuorum = !State.View.Current.empty() &&
-                         isRead(State.View, Live) &&
-                         isWritten(State.View, Live);
+                         State.View.isReadBy(Live) &&
+                         State.View.isWrittenBy(Live);
   if (HasQuorum == !State.LedgerLostSince)
     return;
   Context.log(HasQuorum ? "ledger_regained" : "ledger_lost",
@@ -528,10 +435,7 @@
              State.Options.HistoryLimit <= State.Now - Ledger.HistoryAskedAt)
       collectHistory(Context, Call);
   }
-  for (auto Each = State.Closes.begin(); Each != State.Closes.end();) {
-    const bool IsOld = CloseLimit <= State.Now - Each->second.Since;
-    Each = IsOld ? State.Closes.erase(Each) : std::next(Each);
-  }
+  dropOldCloses(State);
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -10,6 +10,11 @@
 /// Returns whether a call needs the ledger before it may run.
 bool needsLedger(const RelayCall &Call);
 
+/// Returns the turn that a call continues from, if its route keeps turns.
+std::optional<TurnId> previousOf(const RelayCall &Call);
+/// Returns the program of a call; an empty id if it has none.
+ProgramId programOf(const RelayCall &Call);
+
 /// Returns whether other turns of the call's program have claimed tokens, as
 /// far as the ledger has told for this call.
 bool hasOtherClaims(const RelayCall &Call);
@@ -18,11 +23,6 @@
 /// is refused, when enough replicas have answered.
 void openTurn(RelayContext &Context, RelayCall &Call);
 
-/// Settles a turn's claim with what was handed out, and keeps the turn where
-/// IsKept. Returns the operation, if there is anything to write.
-std::optional<LedgerOperationId> closeTurn(RelayContext &Context,
-                                           RelayCall &Call, bool IsKept);
-
 void handleReplica(RelayContext &Context, const HolderId &Holder,
                    const Message &Body);
 void connectReplica(RelayContext &Context, const HolderId &Holder);
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -92,7 +92,6 @@
   std::set<ConnectionId> Relays;
   std::map<HostId, ConnectionId> Links;
   std::map<ConnectionId, HostId> Hosts;
-  std::map<std::pair<std::string, std::uint16_t>, HostId> Dialled;
 };
 
 } // namespace tanagerlanding
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -185,18 +185,12 @@
 
 /// Replicas reach each other for copying records.
 void LedgerProcess::connectPeers() {
-  std::map<std::pair<std::string, std::uint16_t>, HostId> Wanted;
+  ConnectionHub::Addresses Wanted;
   for (const LedgerMember &Each : this->State.View.allMembers()) {
     if (!(Each.Host == this->Settings.Host))
-      Wanted[{Each.Address, Each.Port}] = Each.Host;
+      Wanted.emplace(Each.Address, Each.Port);
   }
-  for (const auto &[Where, Host] : this->Dialled) {
-    if (Wanted.count(Where) == 0)
-      this->Hub.dropConnected(Where.first, Where.second);
-  }
-  this->Dialled = Wanted;
-  for (const auto &[Where, Host] : Wanted)
-    this->Hub.keepConnected(Where.first, Where.second);
+  this->Hub.keepOnly(Wanted);
 }
 
 void LedgerProcess::onOpened(ConnectionId Id) {
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -13,7 +13,6 @@
 #include <atomic>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -107,7 +106,6 @@
   const InstanceId Instance;
   std::map<HolderId, ConnectionId> Links;
   std::map<ConnectionId, HolderId> Holders;
-  std::set<std::pair<std::string, std::uint16_t>> Dialled;
 };
 
 } // namespace tanagerlanding
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "tanagerlanding/relay/CallerServer.h"
 
 #include "HttpHead.h"
+#include "tanagerlanding/runtime/Listening.h"
 #include "tanagerlanding/runtime/Log.h"
 
 #include <boost/asio/write.hpp>
@@ -87,21 +88,8 @@
 
 Result<void, SystemError> CallerServer::listen(const std::string &Address,
                                                std::uint16_t Port) {
-  boost::system::error_code Error;
-  const auto Ip = boost::asio::ip::make_address(Address, Error);
-  const tcp::endpoint Endpoint(Ip, Port);
-  if (!Error)
-    this->Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    this->Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    this->Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    this->Acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                          Error);
-  if (Error)
-    return SystemError{"listen on " + Address + ":" + std::to_string(Port),
-                       Error.value()};
+  if (auto Opened = openAcceptor(this->Acceptor, Address, Port); !Opened)
+    return Opened;
   this->accept();
   return success();
 }
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -177,16 +177,10 @@
 }
 
 void RelayProcess::connectReplicas(const std::vector<ListenAddress> &Wanted) {
-  std::set<std::pair<std::string, std::uint16_t>> Places;
+  ConnectionHub::Addresses Places;
   for (const ListenAddress &Each : Wanted)
     Places.emplace(Each.Address, Each.Port);
-  for (const auto &[Address, Port] : this->Dialled) {
-    if (Places.count({Address, Port}) == 0)
-      this->Hub.dropConnected(Address, Port);
-  }
-  this->Dialled = Places;
-  for (const auto &[Address, Port] : Places)
-    this->Hub.keepConnected(Address, Port);
+  this->Hub.keepOnly(Places);
 }
 
 void RelayProcess::onOpened(ConnectionId Id) {
--- a/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
+++ b/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
@@ -12,7 +12,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 
 namespace tanagerlanding {
 
@@ -52,8 +54,12 @@
   /// Keeps a connection to Address, for as long as it is wanted there.
   void keepConnected(const std::string &Address, std::uint16_t Port);
 
-  /// Stops keeping a connection to Address and closes it.
-  void dropConnected(const std::string &Address, std::uint16_t Port);
+  /// IP numbers with ports.
+  using Addresses = std::set<std::pair<std::string, std::uint16_t>>;
+
+  /// Keeps connections to all of Wanted; stops keeping those to any other
+  /// address, and closes them.
+  void keepOnly(const Addresses &Wanted);
 
   /// Sends a message. One to a connection that is gone is lost.
   void send(ConnectionId Id, const Message &Body);
@@ -73,6 +79,7 @@
   struct Dialler;
 
   void accept();
+  void dropConnected(const std::pair<std::string, std::uint16_t> &Address);
   void dial(const std::shared_ptr<Dialler> &Target);
   void redial(const std::shared_ptr<Dialler> &Target);
   ConnectionId adopt(boost::asio::ip::tcp::socket Socket,
--- a/packages/runtime/src/ConnectionHub.cpp
+++ b/packages/runtime/src/ConnectionHub.cpp
@@ -1,5 +1,6 @@
 #include "tanagerlanding/runtime/ConnectionHub.h"
 
+#include "tanagerlanding/runtime/Listening.h"
 #include "tanagerlanding/runtime/Log.h"
 
 #include <boost/asio/buffer.hpp>
@@ -62,22 +63,8 @@
 
 Result<void, SystemError> ConnectionHub::listen(const std::string &Address,
                                                 std::uint16_t Port) {
-  boost::system::error_code Error;
-  const auto Ip = boost::asio::ip::make_address(Address, Error);
-  if (Error)
-    return SystemError{"parse address " + Address, Error.value()};
-  const tcp::endpoint Endpoint(Ip, Port);
-  this->Acceptor.open(Endpoint.protocol(), Error);
-  if (!Error)
-    this->Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    this->Acceptor.bind(Endpoint, Error);
-  if (!Error)
-    this->Acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                          Error);
-  if (Error)
-    return SystemError{"listen on " + Address + ":" + std::to_string(Port),
-                       Error.value()};
+  if (auto Opened = openAcceptor(this->Acceptor, Address, Port); !Opened)
+    return Opened;
   this->accept();
   return success();
 }
@@ -109,9 +96,21 @@
   this->dial(Slot);
 }
 
-void ConnectionHub::dropConnected(const std::string &Address,
-                                  std::uint16_t Port) {
-  const auto Found = this->Diallers.find({Address, Port});
+void ConnectionHub::keepOnly(const Addresses &Wanted) {
+  Addresses Unwanted;
+  for (const auto &[Address, Kept] : this->Diallers) {
+    if (Wanted.count(Address) == 0)
+      Unwanted.insert(Address);
+  }
+  for (const auto &Address : Unwanted)
+    this->dropConnected(Address);
+  for (const auto &[Address, Port] : Wanted)
+    this->keepConnected(Address, Port);
+}
+
+void ConnectionHub::dropConnected(
+    const std::pair<std::string, std::uint16_t> &Address) {
+  const auto Found = this->Diallers.find(Address);
   if (Found == this->Diallers.end())
     return;
   const ConnectionId Link = Found->second->Link;
