Keep requests for the first second after a relay's start

A relay that has only begun does not know yet whether it can serve: it now keeps such requests for at most a second after its start, and at most half of the caller's time. What is lost later is refused at once, as before. RelayTest: the refusal without a configuration is now checked at once after the start, at its end, and by half of the caller's time; two new cases failed before.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -35,6 +35,10 @@
   /// When a refused caller may come back: the time in which a connection is
   /// made again or a restarted process serves.
   Milliseconds RetryAfter{250};
+  /// How long after its start a relay keeps requests for which it lacks the
+  /// configuration or the ledger: both come within a second where all hosts
+  /// start together, and callers have few further tries.
+  Milliseconds StartLimit{1000};
   /// A target that could not be reached is avoided this long, and twice as
   /// long after each further failure, up to AvoidLimit.
   Milliseconds AvoidBase{300};
@@ -195,6 +199,13 @@
   bool IsAnswering = false;
 };
 
+/// A request that is kept until this relay, which has just started, can admit
+/// it.
+struct EarlyRequest {
+  CallerRequest Asked;
+  Instant Arrived;
+};
+
 /// Where a program's or a session's prompt is cached.
 struct PromptHome {
   TargetId Target;
@@ -227,6 +238,10 @@
   std::set<HolderId> Connected;
   /// When each of them last said anything.
   std::map<HolderId, Instant> HeardAt;
+  /// When this relay started, and whether its start is over.
+  std::optional<Instant> StartedAt;
+  bool HasBegun = false;
+  std::map<RequestId, EarlyRequest> EarlyRequests;
   std::map<RequestId, RelayCall> Calls;
   /// Calls that wait for room at a target.
   std::set<RequestId> Waiting;
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -1,5 +1,6 @@
 #include "Attempts.h"
 
+#include "EarlyRequests.h"
 #include "TurnCloses.h"
 #include "Turns.h"
 #include "Waiting.h"
@@ -297,7 +298,8 @@
 
 } // namespace
 
-void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked) {
+void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked,
+               Instant Arrived) {
   RelayState &State = Context.State;
   if (!State.Configuration) {
     refuseUnadmitted(Context, Request, Asked,
@@ -318,9 +320,9 @@
   const auto Service = State.Configuration->Services.find(Call.Service);
   if (Service != State.Configuration->Services.end())
     Call.TokensPerEvent = Service->second.TokensPerEvent;
-  Call.Arrived = State.Now;
-  Call.Deadline = State.Now + std::min(Route->Timeout,
-                                       Asked.TimeLeft.value_or(Route->Timeout));
+  Call.Arrived = Arrived;
+  Call.Deadline = Arrived + std::min(Route->Timeout,
+                                     Asked.TimeLeft.value_or(Route->Timeout));
   Call.Asked = std::move(Asked);
   RelayCall &Admitted = State.Calls[Request] = std::move(Call);
   if (!hasTimeLeft(Context, Admitted))
@@ -449,6 +451,8 @@
 }
 
 void handleCallerGone(RelayContext &Context, RequestId Request) {
+  if (dropEarlyRequest(Context, Request))
+    return;
   const auto Found = Context.State.Calls.find(Request);
   if (Found == Context.State.Calls.end())
     return;
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -8,8 +8,10 @@
 
 namespace tanagerlanding {
 
-/// Takes a caller's request and begins to serve it, or refuses it.
-void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked);
+/// Takes a caller's request that came at Arrived and begins to serve it, or
+/// refuses it.
+void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked,
+               Instant Arrived);
 
 /// Sends the next attempt of a call to a target, lets it wait, or refuses it.
 /// The call may be gone afterwards.
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "Directory.h"
+#include "EarlyRequests.h"
 #include "Placement.h"
 #include "RelayContext.h"
 #include "Turns.h"
@@ -24,8 +25,8 @@
                 {{"calls", std::to_string(State.Calls.size())}});
     Context.add(StopAccepting{});
   }
-  const bool IsIdle =
-      State.HasStoppedAccepting && State.Calls.empty() && State.Closes.empty();
+  const bool IsIdle = State.HasStoppedAccepting && State.Calls.empty() &&
+                      State.EarlyRequests.empty() && State.Closes.empty();
   const bool IsOverdue = State.Options.DrainLimit <= Passed;
   if (!IsIdle && !IsOverdue)
     return;
@@ -67,7 +68,7 @@
   }
 
   void operator()(const CallerAsked &Event) {
-    admitCall(this->Context, Event.Request, Event.Asked);
+    takeRequest(this->Context, Event.Request, Event.Asked);
   }
 
   void operator()(const CallerGone &Event) {
@@ -150,6 +151,7 @@
   RelayContext Context(State, Effects);
   std::visit(RelayEventHandler(Context), Event);
   reviewQuorum(Context);
+  reviewEarlyRequests(Context);
   return Effects;
 }
 
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -8,7 +8,20 @@
 
 TEST_CASE("Relay: without a configuration it refuses as not run") {
   RelayWorld World;
-  World.ask("/plain/x");
+  SECTION("at once when its start is over") {
+    World.passTime(World.State.Options.StartLimit);
+    World.ask("/plain/x");
+  }
+  SECTION("at the end of its start") {
+    World.ask("/plain/x");
+    World.passTime(World.State.Options.StartLimit - Milliseconds(1));
+    CHECK(World.all<RefuseCaller>().empty());
+    World.passTime(Milliseconds(1));
+  }
+  SECTION("before half of the caller's time is over") {
+    World.ask("/plain/x", "r1", Milliseconds(400));
+    World.passTime(Milliseconds(200));
+  }
   const auto Refused = World.all<RefuseCaller>();
   REQUIRE(Refused.size() == 1);
   CHECK(Refused[0].Refusal.Reason == RelayRefusalReason::NotConfigured);
@@ -16,6 +29,44 @@
   CHECK(Refused[0].Refusal.RetryAfter > Milliseconds(0));
 }
 
+TEST_CASE("Relay: a request that comes while it starts is served") {
+  RelayWorld World;
+  World.ask("/plain/x");
+  World.askTurn(1000, 100);
+  World.configure();
+  CHECK(World.all<RefuseCaller>().empty());
+  World.addTarget("t1");
+  // The turn needs the ledger too.
+  CHECK(World.all<SendAttempt>().size() == 1);
+  CHECK(World.sentToReplicas<OpenTurn>().empty());
+  World.connectLedger();
+  CHECK_FALSE(World.sentToReplicas<OpenTurn>().empty());
+  CHECK(World.all<RefuseCaller>().empty());
+  CHECK(World.State.EarlyRequests.empty());
+}
+
+TEST_CASE("Relay: a caller that leaves while the relay starts is forgotten") {
+  RelayWorld World;
+  const RequestId Request = World.ask("/plain/x");
+  World.apply(CallerGone{Request});
+  CHECK(World.State.EarlyRequests.empty());
+  World.configure();
+  World.addTarget("t1");
+  CHECK(World.all<SendAttempt>().empty());
+}
+
+TEST_CASE(
+    "Relay: without the ledger, turns are refused once the start is over") {
+  RelayWorld World;
+  World.makeReady();
+  for (const char *Name : {"a", "b", "c"})
+    World.apply(ReplicaDisconnected{HolderId(Name)});
+  World.askTurn(1000, 100);
+  REQUIRE(World.all<RefuseCaller>().size() == 1);
+  CHECK(World.all<RefuseCaller>()[0].Refusal.Reason ==
+        RelayRefusalReason::LedgerUnavailable);
+}
+
 TEST_CASE("Relay: the longest prefix of the host is the route") {
   RelayConfiguration Configuration;
   for (const char *Prefix : {"/a/", "/a/b/", "/a/b/c/"}) {
