Read indexes of ended segments at a replica's start

An ended segment now gets an index without the text and without claims that are settled in the same segment; a start reads that, and whole only the segment that was the last. Segments are of 2 MB instead of 4, so that this is little. An index names the segment's size and first payload, as numbers may come again. Ruled out: loading libraries (5 ms). LedgerFolderTest: four cases; the first failed before (no index to read).

--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -3,7 +3,7 @@
 #ifndef TANAGERLANDING_JOURNAL_SEGMENTFOLDER_H
 #define TANAGERLANDING_JOURNAL_SEGMENTFOLDER_H
 
-#include "tanagerlanding/decision/ledger/LedgerState.h"
+#include "tanagerlanding/decision/ledger/SegmentIndex.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,6 +24,10 @@
   using Visitor =
       std::function<bool(const std::string &Payload, RecordPlace At)>;
 
+  /// Hands out a segment's payloads in another way than by reading it. Returns
+  /// false where that can't be done.
+  using Shortcut = std::function<bool(std::uint64_t Segment)>;
+
   /// A segment is ended once it has SegmentBytes.
   SegmentFolder(std::string Path, std::uint64_t SegmentBytes);
   ~SegmentFolder();
@@ -32,8 +36,15 @@
 
   /// Reads the folder, and makes it with a new id where it is empty. Fails
   /// where the system does, and with ErrorNumber 0 where a segment other than
-  /// the last is damaged.
-  Result<void, SystemError> open(const Visitor &Visit);
+  /// the last is damaged. The last segment is always read whole, others only
+  /// where TakeShortcut has returned false.
+  Result<void, SystemError> open(
+      const Visitor &Visit,
+      const Shortcut &TakeShortcut = [](std::uint64_t) { return false; });
+
+  /// Reads one ended segment.
+  Result<void, SystemError> visitSegment(std::uint64_t Segment,
+                                         const Visitor &Visit);
 
   /// Returns the folder's id, new when the folder was empty.
   const HolderId &holder() const { return this->Holder; }
@@ -41,12 +52,16 @@
   Result<RecordPlace, SystemError> append(const std::string &Payload);
   Result<void, SystemError> sync();
   Result<std::string, SystemError> read(RecordPlace At) const;
+  /// Returns what tells an ended segment from others with its number.
+  Result<SegmentIdentity, SystemError> identify(std::uint64_t Segment) const;
 
   /// Replaces a small file of the folder durably.
   Result<void, SystemError> writeFile(const std::string &Name,
                                       const std::string &Bytes) const;
   /// Returns a small file's bytes, empty where it isn't there.
   std::string readFile(const std::string &Name) const;
+  /// Deletes a small file of the folder; nothing happens where it isn't there.
+  void removeFile(const std::string &Name) const;
 
   /// Ends the present segment, so that it can be deleted later.
   Result<void, SystemError> rotate();
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -105,7 +105,8 @@
   return this->Path + "/" + SegmentPrefix + std::to_string(Number);
 }
 
-Result<void, SystemError> SegmentFolder::open(const Visitor &Visit) {
+Result<void, SystemError> SegmentFolder::open(const Visitor &Visit,
+                                              const Shortcut &TakeShortcut) {
   std::error_code Error;
   fs::create_directories(this->Path, Error);
   if (Error)
@@ -118,6 +119,8 @@
   const std::set<std::uint64_t> Found = this->Segments;
   for (const std::uint64_t Number : Found) {
     const bool IsLast = Number == *Found.rbegin();
+    if (!IsLast && TakeShortcut(Number))
+      continue;
     if (auto Read = this->readSegment(Number, IsLast, Visit); !Read)
       return Read.error();
   }
@@ -176,6 +179,15 @@
   return this->syncFolder();
 }
 
+Result<void, SystemError> SegmentFolder::visitSegment(std::uint64_t Segment,
+                                                      const Visitor &Visit) {
+  return this->readSegment(Segment, false, Visit);
+}
+
+void SegmentFolder::removeFile(const std::string &Name) const {
+  ::unlink((this->Path + "/" + Name).c_str());
+}
+
 Result<void, SystemError> SegmentFolder::readSegment(std::uint64_t Number,
                                                      bool IsLast,
                                                      const Visitor &Visit) {
@@ -283,6 +295,26 @@
   return Payload;
 }
 
+Result<SegmentIdentity, SystemError>
+SegmentFolder::identify(std::uint64_t Segment) const {
+  const std::string Name = this->segmentPath(Segment);
+  std::ifstream File(Name, std::ios::binary);
+  SegmentIdentity Identity;
+  File.seekg(0, std::ios::end);
+  if (!File)
+    return lastError("read " + Name);
+  Identity.Bytes = static_cast<std::uint64_t>(File.tellg());
+  if (Identity.Bytes == 0)
+    return Identity;
+  std::string Head(HeadBytes, '\0');
+  File.seekg(0);
+  if (!File.read(Head.data(), static_cast<std::streamsize>(Head.size())))
+    return lastError("read " + Name);
+  Identity.FirstPayload = Fingerprint(
+      flatbuffers::ReadScalar<std::uint64_t>(Head.data() + HashOffset));
+  return Identity;
+}
+
 void SegmentFolder::remove(std::uint64_t Segment) {
   if (Segment >= this->Current)
     return;
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -1,5 +1,6 @@
 #include "tanagerlanding/ledger/LedgerFolder.h"
 
+#include "tanagerlanding/decision/ledger/SegmentIndex.h"
 #include "tanagerlanding/wire.h"
 
 #include <algorithm>
@@ -9,14 +10,27 @@
 
 namespace {
 
-/// Small, so that expired records free their space soon: a segment is deleted
-/// once nothing in it is needed.
-constexpr std::uint64_t SegmentBytes = 4 * 1024 * 1024;
+/// Small, so that expired records free their space soon, as a segment is
+/// deleted once nothing in it is needed, and that little has to be read at a
+/// start of the segment that has no index yet.
+constexpr std::uint64_t SegmentBytes = 2 * 1024 * 1024;
 /// The present segment, and the one before it, in which batches may lie that
 /// are written but not yet reported.
 constexpr std::uint64_t SegmentsKept = 2;
 constexpr const char *ViewFile = "view";
 constexpr const char *DirectoryFile = "directory";
+constexpr const char *IndexPrefix = "index-";
+
+std::string indexName(std::uint64_t Segment) {
+  return IndexPrefix + std::to_string(Segment);
+}
+
+std::optional<LedgerBatch> batchIn(const std::string &Payload) {
+  auto Body = decodeMessage(Payload);
+  if (!Body || !std::holds_alternative<LedgerBatch>(Body.value()))
+    return std::nullopt;
+  return std::move(std::get<LedgerBatch>(Body.value()));
+}
 
 } // namespace
 
@@ -25,15 +39,83 @@
 
 Result<void, SystemError>
 LedgerFolder::open(const std::function<void(LedgerBatch, RecordPlace)> &Visit) {
-  return this->Folder.open([&](const std::string &Payload, RecordPlace At) {
-    auto Body = decodeMessage(Payload);
-    if (!Body || !std::holds_alternative<LedgerBatch>(Body.value()))
-      return false;
-    Visit(std::move(std::get<LedgerBatch>(Body.value())), At);
-    return true;
+  const auto VisitPayload = [&](const std::string &Payload, RecordPlace At) {
+    auto Batch = batchIn(Payload);
+    if (Batch)
+      Visit(std::move(*Batch), At);
+    return Batch.has_value();
+  };
+  return this->Folder.open(VisitPayload, [&](std::uint64_t Segment) {
+    return this->readIndex(Segment, Visit);
   });
 }
 
+bool LedgerFolder::readIndex(
+    std::uint64_t Segment,
+    const std::function<void(LedgerBatch, RecordPlace)> &Visit) {
+  const auto Identity = this->Folder.identify(Segment);
+  if (!Identity)
+    return false;
+  const std::string Bytes = this->Folder.readFile(indexName(Segment));
+  const bool IsRead = decodeSegmentIndex(
+      Bytes, Segment, Identity.value(),
+      [&](IndexedBatch Each) { Visit(std::move(Each.Batch), Each.Place); });
+  if (IsRead)
+    this->Indexed.insert(Segment);
+  return IsRead;
+}
+
+std::optional<std::uint64_t> LedgerFolder::nextWithoutIndex() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  for (const std::uint64_t Each : this->Folder.segments()) {
+    if (Each < this->Folder.currentSegment() && this->Indexed.count(Each) == 0)
+      return Each;
+  }
+  return std::nullopt;
+}
+
+Result<std::string, SystemError>
+LedgerFolder::makeIndex(std::uint64_t Segment) {
+  const auto Identity = this->Folder.identify(Segment);
+  if (!Identity)
+    return Identity.error();
+  SegmentIndex Index;
+  Index.Identity = Identity.value();
+  const auto Read = this->Folder.visitSegment(
+      Segment, [&](const std::string &Payload, RecordPlace At) {
+        auto Batch = batchIn(Payload);
+        if (Batch)
+          Index.Batches.push_back({At, withoutText(std::move(*Batch))});
+        return Batch.has_value();
+      });
+  if (!Read)
+    return Read.error();
+  Index.Batches = withoutSuperseded(std::move(Index.Batches));
+  return encodeSegmentIndex(Index);
+}
+
+Result<bool, SystemError> LedgerFolder::indexNext() {
+  const auto Segment = this->nextWithoutIndex();
+  if (!Segment)
+    return false;
+  const auto Bytes = this->makeIndex(*Segment);
+  Result<void, SystemError> Written = success();
+  if (Bytes)
+    Written = this->Folder.writeFile(indexName(*Segment), Bytes.value());
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  // One that could not be made is not tried again: the segment is read whole at
+  // the next start.
+  this->Indexed.insert(*Segment);
+  const bool IsGone = this->Folder.segments().count(*Segment) == 0;
+  if (IsGone)
+    this->removeSegment(*Segment);
+  else if (!Bytes)
+    return Bytes.error();
+  else if (!Written)
+    return Written.error();
+  return true;
+}
+
 LedgerView LedgerFolder::readView() const {
   const auto Body = decodeMessage(this->Folder.readFile(ViewFile));
   const auto *Offer = Body ? std::get_if<ViewOffer>(&Body.value()) : nullptr;
@@ -70,10 +152,10 @@
   const auto Payload = this->Folder.read(At);
   if (!Payload)
     return Payload.error();
-  auto Body = decodeMessage(Payload.value());
-  if (!Body || !std::holds_alternative<LedgerBatch>(Body.value()))
+  auto Batch = batchIn(Payload.value());
+  if (!Batch)
     return SystemError{"damaged segment " + std::to_string(At.Segment), 0};
-  return std::move(std::get<LedgerBatch>(Body.value()));
+  return std::move(*Batch);
 }
 
 Result<std::string, SystemError> LedgerFolder::readHistory(
@@ -95,7 +177,14 @@
 void LedgerFolder::remove(std::uint64_t Segment) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   if (Segment + SegmentsKept <= this->Folder.currentSegment())
-    this->Folder.remove(Segment);
+    this->removeSegment(Segment);
+}
+
+/// The index goes first: one without its segment would stay for good.
+void LedgerFolder::removeSegment(std::uint64_t Segment) {
+  this->Folder.removeFile(indexName(Segment));
+  this->Folder.remove(Segment);
+  this->Indexed.erase(Segment);
 }
 
 void LedgerFolder::removeOthers(const std::set<std::uint64_t> &Needed) {
@@ -103,7 +192,7 @@
   const std::set<std::uint64_t> Present = this->Folder.segments();
   for (const std::uint64_t Each : Present) {
     if (Needed.count(Each) == 0)
-      this->Folder.remove(Each);
+      this->removeSegment(Each);
   }
 }
 
--- a/packages/ledger/src/LedgerWriter.cpp
+++ b/packages/ledger/src/LedgerWriter.cpp
@@ -89,6 +89,8 @@
     this->Group.clear();
     if (this->Directory)
       this->writeDirectory();
+    if (const auto Written = this->Folder.indexNext(); !Written)
+      logFailure(Written.error());
   }
 }
 
--- a/packages/ledger/tests/LedgerFolderTest.cpp
+++ b/packages/ledger/tests/LedgerFolderTest.cpp
@@ -35,6 +35,49 @@
   return Batch;
 }
 
+/// Appends a turn's claim, its settling with the turn itself, and a claim that
+/// stays open, until the folder has begun another segment. Returns the turns.
+std::size_t fillSegment(LedgerFolder &Folder) {
+  const std::string Text(20000, 'x');
+  const auto First = Folder.append(batchOf("begin")).value().Segment;
+  for (std::size_t Number = 0;; ++Number) {
+    const std::string Turn = "turn-" + std::to_string(Number);
+    const Fingerprint Name = fingerprintOf(TurnId(Turn));
+    LedgerBatch Opened = batchOf(Turn);
+    Opened.Records = {TokensClaimed{ProgramId("p"), {Name, TokenCount{9}}}};
+    LedgerBatch Closed = batchOf(Turn);
+    std::get<TurnKept>(Closed.Records[0]).Input += Text;
+    Closed.Records.push_back(
+        TokensClaimed{ProgramId("p"), {Name, TokenCount{4}, true}});
+    LedgerBatch Unsettled = Opened;
+    std::get<TokensClaimed>(Unsettled.Records[0]).Program = ProgramId("q");
+    for (const LedgerBatch &Each : {Opened, Closed, Unsettled})
+      REQUIRE(Folder.append(Each));
+    if (First < Folder.append(batchOf("after-" + Turn)).value().Segment)
+      return Number + 1;
+  }
+}
+
+/// What a start reads of a folder.
+struct Recovered {
+  explicit Recovered(const fs::path &Path) {
+    LedgerFolder Folder(Path.string());
+    REQUIRE(Folder.open([this](LedgerBatch Batch, RecordPlace Place) {
+      ++this->Batches;
+      for (const LedgerRecord &Each : Batch.Records) {
+        const auto *Kept = std::get_if<TurnKept>(&Each);
+        this->TextBytes += Kept ? Kept->Input.size() : 0;
+      }
+      reduce(this->State,
+             LedgerBatchRecovered{Place, std::move(Batch), Milliseconds(0)});
+    }));
+  }
+
+  std::size_t Batches = 0;
+  std::size_t TextBytes = 0;
+  LedgerState State;
+};
+
 std::vector<std::string> turnsIn(const fs::path &Path) {
   LedgerFolder Folder(Path.string());
   std::vector<std::string> Turns;
@@ -90,6 +133,91 @@
   CHECK(turnsIn(Place.Path) == std::vector<std::string>{"t1"});
 }
 
+TEST_CASE("Ledger folder: a start reads an ended segment's index") {
+  TemporaryFolder Place;
+  std::size_t Turns = 0;
+  {
+    LedgerFolder Folder(Place.Path.string());
+    REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+    Turns = fillSegment(Folder);
+    REQUIRE(Folder.sync());
+  }
+  const Recovered Whole(Place.Path);
+  {
+    LedgerFolder Folder(Place.Path.string());
+    REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+    while (Folder.indexNext().value())
+      continue;
+  }
+  const Recovered Indexed(Place.Path);
+  CHECK(Indexed.TextBytes == 0);
+  // The claims that were settled in the same segment are left out.
+  CHECK(Indexed.Batches == Whole.Batches - Turns);
+  CHECK(Indexed.State.Turns.size() == Whole.State.Turns.size());
+  REQUIRE(Indexed.State.Programs.size() == 2);
+  for (const auto &[Program, Claims] : Whole.State.Programs) {
+    const auto &Read = Indexed.State.Programs.at(Program).Claims;
+    REQUIRE(Read.size() == Claims.Claims.size());
+    for (const auto &[Turn, Entry] : Claims.Claims) {
+      CHECK(Read.at(Turn).Claim.Tokens.Value == Entry.Claim.Tokens.Value);
+      CHECK(Read.at(Turn).Claim.IsSettled == Entry.Claim.IsSettled);
+    }
+  }
+  // The places lead to the text.
+  LedgerFolder Folder(Place.Path.string());
+  REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+  const KeptTurn &Kept = Indexed.State.Turns.at(TurnId("turn-0"));
+  const RecordPlace At = Indexed.State.Stored.at(Kept.Batch).Place;
+  const std::string Text = Folder.readHistory({{TurnId("turn-0"), At}}).value();
+  CHECK(Text.substr(0, 9) == "in-turn-0");
+}
+
+TEST_CASE("Ledger folder: an index of another segment is not used") {
+  TemporaryFolder Place;
+  SECTION("of one that had the same number") {
+    {
+      LedgerFolder Folder(Place.Path.string());
+      REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+      REQUIRE(Folder.append(batchOf("old")));
+      REQUIRE(Folder.sync());
+    }
+    {
+      LedgerFolder Folder(Place.Path.string());
+      REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+      REQUIRE(Folder.indexNext().value());
+    }
+    REQUIRE(fs::exists(Place.Path / "index-1"));
+    fs::remove(Place.Path / "segment-1");
+    fs::remove(Place.Path / "segment-2");
+  }
+  SECTION("damaged") {
+    fs::create_directories(Place.Path);
+    std::ofstream(Place.Path / "index-1") << "?";
+  }
+  {
+    LedgerFolder Folder(Place.Path.string());
+    REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+    REQUIRE(Folder.append(batchOf("new")));
+    REQUIRE(Folder.sync());
+  }
+  // The first time the segment is the last one; then it has ended.
+  CHECK(turnsIn(Place.Path) == std::vector<std::string>{"new"});
+  CHECK(turnsIn(Place.Path) == std::vector<std::string>{"new"});
+}
+
+TEST_CASE("Ledger folder: a segment's index goes with it") {
+  TemporaryFolder Place;
+  LedgerFolder Folder(Place.Path.string());
+  REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
+  fillSegment(Folder);
+  while (Folder.indexNext().value())
+    continue;
+  REQUIRE(fs::exists(Place.Path / "index-1"));
+  Folder.removeOthers({});
+  CHECK_FALSE(fs::exists(Place.Path / "segment-1"));
+  CHECK_FALSE(fs::exists(Place.Path / "index-1"));
+}
+
 TEST_CASE("Segments: none goes while the folder is read") {
   TemporaryFolder Place;
   constexpr std::uint64_t TinySegment = 1;
--- a/packages/wire/include/tanagerlanding/wire.h
+++ b/packages/wire/include/tanagerlanding/wire.h
@@ -7,5 +7,6 @@
 #include "tanagerlanding/wire/FrameReader.h"
 #include "tanagerlanding/wire/MessageCodec.h"
 #include "tanagerlanding/wire/RecordCodec.h"
+#include "tanagerlanding/wire/SegmentIndexCodec.h"
 
 #endif
