Tell the end of a retiring host alone where it keeps nothing

It now tells only its end. "running" is written only where nothing was told yet, as the service may carry out a call late whose answer was lost. LedgerTest "a retiring host that keeps nothing tells its end alone" failed before ({ false, true } == { true }).

--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -220,14 +220,16 @@
   LedgerState &State = Context.State;
   if (State.Retiring.count(State.Self.Host) == 0)
     return;
-  if (!State.HasToldRetiring) {
-    State.HasToldRetiring = true;
-    Context.log("retirement_started", {{"host", State.Self.Host.Value}});
-    Context.add(TellRetirement{State.Self.Host, false});
-  }
   const bool IsMember =
       containsHolder(State.View.allMembers(), State.Self.Holder);
   const bool IsEmpty = State.View.Version.Value > 0 && !IsMember;
+  // A host that is empty already tells no more than its end: two reports at
+  // the same moment may arrive in either order.
+  if (!State.HasToldRetiring && !IsEmpty) {
+    Context.log("retirement_started", {{"host", State.Self.Host.Value}});
+    Context.add(TellRetirement{State.Self.Host, false});
+  }
+  State.HasToldRetiring = true;
   if (!IsEmpty || State.HasToldRetired)
     return;
   State.HasToldRetired = true;
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -336,6 +336,17 @@
   CHECK(World.knows("h2", "t1"));
 }
 
+TEST_CASE("Ledger: a retiring host that keeps nothing tells its end alone") {
+  LedgerWorld World;
+  startThree(World);
+  World.start("h4", "d");
+  World.pass(Milliseconds(1000));
+  World.RetirementReports.clear();
+  World.apply(HostId("h4"), RetirementAsked{HostId("h4"), true});
+  World.pass(Milliseconds(1000));
+  CHECK(World.RetirementReports == std::vector<bool>{true});
+}
+
 TEST_CASE("Ledger: where one takes another's place, only that one copies") {
   LedgerWorld World;
   startThree(World);
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -339,10 +339,15 @@
   const std::string Key =
       this->Directory.RetirementStatusPrefix + Effect.Host.Value;
   ConditionalWrite Write;
+  // The service may carry out a call late whose answer was lost. It must not
+  // put the beginning in the place of the end.
+  if (!Effect.IsCompleted)
+    Write.Conditions.push_back({Key, Revision()});
   Write.Writes.push_back(
       {Key, this->Directory.EncodeRetirement(Effect.IsCompleted), LeaseId()});
   this->Service.write(std::move(Write), [this, Effect](auto Answer) {
-    if (Answer && Answer.value().Succeeded)
+    const bool IsToldAlready = Answer && !Effect.IsCompleted;
+    if (IsToldAlready || (Answer && Answer.value().Succeeded))
       return;
     logEvent("retirement_report_failed",
              {{"host", Effect.Host.Value},
