Place requests by what targets' answers have shown of them

Each relay now counts, with a half-life of 3 s, the answers and the failures of each target: an attempt silent for 8 times the service's usual time (half a second at least), a broken connection, a server error. The failure rate times what a failure costs its caller, and the time by which a target is slower than twice the usual, are part of its cost. What may be repeated goes to another target when its attempt is silent; what may run once is left alone. Ruled out: fronts that were down (3 of 21), replicas (the ledger lost at the two fronts that were cut off only).

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -43,6 +43,21 @@
   /// long after each further failure, up to AvoidLimit.
   Milliseconds AvoidBase{300};
   Milliseconds AvoidLimit{4000};
+  /// Old answers and failures of a target count half after this time: relays
+  /// see a target about once a second, and troubles last some seconds.
+  Milliseconds HealthHalfLife{3000};
+  /// Answers that a target is taken to have given before the first was seen.
+  double HealthPrior = 4;
+  /// What a request loses that fails at its target: callers give a silent
+  /// stream up after two seconds.
+  Milliseconds FailureCost{2000};
+  /// A target that takes this many times as long as its service usually does
+  /// to begin its answers is slow; hosts of a service differ by a third.
+  double SlowFactor = 2;
+  /// An attempt without an answer is taken for a failure after this many times
+  /// the usual time, and after SilenceAtLeast: plain calls differ by that much.
+  double SilenceFactor = 8;
+  Milliseconds SilenceAtLeast{500};
   /// Sends of one request that targets refused before the caller is told.
   std::uint32_t RefusedSends = 3;
   /// What one more request at a target costs the others there, while slots are
@@ -109,6 +124,18 @@
   std::int64_t BornMillis = 0;
 };
 
+/// What a relay has lately seen of a target's answers.
+struct TargetHealth {
+  /// Answers that have begun and attempts that have failed; they lose weight
+  /// with time, as of CountedAt.
+  double Answers = 0;
+  double Failures = 0;
+  Instant CountedAt;
+  /// How long the target takes to begin an answer, in milliseconds; 0 if not
+  /// known.
+  double BeginMillis = 0;
+};
+
 /// A target as this relay sees it.
 struct RelayTarget {
   RegisteredTarget Entry;
@@ -122,6 +149,7 @@
   /// Consecutive failures to reach it, and until when it is avoided for them.
   std::uint32_t Failures = 0;
   Instant AvoidUntil;
+  TargetHealth Health;
 };
 
 /// How far a caller's request is.
@@ -182,6 +210,9 @@
   /// The present attempt; 0 if none.
   RelayAttemptId Attempt;
   TargetId Target;
+  Instant SentAt;
+  /// Whether the attempt's silence has been counted.
+  bool IsSilenceNoted = false;
   std::set<TargetId> Tried;
   /// Sends after which the request may have run, and those refused.
   std::uint32_t MayHaveRun = 0;
@@ -231,6 +262,9 @@
   std::optional<RelayConfiguration> Configuration;
   std::map<TargetId, RelayTarget> Targets;
   std::map<ServiceName, std::set<TargetId>> TargetsByService;
+  /// How long a service's targets usually take to begin an answer, in
+  /// milliseconds.
+  std::map<ServiceName, double> TypicalBegin;
   bool IsServiceReachable = false;
   Instant ServiceRegainedAt;
   LedgerView View;
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -1,6 +1,7 @@
 #include "Attempts.h"
 
 #include "EarlyRequests.h"
+#include "TargetHealth.h"
 #include "TurnCloses.h"
 #include "Turns.h"
 #include "Waiting.h"
@@ -13,6 +14,7 @@
 
 constexpr std::uint16_t FirstSuccess = 200;
 constexpr std::uint16_t FirstRedirect = 300;
+constexpr std::uint16_t FirstServerError = 500;
 /// A target's connections are shared by all relays; one keeps this part of
 /// them unused at the most.
 constexpr std::uint32_t IdleShare = 16;
@@ -179,6 +181,7 @@
 void handleUnknown(RelayContext &Context, RelayCall &Call, const char *Cause) {
   releaseAttempt(Context, Call);
   avoidTarget(Context.State, Call.Target);
+  noteFailedAttempt(Context.State, Call.Target);
   Call.Head.reset();
   Call.Held.clear();
   Call.Splitter = EventSplitter();
@@ -213,6 +216,8 @@
     return;
   }
   clearFailures(Context.State, Call.Target);
+  if (Call.Head->Status >= FirstServerError)
+    noteFailedAttempt(Context.State, Call.Target);
   if (!isTrustworthy(*Call.Head)) {
     handleUnknown(Context, Call, "unsigned_answer");
     return;
@@ -362,6 +367,8 @@
   Call.Phase = RelayPhase::Running;
   Call.Attempt = RelayAttemptId(State.NextAttempt++);
   Call.Target = Chosen.value();
+  Call.SentAt = State.Now;
+  Call.IsSilenceNoted = false;
   Call.Tried.insert(Call.Target);
   State.Attempts[Call.Attempt] = Call.Request;
   SendAttempt Send;
@@ -418,6 +425,8 @@
   if (!Call)
     return;
   Call->Head = Event.Head;
+  if (Event.Head.Status < FirstServerError)
+    noteAnswerBegun(Context.State, *Call);
   if (Event.Head.Load)
     noteLoad(Context.State, Call->Target, *Event.Head.Load);
 }
@@ -466,6 +475,23 @@
   removeCall(Context, Call);
 }
 
+void reviewSilence(RelayContext &Context) {
+  for (const RequestId Request : takeSilentCalls(Context)) {
+    const auto Found = Context.State.Calls.find(Request);
+    if (Found == Context.State.Calls.end())
+      continue;
+    RelayCall &Call = Found->second;
+    // Another target may still answer in time. A stream that has no further
+    // attempt is left alone: silence alone doesn't end an answer.
+    const bool MayRetry =
+        Call.Route.mayRepeat() && Call.MayHaveRun + 1 < Call.Route.Attempts;
+    if (!MayRetry)
+      continue;
+    Context.add(CancelTargetAttempt{Call.Attempt});
+    handleUnknown(Context, Call, "silent");
+  }
+}
+
 void reviewDeadlines(RelayContext &Context) {
   std::vector<RequestId> Late;
   for (const auto &[Request, Call] : Context.State.Calls) {
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -35,6 +35,10 @@
 void handleEnd(RelayContext &Context, const AttemptEnded &Event);
 void handleCallerGone(RelayContext &Context, RequestId Request);
 
+/// Counts attempts that have been silent for too long against their targets,
+/// and tries what may be repeated elsewhere.
+void reviewSilence(RelayContext &Context);
+
 /// Ends calls whose time is up.
 void reviewDeadlines(RelayContext &Context);
 
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -52,6 +52,7 @@
     Target.Failures = 0;
     Target.AvoidUntil = Instant();
     Target.OthersLoad = 0;
+    Target.Health = TargetHealth();
   }
   State.TargetsByService[Entry.Service].insert(Entry.Id);
   if (IsChanged)
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -1,5 +1,6 @@
 #include "Placement.h"
 
+#include "TargetHealth.h"
 #include "Waiting.h"
 
 #include <algorithm>
@@ -134,7 +135,8 @@
     Candidate Each;
     Each.Target = &Target;
     Each.Load = loadOf(State, Target, TypicalOthers);
-    Each.Cost = crowdingCost(State, Target, Each.Load);
+    Each.Cost =
+        crowdingCost(State, Target, Each.Load) + expectedLoss(State, Target);
     if (!(Target.Entry.Zone == State.Zone))
       Each.Cost += static_cast<double>(State.Options.OtherZoneCost.count());
     if (!(Id == Home))
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -60,6 +60,7 @@
     if (HasStoodStill)
       forgiveSilence(this->State);
     reviewDeadlines(this->Context);
+    reviewSilence(this->Context);
     reviewLedger(this->Context);
     forgetMissingTargets(this->Context);
     reviewHomes(this->State);
