--- /dev/null
+++ b/packages/decision/src/relay/Admission.cpp
@@ -0,0 +1,93 @@
+#include "Admission.h"
+
+#include "Attempts.h"
+#include "Turns.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+std::string pathOf(const std::string &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+/// Host names come with or without the port.
+std::string hostOf(const std::string &Authority) {
+  return Authority.substr(0, Authority.find(':'));
+}
+
+/// Returns the service for a request. A program's turns stay with one.
+ServiceName pickService(const RelayRoute &Route, const CallerRequest &Asked) {
+  std::uint64_t Total = 0;
+  for (const WeightedService &Each : Route.Services)
+    Total += Each.Weight;
+  if (Total == 0)
+    return Route.Services.front().Service;
+  const std::string &Key =
+      Asked.Program ? Asked.Program->Program.Value : Asked.Id.Value;
+  std::uint64_t Point = hashBytes(Key) % Total;
+  for (const WeightedService &Each : Route.Services) {
+    if (Point < Each.Weight)
+      return Each.Service;
+    Point -= Each.Weight;
+  }
+  return Route.Services.back().Service;
+}
+
+void refuseUnadmitted(RelayContext &Context, RequestId Request,
+                      const CallerRequest &Asked, RelayRefusalReason Reason) {
+  const RelayRefusal Refusal{Reason, Execution::NotRun,
+                             retryAfterFor(Context.State, Reason)};
+  Context.log("request_refused",
+              {{"request", Asked.Id.Value},
+               {"reason", toString(Reason)},
+               {"host", Asked.Host},
+               {"path", pathOf(Asked.Target)},
+               {"config",
+                Context.State.Configuration
+                    ? std::to_string(Context.State.Configuration->Version.Value)
+                    : std::string("none")}});
+  Context.count("relay_refusals_total", toString(Reason));
+  Context.add(RefuseCaller{Request, Refusal});
+}
+
+} // namespace
+
+void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked,
+               Instant Arrived) {
+  RelayState &State = Context.State;
+  if (!State.Configuration) {
+    refuseUnadmitted(Context, Request, Asked,
+                     RelayRefusalReason::NotConfigured);
+    return;
+  }
+  const RelayRoute *Route =
+      findRoute(*State.Configuration, hostOf(Asked.Host), pathOf(Asked.Target));
+  if (!Route || Route->Services.empty()) {
+    refuseUnadmitted(Context, Request, Asked, RelayRefusalReason::NoRoute);
+    return;
+  }
+  RelayCall Call;
+  Call.Request = Request;
+  Call.Route = *Route;
+  Call.Service = pickService(*Route, Asked);
+  Call.Version = State.Configuration->Version;
+  const auto Service = State.Configuration->Services.find(Call.Service);
+  if (Service != State.Configuration->Services.end())
+    Call.TokensPerEvent = Service->second.TokensPerEvent;
+  Call.Arrived = Arrived;
+  Call.Deadline = Arrived + std::min(Route->Timeout,
+                                     Asked.TimeLeft.value_or(Route->Timeout));
+  Call.Asked = std::move(Asked);
+  RelayCall &Admitted = State.Calls[Request] = std::move(Call);
+  if (!hasTimeLeft(Context, Admitted))
+    refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
+  else if (needsLedger(Admitted))
+    openTurn(Context, Admitted);
+  else
+    dispatchCall(Context, Admitted);
+}
+
+} // namespace tanagerlanding
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -1,5 +1,6 @@
 /// \file
-/// The way of a call: arrival, attempts at targets, and its end.
+/// The way of a call: attempts at targets, and its end. See Admission.h for how
+/// it begins.
 #ifndef TANAGERLANDING_DECISION_RELAY_ATTEMPTS_H
 #define TANAGERLANDING_DECISION_RELAY_ATTEMPTS_H
 
@@ -8,10 +9,11 @@
 
 namespace tanagerlanding {
 
-/// Takes a caller's request that came at Arrived and begins to serve it, or
-/// refuses it.
-void admitCall(RelayContext &Context, RequestId Request, CallerRequest Asked,
-               Instant Arrived);
+/// Returns whether the caller still waits.
+bool hasTimeLeft(const RelayContext &Context, const RelayCall &Call);
+
+/// Returns when a caller that is refused may come back; 0 if it need not.
+Milliseconds retryAfterFor(const RelayState &State, RelayRefusalReason Reason);
 
 /// Sends the next attempt of a call to a target, lets it wait, or refuses it.
 /// The call may be gone afterwards.
--- a/packages/decision/src/relay/EarlyRequests.cpp
+++ b/packages/decision/src/relay/EarlyRequests.cpp
@@ -1,6 +1,6 @@
 #include "EarlyRequests.h"
 
-#include "Attempts.h"
+#include "Admission.h"
 
 #include <algorithm>
 
