Keep targets whose registrations lapse in an outage that only replicas noticed

The relay had noticed no outage, took the workers for gone, and refused with no_target until they had registered again, 1.0 to 1.6 s later. Replicas watch in short calls and had noticed. They now tell relays with each heartbeat that they don't reach the service; while all live replicas say so a relay takes deletions as ones that may be taken back. One replica that is cut off by itself changes nothing, as workers that leave must be left in time. RelayTest has two cases more; the first could not pass before.

--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -151,6 +151,9 @@
 /// of it that can't reach the service, or whose own watch has missed it.
 struct DirectoryChanges {
   std::vector<DirectoryItem> Items;
+  /// Whether the sender does not reach the service now. A receiver whose watch
+  /// waits may not have noticed.
+  bool IsServiceLost = false;
 };
 
 } // namespace tanagerlanding
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -61,6 +61,11 @@
 /// The key-value service stopped answering, or answers again.
 struct DirectoryLost {};
 struct DirectoryRegained {};
+/// A replica tells whether it has lost the key-value service.
+struct ReplicaReachTold {
+  HolderId Holder;
+  bool IsServiceLost = false;
+};
 /// The ledger's view in the key-value service.
 struct RelayViewSeen {
   LedgerView View;
@@ -80,12 +85,11 @@
 /// The process was asked to stop.
 struct RelayTerminationAsked {};
 
-using RelayEvent =
-    std::variant<RelayTimePassed, CallerAsked, CallerGone, AttemptHeadCame,
-                 AttemptBytesCame, AttemptEnded, RelayConfigured,
-                 TargetRegistered, TargetUnregistered, DirectoryLost,
-                 DirectoryRegained, RelayViewSeen, ReplicaConnected,
-                 ReplicaDisconnected, ReplicaSaid, RelayTerminationAsked>;
+using RelayEvent = std::variant<
+    RelayTimePassed, CallerAsked, CallerGone, AttemptHeadCame, AttemptBytesCame,
+    AttemptEnded, RelayConfigured, TargetRegistered, TargetUnregistered,
+    DirectoryLost, DirectoryRegained, ReplicaReachTold, RelayViewSeen,
+    ReplicaConnected, ReplicaDisconnected, ReplicaSaid, RelayTerminationAsked>;
 
 /// Give a caller the system's own final answer.
 struct RefuseCaller {
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -270,6 +270,8 @@
   LedgerView View;
   /// Replicas with an open connection.
   std::set<HolderId> Connected;
+  /// Replicas that have told that they don't reach the key-value service.
+  std::set<HolderId> WithoutService;
   /// When each of them last said anything.
   std::map<HolderId, Instant> HeardAt;
   /// When this relay started, and whether its start is over.
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -115,6 +115,10 @@
     this->Context.log("directory_regained", {});
   }
 
+  void operator()(const ReplicaReachTold &Event) {
+    noteReplicaReach(this->Context, Event.Holder, Event.IsServiceLost);
+  }
+
   void operator()(const RelayViewSeen &Event) {
     adoptRelayView(this->Context, Event.View);
   }
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -362,9 +362,28 @@
   repeatClosesTo(Context, Holder);
 }
 
+void noteReplicaReach(RelayContext &Context, const HolderId &Holder,
+                      bool IsServiceLost) {
+  RelayState &State = Context.State;
+  if (!IsServiceLost) {
+    State.WithoutService.erase(Holder);
+    return;
+  }
+  State.WithoutService.insert(Holder);
+  const std::set<HolderId> Live = liveReplicas(State);
+  const bool IsLostToAll =
+      !Live.empty() &&
+      std::includes(State.WithoutService.begin(), State.WithoutService.end(),
+                    Live.begin(), Live.end());
+  // This relay's own watch may still wait for an answer.
+  if (IsLostToAll)
+    State.ServiceRegainedAt = State.Now;
+}
+
 void disconnectReplica(RelayContext &Context, const HolderId &Holder) {
   RelayState &State = Context.State;
   State.Connected.erase(Holder);
+  State.WithoutService.erase(Holder);
   State.HeardAt.erase(Holder);
   Context.log("replica_disconnected", {{"holder", Holder.Value}});
   for (const RequestId Request : waitingCalls(State)) {
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -26,6 +26,10 @@
 void handleReplica(RelayContext &Context, const HolderId &Holder,
                    const Message &Body);
 void connectReplica(RelayContext &Context, const HolderId &Holder);
+/// Notes whether a replica reaches the key-value service. Where no live one
+/// does, registrations may have lapsed that will come back.
+void noteReplicaReach(RelayContext &Context, const HolderId &Holder,
+                      bool IsServiceLost);
 void disconnectReplica(RelayContext &Context, const HolderId &Holder);
 
 /// Takes a view that is newer than the present one.
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -161,6 +161,33 @@
   CHECK(World.all<RefuseCaller>()[0].Refusal.Ran == Execution::Unknown);
 }
 
+TEST_CASE("Relay: targets that lapsed in an outage it did not notice stay") {
+  RelayWorld World;
+  World.makeReady();
+  for (const char *Name : {"a", "b", "c"})
+    World.apply(ReplicaReachTold{HolderId(Name), true});
+  for (const char *Name : {"t1", "t2"})
+    World.apply(TargetUnregistered{TargetId(Name)});
+  World.ask("/plain/x");
+  CHECK(World.all<SendAttempt>().size() == 1);
+  CHECK(World.all<RefuseCaller>().empty());
+  // What is still missing after the time in which it may return is gone.
+  World.addTarget("t1");
+  World.passTime(World.State.Options.MissingTargetGrace);
+  CHECK(World.State.Targets.count(TargetId("t1")) == 1);
+  CHECK(World.State.Targets.count(TargetId("t2")) == 0);
+}
+
+TEST_CASE("Relay: one replica without the service does not keep targets") {
+  RelayWorld World;
+  World.makeReady();
+  World.apply(ReplicaReachTold{HolderId("a"), true});
+  World.apply(ReplicaReachTold{HolderId("b"), true});
+  World.apply(ReplicaReachTold{HolderId("b"), false});
+  World.apply(TargetUnregistered{TargetId("t1")});
+  CHECK(World.State.Targets.count(TargetId("t1")) == 0);
+}
+
 TEST_CASE("Relay: a caller that leaves ends its attempt") {
   RelayWorld World;
   World.makeReady();
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +58,7 @@
   void onMessage(ConnectionId Id, Message Body) override;
   void onClosed(ConnectionId Id) override;
   /// Tells a relay what it may not have learnt from the service.
+  void tellRelaysOfOutage();
   void greetRelay(ConnectionId Id);
   void sendTo(const HostId &Host, const Message &Body);
 
@@ -90,6 +92,8 @@
   /// Configuration and targets, for relays that can't reach the service.
   std::map<std::string, DirectoryItem> Mirror;
   std::set<ConnectionId> Relays;
+  /// Whether the service has stopped answering.
+  bool IsServiceLost = false;
   std::map<HostId, ConnectionId> Links;
   std::map<ConnectionId, HostId> Hosts;
 };
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -167,6 +167,8 @@
   this->Timers.subscribe(HeartbeatInterval, [this](Instant) {
     for (const auto &[Host, Link] : this->Links)
       this->Hub.send(Link, Heartbeat{});
+    if (this->IsServiceLost)
+      this->tellRelaysOfOutage();
   });
   this->Registration.start(this->State.Self);
   this->Keys.start();
@@ -226,6 +228,7 @@
   this->Relays.insert(Id);
   this->Hub.send(Id, ViewOffer{this->State.View});
   DirectoryChanges Known;
+  Known.IsServiceLost = this->IsServiceLost;
   for (const auto &[Key, Item] : this->Mirror)
     Known.Items.push_back(Item);
   this->Hub.send(Id, Known);
@@ -268,6 +271,7 @@
 
 void LedgerProcess::spreadDirectory(const std::vector<KeyChange> &Changes) {
   DirectoryChanges News;
+  News.IsServiceLost = this->IsServiceLost;
   for (const KeyChange &Each : Changes) {
     const DirectoryItem Item{Each.Item.Key, Each.Item.Value,
                              Each.Item.ModRevision, Each.IsDeleted};
@@ -320,12 +324,24 @@
         ViewVersion(std::strtoull(Change.Item.Value.c_str(), nullptr, 10))});
 }
 
+/// Relays count on it only while they hear it again and again.
+void LedgerProcess::tellRelaysOfOutage() {
+  DirectoryChanges Notice;
+  Notice.IsServiceLost = true;
+  for (const ConnectionId Relay : this->Relays)
+    this->Hub.send(Relay, Notice);
+}
+
 void LedgerProcess::onServiceRegained() {
   logEvent("directory_regained", {});
+  this->IsServiceLost = false;
   this->apply(LedgerServiceRead{});
 }
 
-void LedgerProcess::onServiceLost() { logEvent("directory_lost", {}); }
+void LedgerProcess::onServiceLost() {
+  logEvent("directory_lost", {});
+  this->IsServiceLost = true;
+}
 
 void LedgerProcess::writeView(const WriteLedgerView &Effect) {
   const LedgerView View = Effect.View;
--- a/packages/ledger/tests/LedgerFolderTest.cpp
+++ b/packages/ledger/tests/LedgerFolderTest.cpp
@@ -108,8 +108,8 @@
     LedgerView View;
     View.Version = ViewVersion(4);
     REQUIRE(Folder.writeView(View));
-    REQUIRE(Folder.writeDirectory(
-        DirectoryChanges{{DirectoryItem{"k", "v", Revision(2), false}}}));
+    REQUIRE(Folder.writeDirectory(DirectoryChanges{
+        {DirectoryItem{"k", "v", Revision(2), false}}, false}));
   }
   LedgerFolder Folder(Place.Path.string());
   REQUIRE(Folder.open([](LedgerBatch, RecordPlace) {}));
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -200,6 +200,9 @@
     return;
   }
   if (const auto *Told = std::get_if<DirectoryChanges>(&Body)) {
+    const auto Teller = this->Holders.find(Id);
+    if (Teller != this->Holders.end())
+      this->apply(ReplicaReachTold{Teller->second, Told->IsServiceLost});
     std::vector<KeyChange> Changes;
     for (const DirectoryItem &Each : Told->Items)
       Changes.push_back(
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -300,6 +300,7 @@
     Row->deleted = Each.IsDeleted;
     Table.items.push_back(std::move(Row));
   }
+  Table.service_lost = Body.IsServiceLost;
   return Table;
 }
 
@@ -308,6 +309,7 @@
   for (const auto &Row : Table.items)
     Body.Items.push_back(DirectoryItem{Row->key, Row->value,
                                        Revision(Row->revision), Row->deleted});
+  Body.IsServiceLost = Table.service_lost;
   return Body;
 }
 
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -127,7 +127,8 @@
       ViewOffer{sampleView()},
       PullRecords{sampleView(), 7},
       RecordsPage{ViewVersion(2), HolderId("h"), 8, true, {sampleBatch()}},
-      DirectoryChanges{{DirectoryItem{"key", "value", Revision(3), true}}}};
+      DirectoryChanges{{DirectoryItem{"key", "value", Revision(3), true}},
+                       true}};
 }
 
 /// Returns Bytes cut short, or with a few bytes changed.
