Log the content of each attempt, so that repeats can be told

A caller's attempt has a new id each time, so the logs could not tell whether attempts that lost their target carried one content (hypothesis 1) or several (hypothesis 2). attempt_sent and attempt_outcome_unknown now name it by a hash of method, host, path and body. No decision uses it yet.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -206,6 +206,9 @@
 struct RelayCall {
   RequestId Request;
   CallerRequest InboundRequest;
+  /// Identifies the content, which keeps it when a caller sends it again under
+  /// a new id.
+  Fingerprint Content;
   RelayRoute Route;
   ServiceName Service;
   ConfigVersion Version;
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -37,6 +37,13 @@
   return Route.Services.back().Service;
 }
 
+/// Returns the fingerprint of a request without its id, which is new each time
+/// the request is sent.
+Fingerprint contentOf(const CallerRequest &Inbound) {
+  return Fingerprint(hashBytes(Inbound.Method + '\n' + Inbound.Host + '\n' +
+                               Inbound.RequestTarget + '\n' + Inbound.Body));
+}
+
 void refuseUnadmitted(RelayContext &Context, RequestId Request,
                       const CallerRequest &Inbound, RelayRefusalReason Reason) {
   const RelayRefusal Refusal{Reason, Execution::NotRun,
@@ -75,6 +82,7 @@
   Call.Request = Request;
   Call.Route = *Route;
   Call.Service = pickService(*Route, Inbound);
+  Call.Content = contentOf(Inbound);
   Call.Version = State.Configuration->Version;
   const auto Service = State.Configuration->Services.find(Call.Service);
   if (Service != State.Configuration->Services.end())
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -166,6 +166,7 @@
   Context.logCall("attempt_outcome_unknown", Call,
                   {{"target", Call.Target.Value},
                    {"cause", Cause},
+                   {"content", std::to_string(Call.Content.Value)},
                    {"events", std::to_string(Call.EventsSent)},
                    {"retry", MayRetry ? "yes" : "no"}});
   Context.count("relay_attempts_unknown_total", Cause);
@@ -312,6 +313,7 @@
   Context.logCall("attempt_sent", Call,
                   {{"target", Call.Target.Value},
                    {"service", Call.Service.Value},
+                   {"content", std::to_string(Call.Content.Value)},
                    {"outstanding", std::to_string(Target.Outstanding)},
                    {"others", std::to_string(Target.ExternalLoad)},
                    {"left_ms", RelayContext::millis(Send.TimeLeft)}});
