--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -90,7 +90,8 @@
   const Json Document = {
       {"version", Version},
       {"routes",
-       {route("/plain/", "idempotent"), route("/turn/", "streaming")}},
+       {route("/plain/", "idempotent"), route("/turn/", "streaming"),
+        route("/once/", "non_idempotent")}},
       {"services",
        {{{"name", "app"},
          {"connectionLimit", 64},
@@ -142,10 +143,18 @@
 }
 
 Response PlatformSite::sendPlain(const std::string &Id) {
+  return this->sendCall("/plain/x", Id, "", 0);
+}
+
+Response PlatformSite::sendCall(const std::string &Path, const std::string &Id,
+                                const std::string &Body, std::size_t Relay) {
   Request Call;
-  Call.Url = "http://" + loopback(this->CallerPorts[0]) + "/plain/x";
+  if (!Body.empty())
+    Call.Method = "POST";
+  Call.Url = "http://" + loopback(this->CallerPorts[Relay]) + Path;
   Call.Headers = {std::string("Host: ") + Host, "Request-Id: " + Id,
                   "Time-Remaining: 4000"};
+  Call.Body = Body;
   return send(Call);
 }
 
--- a/tests/harness/PlatformSite.h
+++ b/tests/harness/PlatformSite.h
@@ -53,6 +53,9 @@
   std::filesystem::path ledgerFolder(std::size_t Number) const;
 
   Response sendPlain(const std::string &Id);
+  /// Sends a call to a plain service; without a body it is a GET request.
+  Response sendCall(const std::string &Path, const std::string &Id,
+                    const std::string &Body, std::size_t Relay);
   Response sendTurn(const TurnRequest &Turn, std::size_t Relay = 0);
   Response sendTurn(const std::string &Id, const std::string &Previous,
                     const std::string &Input, int Budget = 10000);
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -66,6 +66,8 @@
     auto Caller = std::make_shared<Socket>(this->Context);
     boost::system::error_code Error;
     this->Acceptor.accept(*Caller, Error);
+    if (this->HasCrashed)
+      return;
     if (Error || this->IsPaused || this->IsStopping)
       continue;
     const std::lock_guard<std::mutex> Guard(this->Lock);
@@ -96,6 +98,13 @@
     Each->shutdown(tcp::socket::shutdown_both, Ignored);
 }
 
+void BlockingServer::crash() {
+  this->HasCrashed = true;
+  // Ends the pending accept call too.
+  ::shutdown(this->Acceptor.native_handle(), SHUT_RDWR);
+  this->pause();
+}
+
 StoreStandin::StoreStandin()
     : Server(std::make_unique<BlockingServer>(
           [this](const auto &Call, auto &Caller) {
@@ -289,11 +298,12 @@
   this->Changed.notify_all();
 }
 
-WorkerStandin::WorkerStandin(std::string Id)
-    : Id(std::move(Id)), Server(std::make_unique<BlockingServer>(
-                             [this](const auto &Call, auto &Caller) {
-                               return this->handle(Call, Caller);
-                             })) {}
+WorkerStandin::WorkerStandin(std::string Id, std::string CrashBody)
+    : Id(std::move(Id)), CrashBody(std::move(CrashBody)),
+      Server(std::make_unique<BlockingServer>(
+          [this](const auto &Call, auto &Caller) {
+            return this->handle(Call, Caller);
+          })) {}
 
 std::string WorkerStandin::registration(const std::string &Service,
                                         const std::string &State) const {
@@ -320,6 +330,11 @@
   return Bodies;
 }
 
+void WorkerStandin::crash() {
+  this->HasCrashed = true;
+  this->Server->crash();
+}
+
 bool WorkerStandin::handle(const BlockingServer::Request &Call,
                            BlockingServer::Socket &Caller) {
   const std::string Head = "Request-Id: " + std::string(Call["Request-Id"]) +
@@ -332,6 +347,10 @@
     const std::lock_guard<std::mutex> Guard(this->Lock);
     this->Runs.push_back(Run{std::string(Call["Request-Id"]), Call.body()});
   }
+  if (!this->CrashBody.empty() && Call.body() == this->CrashBody) {
+    this->crash();
+    return false;
+  }
   std::this_thread::sleep_for(this->Delay.load());
   if (Call["Token-Usage"].empty()) {
     sendAnswer(Caller, 200, Head, "plain answer");
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -39,6 +39,9 @@
   /// Closes all connections and rejects new ones until resume().
   void pause();
   void resume() { this->IsPaused = false; }
+  /// Ends like a crashed process: closes all connections and the listening
+  /// socket, so that new connections are refused. May be called by a handler.
+  void crash();
 
 private:
   void accept();
@@ -50,6 +53,7 @@
   std::uint16_t Port = 0;
   std::atomic<bool> IsPaused{false};
   std::atomic<bool> IsStopping{false};
+  std::atomic<bool> HasCrashed{false};
   std::mutex Lock;
   std::vector<std::shared_ptr<Socket>> Connections;
   std::vector<std::thread> ConnectionThreads;
@@ -118,7 +122,9 @@
 /// streams turns as events.
 class WorkerStandin {
 public:
-  explicit WorkerStandin(std::string Id);
+  /// Crashes when it begins to run a request with the body CrashBody, unless
+  /// that is empty.
+  explicit WorkerStandin(std::string Id, std::string CrashBody = {});
 
   std::uint16_t port() const { return this->Server->port(); }
   /// Returns the worker's registration in the store, as JSON.
@@ -137,11 +143,18 @@
   /// and after each event.
   void setDelay(std::chrono::milliseconds NewDelay) { this->Delay = NewDelay; }
 
+  const std::string &id() const { return this->Id; }
+  /// Ends the worker as a crash of its process does.
+  void crash();
+  bool hasCrashed() const { return this->HasCrashed; }
+
 private:
   bool handle(const BlockingServer::Request &Call,
               BlockingServer::Socket &Caller);
 
   const std::string Id;
+  const std::string CrashBody;
+  std::atomic<bool> HasCrashed{false};
   std::mutex Lock;
   std::vector<Run> Runs;
   std::atomic<std::chrono::milliseconds> Delay{std::chrono::milliseconds(0)};
--- /dev/null
+++ b/tests/integration/CrashingRequests.cpp
@@ -0,0 +1,238 @@
+/// \file
+/// Requests whose content crashes every worker that begins to run it, sent
+/// again and again under new ids through all relays, and ordinary requests
+/// beside them.
+#include "PlatformSite.h"
+#include "WorkerFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <functional>
+#include <optional>
+#include <thread>
+
+using namespace tanagerlanding::test;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t RelayCount = 2;
+/// Crashes after which a content may reach workers only a few more times, the
+/// time in which all relays have to know of them, and that number of times.
+constexpr std::size_t FreeCrashes = 3;
+constexpr milliseconds KnowledgeLimit{3000};
+constexpr std::size_t MaxLateRuns = 3;
+constexpr milliseconds ResendInterval{300};
+/// No refusal but that of a quarantined content asks callers to wait as long.
+constexpr double MinQuarantineRetrySeconds = 30;
+
+const std::string CrashBody = "CRASH";
+
+using Sender = std::function<Response(const std::string &Id, std::size_t Relay,
+                                      const std::string &Body)>;
+
+Sender callSender(PlatformSite &Site, const std::string &Path) {
+  return [&Site, Path](const std::string &Id, std::size_t Relay,
+                       const std::string &Body) {
+    return Site.sendCall(Path, Id, Body, Relay);
+  };
+}
+
+Sender turnSender(PlatformSite &Site) {
+  return [&Site](const std::string &Id, std::size_t Relay,
+                 const std::string &Body) {
+    return Site.sendTurn(TurnRequest{Id, "p-" + Id, "", Body}, Relay);
+  };
+}
+
+bool isQuarantineRefusal(const Response &Result) {
+  const auto RetryAfter = Result.Headers.find("Retry-After");
+  return Result.Status == 503 && RetryAfter != Result.Headers.end() &&
+         MinQuarantineRetrySeconds <= std::stod(RetryAfter->second);
+}
+
+/// Relays and replicas before a fleet of workers.
+struct CrashSite {
+  explicit CrashSite(WorkerFleet::Options FleetOptions = {})
+      : Site(RelayCount), Fleet(Site.Store, std::move(FleetOptions)) {
+    this->Site.Store.remove("servers/i-1");
+    this->Site.Store.remove("servers/i-2");
+  }
+
+  PlatformSite Site;
+  WorkerFleet Fleet;
+};
+
+/// Counts how often a crashing content reaches workers, in all and too late.
+struct CrashingCaller {
+  CrashingCaller(CrashSite &Deployment, Sender Send)
+      : Deployment(Deployment), Send(std::move(Send)) {}
+
+  /// Sends the content again and again until some seconds after all relays have
+  /// to know of it.
+  void run() {
+    const auto Limit = Clock::now() + std::chrono::seconds(30);
+    for (unsigned Number = 0; Clock::now() < Limit && !this->isDone(); ++Number)
+      this->sendOnce(Number);
+  }
+
+  void sendOnce(unsigned Number) {
+    const bool IsLate =
+        this->ThirdCrash && KnowledgeLimit < Clock::now() - *this->ThirdCrash;
+    const std::size_t Before = this->Deployment.Fleet.crashingRuns();
+    this->Last = this->Send("crash-" + std::to_string(Number),
+                            Number % RelayCount, CrashBody);
+    this->Runs = this->Deployment.Fleet.crashingRuns();
+    if (IsLate)
+      this->LateRuns += this->Runs - Before;
+    if (!this->ThirdCrash && FreeCrashes <= this->Runs)
+      this->ThirdCrash = Clock::now();
+    std::this_thread::sleep_for(ResendInterval);
+  }
+
+  bool isDone() const {
+    return this->ThirdCrash && KnowledgeLimit + milliseconds(2500) <
+                                   Clock::now() - *this->ThirdCrash;
+  }
+
+  CrashSite &Deployment;
+  const Sender Send;
+  std::optional<Clock::time_point> ThirdCrash;
+  std::size_t Runs = 0;
+  std::size_t LateRuns = 0;
+  Response Last;
+};
+
+/// Callers that send distinct requests, each again under a new id until it is
+/// served.
+class OrdinaryCallers {
+public:
+  OrdinaryCallers(Sender Send, unsigned Threads) : Send(std::move(Send)) {
+    for (unsigned Thread = 0; Thread < Threads; ++Thread)
+      this->Threads.emplace_back([this, Thread] { this->run(Thread); });
+  }
+  ~OrdinaryCallers() { this->stop(); }
+
+  void stop() {
+    this->IsStopping = true;
+    for (std::thread &Each : this->Threads) {
+      if (Each.joinable())
+        Each.join();
+    }
+  }
+
+  std::atomic<unsigned> Served{0};
+  std::atomic<unsigned> Quarantined{0};
+  std::atomic<unsigned> Abandoned{0};
+
+private:
+  static constexpr unsigned MaxTries = 40;
+
+  void run(unsigned Thread) {
+    for (unsigned Number = 0; !this->IsStopping; ++Number)
+      this->serve("o" + std::to_string(Thread) + "-" + std::to_string(Number));
+  }
+
+  void serve(const std::string &Name) {
+    for (unsigned Try = 0; Try < MaxTries; ++Try) {
+      const Response Result =
+          this->Send(Name + "-" + std::to_string(Try), Try % RelayCount, Name);
+      if (isQuarantineRefusal(Result))
+        ++this->Quarantined;
+      if (Result.Status == 200) {
+        ++this->Served;
+        return;
+      }
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    ++this->Abandoned;
+  }
+
+  const Sender Send;
+  std::atomic<bool> IsStopping{false};
+  std::vector<std::thread> Threads;
+};
+
+void checkBounded(CrashSite &Deployment, const Sender &Send) {
+  CrashingCaller Caller(Deployment, Send);
+  Caller.run();
+  REQUIRE(Caller.ThirdCrash);
+  CHECK(Caller.LateRuns <= MaxLateRuns);
+  CHECK(Caller.Runs <= FreeCrashes + MaxLateRuns);
+  CHECK(isQuarantineRefusal(Caller.Last));
+}
+
+} // namespace
+
+TEST_CASE("A request that crashed three workers is not sent on: idempotent") {
+  CrashSite Deployment;
+  checkBounded(Deployment, callSender(Deployment.Site, "/plain/x"));
+}
+
+TEST_CASE("A request that crashed three workers is not sent on: "
+          "not idempotent") {
+  CrashSite Deployment;
+  checkBounded(Deployment, callSender(Deployment.Site, "/once/x"));
+}
+
+TEST_CASE("A request that crashed three workers is not sent on: turn") {
+  CrashSite Deployment;
+  checkBounded(Deployment, turnSender(Deployment.Site));
+}
+
+TEST_CASE("A quarantine outlives all processes and a replica's disk") {
+  CrashSite Deployment;
+  PlatformSite &Site = Deployment.Site;
+  CrashingCaller Caller(Deployment, callSender(Site, "/once/x"));
+  Caller.run();
+  REQUIRE(isQuarantineRefusal(Caller.Last));
+  const std::size_t Before = Deployment.Fleet.crashingRuns();
+  Site.Relays[0].kill();
+  Site.startRelay(0);
+  REQUIRE(Site.awaitReady(0));
+  CHECK(isQuarantineRefusal(Site.sendCall("/once/x", "a", CrashBody, 0)));
+  for (ChildProcess &Each : Site.Relays)
+    Each.kill();
+  for (ChildProcess &Each : Site.Ledgers)
+    Each.kill();
+  std::filesystem::remove_all(Site.ledgerFolder(0));
+  for (std::size_t Number = 0; Number < PlatformSite::ReplicaCount; ++Number)
+    Site.startLedger(Number);
+  for (std::size_t Number = 0; Number < RelayCount; ++Number)
+    Site.startRelay(Number);
+  for (std::size_t Number = 0; Number < RelayCount; ++Number) {
+    REQUIRE(Site.awaitReady(Number));
+    CHECK(isQuarantineRefusal(Site.sendCall(
+        "/once/x", "b" + std::to_string(Number), CrashBody, Number)));
+  }
+  CHECK(Deployment.Fleet.crashingRuns() == Before);
+}
+
+TEST_CASE("Ordinary requests beside a crashing one are not quarantined") {
+  WorkerFleet::Options FleetOptions;
+  FleetOptions.Delay = milliseconds(50);
+  CrashSite Deployment(FleetOptions);
+  OrdinaryCallers Beside(turnSender(Deployment.Site), 10);
+  checkBounded(Deployment, turnSender(Deployment.Site));
+  Beside.stop();
+  CHECK(Beside.Quarantined == 0);
+  CHECK(Beside.Abandoned == 0);
+  CHECK(Beside.Served > 0);
+}
+
+TEST_CASE("Requests that lose their workers by chance are not quarantined") {
+  WorkerFleet::Options FleetOptions;
+  FleetOptions.Delay = milliseconds(50);
+  CrashSite Deployment(FleetOptions);
+  OrdinaryCallers Callers(turnSender(Deployment.Site), 10);
+  for (std::size_t Number = 0; Number < 25; ++Number) {
+    std::this_thread::sleep_for(milliseconds(400));
+    Deployment.Fleet.crashOne(Number);
+  }
+  Callers.stop();
+  CHECK(Callers.Quarantined == 0);
+  CHECK(Callers.Abandoned == 0);
+  CHECK(Callers.Served > 0);
+}
