--- a/packages/basics/include/tanagerlanding/basics/Units.h
+++ b/packages/basics/include/tanagerlanding/basics/Units.h
@@ -18,6 +18,9 @@
   Instant operator+(Milliseconds Delta) const {
     return Instant{this->SinceStart + Delta};
   }
+  Instant operator-(Milliseconds Delta) const {
+    return Instant{this->SinceStart - Delta};
+  }
   Milliseconds operator-(Instant Other) const {
     return this->SinceStart - Other.SinceStart;
   }
--- a/packages/decision/include/tanagerlanding/decision.h
+++ b/packages/decision/include/tanagerlanding/decision.h
@@ -6,6 +6,7 @@
 #define TANAGERLANDING_DECISION_H
 
 #include "tanagerlanding/decision/Calls.h"
+#include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/EntryReducer.h"
 #include "tanagerlanding/decision/HolderReducer.h"
 #include "tanagerlanding/decision/Inventory.h"
--- a/packages/decision/include/tanagerlanding/decision/EntryState.h
+++ b/packages/decision/include/tanagerlanding/decision/EntryState.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_ENTRYSTATE_H
 #define TANAGERLANDING_DECISION_ENTRYSTATE_H
 
+#include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/Inventory.h"
 #include "tanagerlanding/decision/Records.h"
 #include "tanagerlanding/decision/RoutingPolicy.h"
@@ -19,6 +20,9 @@
 
 namespace tanagerlanding {
 
+/// Number of suspect contents that an entry keeps.
+constexpr std::size_t EntryContentLimit = 10000;
+
 /// Limits, timeouts and cost factors of an entry.
 struct EntryOptions {
   std::uint32_t ShardCount = 16;
@@ -265,13 +269,6 @@
   AgentId Agent;
 };
 
-/// A request content that was in flight when its target crashed. It may be the
-/// cause of the crash.
-struct Suspicion {
-  std::uint32_t Crashes = 0;
-  Instant LastSeen;
-};
-
 /// The state of an entry.
 struct EntryState {
   EntryOptions Options;
@@ -294,7 +291,7 @@
   std::map<HostId, TargetView> Targets;
   /// Requests of local callers in flight, with the entry that handles each.
   std::map<RequestId, HostId> Requests;
-  std::map<Fingerprint, Suspicion> Suspects;
+  QuarantineTable Suspects{IsolatedRunPolicy{}, EntryContentLimit};
   /// Timers: queues to check at a given time. A timer is not removed if its
   /// queue changes; the check then has no effect.
   std::multimap<Instant, AgentQueueRef> Due;
--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_MESSAGES_H
 #define TANAGERLANDING_DECISION_MESSAGES_H
 
+#include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/Inventory.h"
 #include "tanagerlanding/decision/Records.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
@@ -118,13 +119,6 @@
   Epoch BelowEpoch;
 };
 
-/// Reports how often a target crashed while a request with this content was in
-/// flight; 0 crashes clears the suspicion.
-struct SuspectNotice {
-  Fingerprint Content;
-  std::uint32_t Crashes = 0;
-};
-
 // Between an owner and a sidecar.
 
 /// Runs one attempt of a call at the sidecar's target.
@@ -224,7 +218,7 @@
                  ForgetAttempt, CancelAttempt, KeepPrefixes, ReleasePrefixes,
                  LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
                  TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
-                 DirectoryChanges>;
+                 DirectoryChanges, SuspectList>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -36,6 +36,12 @@
   LedgerBatch Batch;
   Milliseconds Age{0};
 };
+/// Evidence against contents was found in the data folder at start-up. Age is
+/// the time since it was written.
+struct SuspectsRecovered {
+  SuspectList Stored;
+  Milliseconds Age{0};
+};
 /// A view was read from the key-value service, or written to it.
 struct LedgerViewObserved {
   LedgerView View;
@@ -76,10 +82,10 @@
 
 using LedgerEvent =
     std::variant<LedgerTick, LedgerMessageReceived, LedgerBatchStored,
-                 LedgerBatchFailed, LedgerBatchRecovered, LedgerViewObserved,
-                 ReplicaRegistered, ReplicaUnregistered, ReplicaHelloReceived,
-                 ReplicaSynced, RetirementRequested, RetirementReportFailed,
-                 LedgerServiceSnapshotRead>;
+                 LedgerBatchFailed, LedgerBatchRecovered, SuspectsRecovered,
+                 LedgerViewObserved, ReplicaRegistered, ReplicaUnregistered,
+                 ReplicaHelloReceived, ReplicaSynced, RetirementRequested,
+                 RetirementReportFailed, LedgerServiceSnapshotRead>;
 
 /// Make a batch durable and report LedgerBatchStored or LedgerBatchFailed.
 struct PersistLedgerBatch {
@@ -90,6 +96,14 @@
 struct PersistLedgerView {
   LedgerView View;
 };
+/// Make the evidence against contents durable. Replaces what was stored before.
+struct PersistSuspects {
+  SuspectList Suspects;
+};
+/// Send a message to all connected relays.
+struct NotifyRelays {
+  Message Body;
+};
 /// Read turns from the data folder and send Reply with them as its history.
 struct SendHistory {
   HostId Peer;
@@ -124,9 +138,10 @@
 };
 
 using LedgerEffect =
-    std::variant<PersistLedgerBatch, PersistLedgerView, SendHistory,
-                 SendRecords, DropSegment, WriteLedgerView, WriteSynced,
-                 ReportRetirement, SendHost, LogLine, CountMetric>;
+    std::variant<PersistLedgerBatch, PersistLedgerView, PersistSuspects,
+                 NotifyRelays, SendHistory, SendRecords, DropSegment,
+                 WriteLedgerView, WriteSynced, ReportRetirement, SendHost,
+                 LogLine, CountMetric>;
 
 /// Returns how long after an answer this replica should ask the key-value
 /// service for changes again. Since each request loads the service, only one
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -150,6 +150,8 @@
   std::map<std::uint64_t, PendingBatch> PendingBatches;
   std::uint64_t NextTicket = 1;
   Instant SweptAt;
+  /// Evidence against contents that crash their targets, for the relays.
+  QuarantineTable Suspects{SharedRunPolicy{}, SharedContentLimit};
 };
 
 } // namespace tanagerlanding
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -84,6 +84,8 @@
   Overloaded,
   TargetFailed,
   DeadlinePassed,
+  /// The same content has crashed several targets.
+  Quarantined,
 };
 
 /// Returns the stable name of a reason, for logs and metrics.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -48,6 +48,19 @@
   RelayAttemptId Attempt;
   Kind Ended = Kind::Broken;
 };
+/// The result of a ProbeTargetConnection effect.
+struct TargetConnectionProbed {
+  enum class Outcome {
+    /// The target accepted a connection.
+    Accepted,
+    /// The host refused the connection, as no process listens there.
+    Refused,
+    /// Nothing was received in time.
+    NoAnswer,
+  };
+  TargetRun Run;
+  Outcome Result = Outcome::NoAnswer;
+};
 /// A configuration was accepted.
 struct RelayConfigured {
   RelayConfiguration Configuration;
@@ -89,10 +102,11 @@
 using RelayEvent =
     std::variant<RelayTick, CallerRequestReceived, RelayCallerDisconnected,
                  AttemptHeadReceived, AttemptBytesReceived, AttemptEnded,
-                 RelayConfigured, TargetRegistered, TargetUnregistered,
-                 DirectoryLost, DirectoryRegained, ReplicaReachabilityReported,
-                 RelayLedgerViewObserved, ReplicaConnected, ReplicaDisconnected,
-                 ReplicaMessageReceived, RelayShutdownRequested>;
+                 TargetConnectionProbed, RelayConfigured, TargetRegistered,
+                 TargetUnregistered, DirectoryLost, DirectoryRegained,
+                 ReplicaReachabilityReported, RelayLedgerViewObserved,
+                 ReplicaConnected, ReplicaDisconnected, ReplicaMessageReceived,
+                 RelayShutdownRequested>;
 
 /// Send a caller the system's own final answer.
 struct RefuseCaller {
@@ -138,6 +152,12 @@
 struct CancelTargetAttempt {
   RelayAttemptId Attempt;
 };
+/// Open a connection to a target, close it, and report TargetConnectionProbed.
+struct ProbeTargetConnection {
+  TargetRun Run;
+  std::string Address;
+  std::uint16_t Port = 0;
+};
 /// Send a message to a replica.
 struct SendToReplica {
   HolderId Holder;
@@ -154,9 +174,9 @@
 
 using RelayEffect =
     std::variant<RefuseCaller, BeginAnswer, ContinueAnswer, FinishAnswer,
-                 AbortAnswer, SendAttempt, CancelTargetAttempt, SendToReplica,
-                 ConnectReplicas, StopAccepting, ExitRelay, LogLine,
-                 CountMetric>;
+                 AbortAnswer, SendAttempt, CancelTargetAttempt,
+                 ProbeTargetConnection, SendToReplica, ConnectReplicas,
+                 StopAccepting, ExitRelay, LogLine, CountMetric>;
 
 /// Applies one event to a relay's state and returns the resulting effects in
 /// order.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
 #define TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
 
+#include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 #include "tanagerlanding/decision/relay/CallerRequest.h"
 #include "tanagerlanding/decision/relay/EventSplitter.h"
@@ -116,6 +117,17 @@
   Milliseconds DrainAcceptPeriod{3200};
   /// Time limit for requests in flight after a shutdown request.
   Milliseconds DrainTimeout{7300};
+  /// How long attempts that were lost at a target may be attributed to a crash
+  /// of it, and their number per target. A crashed target is back within some
+  /// seconds.
+  Milliseconds LostAttemptRetention{10000};
+  std::size_t MaxLostAttemptsPerTarget = 200;
+  /// How long after a crash was detected further attempts are lost by it. All
+  /// connections of a process end together.
+  Milliseconds CrashSettleTime{1000};
+  /// The time after which a crashed target is no longer registered: three
+  /// heartbeats of 1.2 s, and as much again for a slow key-value service.
+  Milliseconds RegistrationLapse{8000};
 };
 
 /// A target as registered in the key-value service.
@@ -130,6 +142,27 @@
   /// Start time of the target's process, in milliseconds since the Unix epoch;
   /// 0 if not reported. A target may restart under the same id.
   std::int64_t StartedAtMillis = 0;
+
+  TargetRun run() const { return TargetRun{this->Id, this->StartedAtMillis}; }
+};
+
+/// An attempt that ended without a complete answer.
+struct LostAttempt {
+  CallerAttemptId Request;
+  Fingerprint Content;
+  CrashExposure Exposure = CrashExposure::BeforeOutput;
+  Instant EndedAt;
+};
+
+/// The attempts that were lost at one run of a target. They count as evidence
+/// against their contents if that run has crashed.
+struct TargetLosses {
+  std::string Address;
+  std::uint16_t Port = 0;
+  std::vector<LostAttempt> Attempts;
+  bool IsProbing = false;
+  std::optional<Instant> CrashedAt;
+  Instant UpdatedAt;
 };
 
 /// Recent answers and failures of a target, as seen by one relay.
@@ -223,7 +256,10 @@
   /// The current attempt; 0 if none.
   RelayAttemptId Attempt;
   TargetId Target;
+  RegisteredTarget SentTo;
   Instant SentAt;
+  /// EventsSent when the attempt was sent.
+  std::uint32_t EventsBeforeAttempt = 0;
   /// Whether the attempt's first-byte timeout has been recorded as a failure.
   bool IsFirstByteTimeoutRecorded = false;
   std::set<TargetId> TriedTargets;
@@ -299,6 +335,10 @@
   /// Prompt cache locations by program and agent; see promptCacheKeysOf().
   std::map<std::string, PromptCacheLocation> PromptCacheLocations;
   Instant PromptCachesExpiredAt;
+  /// Evidence against contents that crash their targets.
+  QuarantineTable Quarantine{SharedRunPolicy{}, SharedContentLimit};
+  std::map<TargetRun, TargetLosses> Losses;
+  Instant CrashEvidenceReviewedAt;
   /// When this relay lost the ledger's quorum; nothing while it has one. Starts
   /// far in the past, as a relay starts without a quorum.
   std::optional<Instant> LedgerLostSince = Instant{Milliseconds::min() / 2};
--- a/packages/decision/src/CallAttempts.cpp
+++ b/packages/decision/src/CallAttempts.cpp
@@ -31,10 +31,9 @@
 
 Fingerprint fingerprintOf(const ProgramState &DurableState,
                           const Call &RequestedCall) {
-  const std::string Content = RequestedCall.Service.Value + "\n" +
-                              RequestedCall.Method + "\n" + RequestedCall.Path +
-                              "\n" + targetBody(DurableState, RequestedCall);
-  return Fingerprint(hashBytes(Content));
+  return fingerprintOfContent({RequestedCall.Service.Value,
+                               RequestedCall.Method, RequestedCall.Path,
+                               targetBody(DurableState, RequestedCall)});
 }
 
 /// Returns the history of an agent, empty if it has none.
@@ -101,7 +100,7 @@
   }
   Active.ContentFingerprint = fingerprintOf(*View.DurableState, RequestedCall);
   const ContentStatus Status =
-      contentStatus(Context.State, Active.ContentFingerprint);
+      statusOf(Context.State.Suspects, Active.ContentFingerprint);
   if (Status == ContentStatus::Quarantined) {
     failCall(Context, View, CallError::Quarantined, false,
              "this request has crashed its targets");
--- a/packages/decision/src/CallOutcomes.cpp
+++ b/packages/decision/src/CallOutcomes.cpp
@@ -58,7 +58,7 @@
                           bool TargetCrashed) {
   ActiveCall &Active = View.active();
   if (TargetCrashed)
-    recordCrash(Context, Active.ContentFingerprint, Active.IsIsolated);
+    recordCallCrash(Context, Active);
   if (!Active.Pending.RequestedCall.IsIdempotent) {
     finishUnknown(Context, View);
     return;
--- a/packages/decision/src/EntryReducer.cpp
+++ b/packages/decision/src/EntryReducer.cpp
@@ -80,7 +80,7 @@
     handleDueQueues(this->Context);
     superviseShards(this->Context);
     superviseDraining(this->Context);
-    dropOldSuspicions(this->Context);
+    expireEvidence(this->Context.State.Suspects, Event.Now);
   }
 
   void operator()(const CallArrived &Event) {
--- a/packages/decision/src/Quarantine.cpp
+++ b/packages/decision/src/Quarantine.cpp
@@ -2,79 +2,58 @@
 
 #include "Membership.h"
 
-#include <algorithm>
+#include <sstream>
 
 namespace tanagerlanding {
 
 namespace {
 
-constexpr std::uint32_t CrashesToQuarantine = 2;
-constexpr std::size_t SuspicionLimit = 10000;
-constexpr Milliseconds SuspicionRetention{3600000};
-
-void notifyEntries(EntryContext &Context, const SuspectNotice &Notice) {
+void notifyEntries(EntryContext &Context, Fingerprint Content) {
+  const SuspectNotice Notice =
+      noticeOf(Context.State.Suspects, Content, Context.now());
   for (const auto &[Host, Peer] : Context.State.Peers) {
     if (Peer.IsConnected && isEntryHost(Context.State, Host))
       Context.send(Host, Notice);
   }
 }
 
-} // namespace
-
-ContentStatus contentStatus(const EntryState &State, Fingerprint Content) {
-  const auto Found = State.Suspects.find(Content);
-  if (Found == State.Suspects.end())
-    return ContentStatus::Trusted;
-  return Found->second.Crashes >= CrashesToQuarantine
-             ? ContentStatus::Quarantined
-             : ContentStatus::Suspect;
+/// Returns the run of the target that an attempt has crashed. An entry does not
+/// know when a target started, but each attempt can crash only one run.
+TargetRun runCrashedBy(const AttemptId &Attempt) {
+  std::ostringstream Text;
+  Text << Attempt;
+  return TargetRun{TargetId(Text.str()), 0};
 }
 
-void recordCrash(EntryContext &Context, Fingerprint Content, bool RanAlone) {
-  Suspicion &Known = Context.State.Suspects[Content];
-  Known.LastSeen = Context.now();
-  if (Known.Crashes == 0 || RanAlone)
-    ++Known.Crashes;
+} // namespace
+
+void recordCallCrash(EntryContext &Context, const ActiveCall &Active) {
+  const Fingerprint Content = Active.ContentFingerprint;
+  const ObservedCrash Crash{Active.IsIsolated ? CrashExposure::Alone
+                                              : CrashExposure::BeforeOutput,
+                            Context.now()};
+  recordCrash(Context.State.Suspects, Content, runCrashedBy(Active.Attempt),
+              Crash);
   Context.log("content_suspect",
               {{"fingerprint", std::to_string(Content.Value)},
-               {"crashes", std::to_string(Known.Crashes)}});
-  notifyEntries(Context, SuspectNotice{Content, Known.Crashes});
+               {"crashes", std::to_string(crashCountOf(Context.State.Suspects,
+                                                       Content))}});
+  notifyEntries(Context, Content);
 }
 
 void clearSuspicion(EntryContext &Context, Fingerprint Content) {
-  if (Context.State.Suspects.erase(Content) > 0)
-    notifyEntries(Context, SuspectNotice{Content, 0});
+  if (clearContent(Context.State.Suspects, Content, Context.now()))
+    notifyEntries(Context, Content);
 }
 
 void handleSuspect(EntryContext &Context, const SuspectNotice &Notice) {
-  if (Notice.Crashes == 0) {
-    Context.State.Suspects.erase(Notice.Content);
-    return;
-  }
-  Suspicion &Known = Context.State.Suspects[Notice.Content];
-  Known.Crashes = std::max(Known.Crashes, Notice.Crashes);
-  Known.LastSeen = Context.now();
+  mergeNotice(Context.State.Suspects, Notice, Context.now());
 }
 
 void sendSuspicions(EntryContext &Context, const HostId &Host) {
-  for (const auto &[Content, Known] : Context.State.Suspects)
-    Context.send(Host, SuspectNotice{Content, Known.Crashes});
-}
-
-void dropOldSuspicions(EntryContext &Context) {
-  auto &Suspects = Context.State.Suspects;
-  for (auto Item = Suspects.begin(); Item != Suspects.end();) {
-    const bool IsOld =
-        Context.now() - Item->second.LastSeen >= SuspicionRetention;
-    Item = IsOld ? Suspects.erase(Item) : std::next(Item);
-  }
-  while (Suspects.size() > SuspicionLimit) {
-    const auto Oldest = std::min_element(
-        Suspects.begin(), Suspects.end(), [](const auto &A, const auto &B) {
-          return A.second.LastSeen < B.second.LastSeen;
-        });
-    Suspects.erase(Oldest);
-  }
+  for (const SuspectNotice &Each :
+       allNotices(Context.State.Suspects, Context.now()))
+    Context.send(Host, Each);
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/Quarantine.h
+++ b/packages/decision/src/Quarantine.h
@@ -1,5 +1,6 @@
 /// \file
-/// Quarantine of request contents that crash their targets.
+/// Quarantine of request contents that crash the targets of an entry. See
+/// CrashEvidence.h for the evidence and the decision.
 #ifndef TANAGERLANDING_DECISION_QUARANTINE_H
 #define TANAGERLANDING_DECISION_QUARANTINE_H
 
@@ -7,16 +8,9 @@
 
 namespace tanagerlanding {
 
-/// Whether, and how, a request content may be run.
-enum class ContentStatus : std::uint8_t { Trusted, Suspect, Quarantined };
-
-/// Returns the status of a content. A suspect content runs isolated at its
-/// target.
-ContentStatus contentStatus(const EntryState &State, Fingerprint Content);
-
-/// Records that a content was in flight when its target crashed. A suspect
-/// content that ran isolated is quarantined.
-void recordCrash(EntryContext &Context, Fingerprint Content, bool RanAlone);
+/// Records that a call was in flight when its target crashed, and tells the
+/// other entries.
+void recordCallCrash(EntryContext &Context, const ActiveCall &Active);
 
 /// Clears the suspicion of a content that ran to completion while isolated.
 void clearSuspicion(EntryContext &Context, Fingerprint Content);
@@ -27,10 +21,6 @@
 /// Sends all suspicions to an entry that has connected.
 void sendSuspicions(EntryContext &Context, const HostId &Host);
 
-/// Drops suspicions older than the retention period, and the oldest ones beyond
-/// the limit on their number.
-void dropOldSuspicions(EntryContext &Context);
-
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -154,6 +154,7 @@
   if (State.Now - State.SweptAt < State.Options.SweepInterval)
     return;
   State.SweptAt = State.Now;
+  expireEvidence(State.Suspects, State.Now);
   for (auto Turn = State.Turns.begin(); Turn != State.Turns.end();) {
     if (State.Now < Turn->second.ExpiresAt) {
       ++Turn;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -3,6 +3,7 @@
 #include "LedgerContext.h"
 #include "LedgerMembership.h"
 #include "LedgerRecords.h"
+#include "SuspectReplication.h"
 
 #include <algorithm>
 
@@ -100,6 +101,9 @@
   void operator()(const ViewOffer &Offer) {
     adoptView(this->Context, Offer.View);
   }
+  void operator()(const SuspectNotice &Notice) {
+    handleSuspectNotice(this->Context, Notice);
+  }
   void operator()(const PullRecords &Request) {
     handlePull(this->Context, this->Peer, Request);
   }
@@ -193,6 +197,10 @@
     indexBatch(this->Context, Event.Batch, Event.Place, Event.Age);
   }
 
+  void operator()(const SuspectsRecovered &Event) {
+    recoverEvidence(this->Context, Event);
+  }
+
   void operator()(const LedgerViewObserved &Event) {
     if (this->State.ViewRevision < Event.ModRevision)
       this->State.ViewRevision = Event.ModRevision;
@@ -217,6 +225,7 @@
                                              {"before", Known.Value},
                                              {"now", Event.Holder.Value}});
     Known = Event.Holder;
+    sendEvidenceTo(this->Context, Event.Host);
     reconcileMembership(this->Context);
   }
 
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -1,6 +1,7 @@
 #include "Admission.h"
 
 #include "Attempts.h"
+#include "CrashDetection.h"
 #include "Turns.h"
 
 #include <algorithm>
@@ -37,13 +38,6 @@
   return Route.Services.back().Service;
 }
 
-/// Returns the fingerprint of a request without its id, which is new each time
-/// the request is sent.
-Fingerprint contentOf(const CallerRequest &Inbound) {
-  return Fingerprint(hashBytes(Inbound.Method + '\n' + Inbound.Host + '\n' +
-                               Inbound.RequestTarget + '\n' + Inbound.Body));
-}
-
 void refuseUnadmitted(RelayContext &Context, RequestId Request,
                       const CallerRequest &Inbound, RelayRefusalReason Reason) {
   const RelayRefusal Refusal{Reason, Execution::NotRun,
@@ -94,6 +88,8 @@
   RelayCall &Admitted = State.Calls[Request] = std::move(Call);
   if (!hasTimeLeft(Context, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
+  else if (isQuarantined(State, Admitted))
+    refuseCall(Context, Admitted, RelayRefusalReason::Quarantined);
   else if (needsLedger(Admitted))
     openTurn(Context, Admitted);
   else
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -1,6 +1,7 @@
 #include "Attempts.h"
 
 #include "CallQueue.h"
+#include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "TargetHealth.h"
 #include "TurnCloses.h"
@@ -69,6 +70,8 @@
 void cancelAttempt(RelayContext &Context, RelayCall &Call) {
   if (Call.Attempt.Value == 0)
     return;
+  if (Call.IsFirstByteTimeoutRecorded && !Call.Head)
+    recordLostAttempt(Context, Call, /*IsConnectionClosed=*/false);
   Context.add(CancelTargetAttempt{Call.Attempt});
   releaseAttempt(Context, Call);
 }
@@ -96,6 +99,7 @@
 
 /// Forwards a complete answer that is not an event stream.
 void deliverBufferedAnswer(RelayContext &Context, RelayCall &Call) {
+  clearCallContent(Context, Call);
   closeTurn(Context, Call, false);
   Context.logCall("answered", Call,
                   {{"status", std::to_string(Call.Head->Status)},
@@ -111,6 +115,7 @@
 
 /// Closes the turn of a stream that the target has completed.
 void completeStream(RelayContext &Context, RelayCall &Call) {
+  clearCallContent(Context, Call);
   releaseAttempt(Context, Call);
   if (!Call.HasBegunAnswer) {
     Call.HasBegunAnswer = true;
@@ -178,6 +183,13 @@
     refuseCall(Context, Call, RelayRefusalReason::TargetFailed);
 }
 
+/// Handles an attempt whose connection its target has closed too early.
+void handleBrokenAttempt(RelayContext &Context, RelayCall &Call,
+                         const char *Cause) {
+  recordLostAttempt(Context, Call, /*IsConnectionClosed=*/true);
+  handleUnknownOutcome(Context, Call, Cause);
+}
+
 void handleCompleteAnswer(RelayContext &Context, RelayCall &Call) {
   if (!Call.Head) {
     handleUnknownOutcome(Context, Call, "no_head");
@@ -200,7 +212,7 @@
   if (!isStreamed(Call))
     deliverBufferedAnswer(Context, Call);
   else if (Call.Splitter.hasPartialEvent())
-    handleUnknownOutcome(Context, Call, "partial_event");
+    handleBrokenAttempt(Context, Call, "partial_event");
   else
     completeStream(Context, Call);
 }
@@ -293,11 +305,18 @@
                       : RelayRefusalReason::NoTarget);
     return;
   }
+  // The content may have been quarantined since the call was admitted.
+  if (isQuarantined(State, Call)) {
+    refuseCall(Context, Call, RelayRefusalReason::Quarantined);
+    return;
+  }
   const RelayTarget &Target = State.Targets.at(Chosen.value());
   Call.Phase = RelayPhase::Running;
   Call.Attempt = RelayAttemptId(State.NextAttempt++);
   Call.Target = Chosen.value();
+  Call.SentTo = Target.Entry;
   Call.SentAt = State.Now;
+  Call.EventsBeforeAttempt = Call.EventsSent;
   Call.IsFirstByteTimeoutRecorded = false;
   Call.TriedTargets.insert(Call.Target);
   State.Attempts[Call.Attempt] = Call.Request;
@@ -330,11 +349,16 @@
   }
   cancelAttempt(Context, Call);
   closeTurn(Context, Call, false);
-  const RelayRefusal Refusal{Reason, executionOf(Call),
-                             retryAfterFor(Context.State, Reason)};
+  const Milliseconds RetryAfter =
+      Reason == RelayRefusalReason::Quarantined
+          ? quarantineTimeLeft(Context.State.Quarantine, Call.Content,
+                               Context.now())
+          : retryAfterFor(Context.State, Reason);
+  const RelayRefusal Refusal{Reason, executionOf(Call), RetryAfter};
   Context.logCall("request_refused", Call,
                   {{"reason", toString(Reason)},
                    {"execution", toString(Refusal.ExecutionStatus)},
+                   {"content", std::to_string(Call.Content.Value)},
                    {"retry_after_ms", RelayContext::millis(Refusal.RetryAfter)},
                    {"target", Call.Target.Value}});
   Context.count("relay_refusals_total", toString(Reason));
@@ -387,7 +411,7 @@
     handleNotRun(Context, *Call, "unreachable");
     return;
   case AttemptEnded::Kind::Broken:
-    handleUnknownOutcome(Context, *Call, "broken_connection");
+    handleBrokenAttempt(Context, *Call, "broken_connection");
     return;
   }
 }
@@ -420,7 +444,7 @@
                           Call.UncertainSends + 1 < Call.Route.MaxAttempts;
     if (!MayRetry)
       continue;
-    Context.add(CancelTargetAttempt{Call.Attempt});
+    cancelAttempt(Context, Call);
     handleUnknownOutcome(Context, Call, "silent");
   }
 }
--- /dev/null
+++ b/packages/decision/src/relay/CrashDetection.cpp
@@ -0,0 +1,220 @@
+#include "CrashDetection.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+/// How often evidence is reviewed; its limits are seconds and more.
+constexpr Milliseconds ReviewInterval{500};
+
+bool isServing(const RelayState &State, const TargetId &Id) {
+  const auto Found = State.Targets.find(Id);
+  return Found != State.Targets.end() && !Found->second.Entry.IsLeaving;
+}
+
+CrashExposure exposureOf(const RelayCall &Call) {
+  const bool HasOutput =
+      Call.EventsBeforeAttempt < Call.EventsSent || !Call.BufferedBody.empty();
+  return HasOutput ? CrashExposure::AfterOutput : CrashExposure::BeforeOutput;
+}
+
+void sendToReplicas(RelayContext &Context, Fingerprint Content) {
+  const SuspectNotice Notice =
+      noticeOf(Context.State.Quarantine, Content, Context.now());
+  for (const HolderId &Each : Context.State.ConnectedReplicas)
+    Context.send(Each, Notice);
+}
+
+void logStatus(RelayContext &Context, const char *Event, Fingerprint Content,
+               RelayContext::Fields Inputs) {
+  const QuarantineTable &Table = Context.State.Quarantine;
+  RelayContext::Fields All = {
+      {"content", std::to_string(Content.Value)},
+      {"crashes", std::to_string(crashCountOf(Table, Content))},
+      {"status", toString(statusOf(Table, Content))}};
+  All.insert(All.end(), Inputs.begin(), Inputs.end());
+  Context.log(Event, std::move(All));
+}
+
+/// Records that the attempts lost at a run of a target were in flight when it
+/// crashed.
+void countLostAttempts(RelayContext &Context, const TargetRun &Run,
+                       TargetLosses &Losses) {
+  for (const LostAttempt &Each : Losses.Attempts) {
+    if (!recordCrash(Context.State.Quarantine, Each.Content, Run,
+                     {Each.Exposure, Each.EndedAt}))
+      continue;
+    logStatus(Context, "content_suspect", Each.Content,
+              {{"request", Each.Request.Value},
+               {"target", Run.Target.Value},
+               {"started_at_ms", std::to_string(Run.StartedAtMillis)},
+               {"exposure", toString(Each.Exposure)}});
+    sendToReplicas(Context, Each.Content);
+  }
+  Losses.Attempts.clear();
+}
+
+void concludeCrash(RelayContext &Context, const TargetRun &Run,
+                   TargetLosses &Losses, const char *Sign) {
+  Losses.CrashedAt = Context.now();
+  Context.log("target_crashed",
+              {{"target", Run.Target.Value},
+               {"started_at_ms", std::to_string(Run.StartedAtMillis)},
+               {"sign", Sign},
+               {"lost_attempts", std::to_string(Losses.Attempts.size())}});
+  Context.count("relay_target_crashes_total", Sign);
+  countLostAttempts(Context, Run, Losses);
+}
+
+const char *toString(TargetConnectionProbed::Outcome Outcome) {
+  switch (Outcome) {
+  case TargetConnectionProbed::Outcome::Accepted:
+    return "accepted";
+  case TargetConnectionProbed::Outcome::Refused:
+    return "refused";
+  case TargetConnectionProbed::Outcome::NoAnswer:
+    return "no_answer";
+  }
+  return "unknown";
+}
+
+/// Returns whether a run that was taken for crashed is still registered after
+/// the time in which the registration of a crashed target is removed.
+bool isRefuted(const RelayState &State, const TargetRun &Run, Instant At) {
+  const Milliseconds Lapse = State.Options.RegistrationLapse;
+  const auto Found = State.Targets.find(Run.Target);
+  const bool IsRegistered =
+      Found != State.Targets.end() && !Found->second.MissingSince &&
+      Found->second.Entry.StartedAtMillis == Run.StartedAtMillis;
+  // In an outage of the key-value service registrations may stay although their
+  // targets are gone.
+  const bool IsUpToDate = State.IsKeyValueServiceReachable &&
+                          Lapse <= State.Now - State.KeyValueServiceRegainedAt;
+  return IsRegistered && IsUpToDate && Lapse <= State.Now - At;
+}
+
+void refuteCrashes(RelayContext &Context) {
+  QuarantineTable &Table = Context.State.Quarantine;
+  for (const auto &[Content, Evidence] : Table.Contents) {
+    for (const auto &[Run, Crash] : Evidence.Crashes) {
+      if (!isRefuted(Context.State, Run, Crash.At) ||
+          !Table.RefutedRuns.insert(Run).second)
+        continue;
+      Context.log("target_crash_refuted",
+                  {{"target", Run.Target.Value},
+                   {"started_at_ms", std::to_string(Run.StartedAtMillis)}});
+    }
+  }
+}
+
+void dropOldLosses(RelayState &State) {
+  for (auto Each = State.Losses.begin(); Each != State.Losses.end();) {
+    const bool IsOld = State.Options.LostAttemptRetention <=
+                       State.Now - Each->second.UpdatedAt;
+    Each = IsOld ? State.Losses.erase(Each) : std::next(Each);
+  }
+}
+
+} // namespace
+
+Fingerprint contentOf(const CallerRequest &Inbound) {
+  return fingerprintOfContent(
+      {Inbound.Method, Inbound.Host, Inbound.RequestTarget, Inbound.Body});
+}
+
+bool isQuarantined(const RelayState &State, const RelayCall &Call) {
+  return statusOf(State.Quarantine, Call.Content) == ContentStatus::Quarantined;
+}
+
+void recordLostAttempt(RelayContext &Context, const RelayCall &Call,
+                       bool IsConnectionClosed) {
+  RelayState &State = Context.State;
+  // A target that is leaving ends on its own.
+  if (!isServing(State, Call.Target))
+    return;
+  const TargetRun Run = Call.SentTo.run();
+  TargetLosses &Losses = State.Losses[Run];
+  Losses.Address = Call.SentTo.Address;
+  Losses.Port = Call.SentTo.Port;
+  Losses.UpdatedAt = State.Now;
+  if (Losses.Attempts.size() < State.Options.MaxLostAttemptsPerTarget)
+    Losses.Attempts.push_back(LostAttempt{Call.InboundRequest.Id, Call.Content,
+                                          exposureOf(Call), State.Now});
+  const bool HasCrashed = Losses.CrashedAt && State.Now - *Losses.CrashedAt <
+                                                  State.Options.CrashSettleTime;
+  if (HasCrashed) {
+    countLostAttempts(Context, Run, Losses);
+    return;
+  }
+  if (!IsConnectionClosed || Losses.IsProbing)
+    return;
+  Losses.IsProbing = true;
+  Context.add(ProbeTargetConnection{Run, Losses.Address, Losses.Port});
+}
+
+void handleTargetProbed(RelayContext &Context,
+                        const TargetConnectionProbed &Event) {
+  const auto Found = Context.State.Losses.find(Event.Run);
+  if (Found == Context.State.Losses.end())
+    return;
+  TargetLosses &Losses = Found->second;
+  Losses.IsProbing = false;
+  Context.log("target_probed",
+              {{"target", Event.Run.Target.Value},
+               {"outcome", toString(Event.Result)},
+               {"lost_attempts", std::to_string(Losses.Attempts.size())}});
+  switch (Event.Result) {
+  case TargetConnectionProbed::Outcome::Accepted:
+    Losses.Attempts.clear();
+    return;
+  case TargetConnectionProbed::Outcome::Refused:
+    concludeCrash(Context, Event.Run, Losses, "connection_refused");
+    return;
+  case TargetConnectionProbed::Outcome::NoAnswer:
+    // Only the next registration at the address can tell.
+    return;
+  }
+}
+
+void detectReplacedRun(RelayContext &Context, const RegisteredTarget &Entry) {
+  for (auto &[Run, Losses] : Context.State.Losses) {
+    const bool IsReplaced = Losses.Address == Entry.Address &&
+                            Losses.Port == Entry.Port && !(Run == Entry.run());
+    if (IsReplaced && !Losses.Attempts.empty())
+      concludeCrash(Context, Run, Losses, "replaced");
+  }
+}
+
+void clearCallContent(RelayContext &Context, const RelayCall &Call) {
+  if (!clearContent(Context.State.Quarantine, Call.Content, Context.now()))
+    return;
+  logStatus(Context, "content_cleared", Call.Content,
+            {{"request", Call.InboundRequest.Id.Value},
+             {"target", Call.Target.Value}});
+  sendToReplicas(Context, Call.Content);
+}
+
+void handleSuspectNotice(RelayContext &Context, const SuspectNotice &Notice) {
+  if (mergeNotice(Context.State.Quarantine, Notice, Context.now()))
+    logStatus(Context, "content_evidence_received", Notice.Content, {});
+}
+
+void sendEvidenceTo(RelayContext &Context, const HolderId &Holder) {
+  for (SuspectNotice &Each :
+       allNotices(Context.State.Quarantine, Context.now()))
+    Context.send(Holder, std::move(Each));
+}
+
+void reviewCrashEvidence(RelayContext &Context) {
+  RelayState &State = Context.State;
+  if (State.Now - State.CrashEvidenceReviewedAt < ReviewInterval)
+    return;
+  State.CrashEvidenceReviewedAt = State.Now;
+  refuteCrashes(Context);
+  expireEvidence(State.Quarantine, State.Now);
+  dropOldLosses(State);
+}
+
+} // namespace tanagerlanding
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -1,5 +1,7 @@
 #include "Directory.h"
 
+#include "CrashDetection.h"
+
 namespace tanagerlanding {
 
 namespace {
@@ -40,6 +42,7 @@
   const bool IsNew = Found == State.Targets.end();
   const bool IsRestarted =
       !IsNew && Found->second.Entry.StartedAtMillis != Entry.StartedAtMillis;
+  detectReplacedRun(Context, Entry);
   if (!IsNew)
     removeFromServiceIndex(State, Found->second);
   RelayTarget &Target = State.Targets[Entry.Id];
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "CallQueue.h"
+#include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
 #include "Placement.h"
@@ -66,6 +67,7 @@
     enforceLedgerTimeouts(this->Context);
     removeMissingTargets(this->Context);
     expirePromptCacheLocations(this->State);
+    reviewCrashEvidence(this->Context);
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
     advanceDraining(this->Context);
@@ -93,6 +95,10 @@
     dispatchQueuedCalls(this->Context, 1);
   }
 
+  void operator()(const TargetConnectionProbed &Event) {
+    handleTargetProbed(this->Context, Event);
+  }
+
   void operator()(const RelayConfigured &Event) {
     adoptConfiguration(this->Context, Event.Configuration);
   }
--- a/packages/decision/src/relay/RelayRefusal.cpp
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -30,6 +30,8 @@
     return "target_failed";
   case RelayRefusalReason::DeadlinePassed:
     return "deadline_passed";
+  case RelayRefusalReason::Quarantined:
+    return "quarantined";
   }
   return "unknown";
 }
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -1,6 +1,7 @@
 #include "Turns.h"
 
 #include "Attempts.h"
+#include "CrashDetection.h"
 #include "TurnCloses.h"
 
 #include <algorithm>
@@ -308,6 +309,9 @@
   void operator()(const LedgerRefused &Reply) {
     handleRefused(this->Context, this->Holder, Reply);
   }
+  void operator()(const SuspectNotice &Notice) {
+    handleSuspectNotice(this->Context, Notice);
+  }
   void operator()(const ViewOffer &Offer) {
     adoptLedgerView(this->Context, Offer.View);
   }
@@ -373,6 +377,7 @@
   State.LastMessageAt[Holder] = State.Now;
   Context.log("replica_connected", {{"holder", Holder.Value}});
   resendClosesTo(Context, Holder);
+  sendEvidenceTo(Context, Holder);
 }
 
 void recordReplicaReachability(RelayContext &Context, const HolderId &Holder,
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -16,13 +16,13 @@
 
 namespace tanagerlanding {
 
-/// Stores batches of ledger records, the last view of the membership, and the
-/// last state of the directory.
+/// Stores batches of ledger records, the last view of the membership, the last
+/// state of the directory, and the evidence against contents.
 ///
 /// Closed segments get an index without the text of their turns, so that the
-/// next start need not read the text. append(), sync(), writeDirectory() and
-/// indexNext() are called on LedgerWriter's thread, all other functions on the
-/// event loop's thread.
+/// next start need not read the text. append(), sync(), writeDirectory(),
+/// writeSuspects() and indexNext() are called on LedgerWriter's thread, all
+/// other functions on the event loop's thread.
 class LedgerFolder {
 public:
   explicit LedgerFolder(const std::string &Path);
@@ -44,6 +44,11 @@
   DirectoryChanges readDirectory() const;
   Result<void, SystemError> writeDirectory(const DirectoryChanges &Items) const;
 
+  /// Returns the evidence against contents that was last written, or an empty
+  /// list.
+  SuspectList readSuspects() const;
+  Result<void, SystemError> writeSuspects(const SuspectList &Suspects) const;
+
   /// Writes a batch, which is durable after sync().
   Result<BatchLocation, SystemError> append(const LedgerBatch &Batch);
   Result<void, SystemError> sync();
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -59,6 +59,9 @@
   void onClosed(ConnectionId Id) override;
   /// Tells all relays that the key-value service can't be reached.
   void notifyRelaysOfOutage();
+  void notifyRelays(const Message &Body);
+  /// Reads the stored evidence against contents.
+  void recoverSuspects(std::int64_t PresentMillis);
   /// Sends a relay the view and the directory, which it may not have read from
   /// the key-value service.
   void sendInitialState(ConnectionId Id);
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerWriter.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerWriter.h
@@ -33,12 +33,16 @@
   /// is still queued.
   void submitDirectory(DirectoryChanges Items);
 
+  /// Writes the evidence against contents. Replaces one that is still queued.
+  void submitSuspects(SuspectList Suspects);
+
 private:
   void run();
   /// Waits for queued work and takes it. Returns false once the writer is
   /// stopping and the queue is empty.
   bool takeQueued();
   void writeDirectory();
+  void writeSuspects();
   std::vector<LedgerEvent> writeGroup();
 
   LedgerFolder &Folder;
@@ -47,9 +51,11 @@
   std::condition_variable HasWork;
   std::vector<PersistLedgerBatch> Queued;
   std::optional<DirectoryChanges> QueuedDirectory;
+  std::optional<SuspectList> QueuedSuspects;
   /// The work that the writer's thread has taken from the queue.
   std::vector<PersistLedgerBatch> Group;
   std::optional<DirectoryChanges> Directory;
+  std::optional<SuspectList> Suspects;
   bool IsStopping = false;
   std::thread Worker;
 };
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t SegmentsKept = 2;
 constexpr const char *ViewFile = "view";
 constexpr const char *DirectoryFile = "directory";
+constexpr const char *SuspectsFile = "suspects";
 constexpr const char *IndexPrefix = "index-";
 
 std::string indexName(std::uint64_t Segment) {
@@ -139,6 +140,18 @@
   return this->Folder.writeFile(DirectoryFile, encodeMessage(Items));
 }
 
+SuspectList LedgerFolder::readSuspects() const {
+  const auto Body = decodeMessage(this->Folder.readFile(SuspectsFile));
+  const auto *Suspects =
+      Body ? std::get_if<SuspectList>(&Body.value()) : nullptr;
+  return Suspects ? *Suspects : SuspectList();
+}
+
+Result<void, SystemError>
+LedgerFolder::writeSuspects(const SuspectList &Suspects) const {
+  return this->Folder.writeFile(SuspectsFile, encodeMessage(Suspects));
+}
+
 Result<BatchLocation, SystemError>
 LedgerFolder::append(const LedgerBatch &Batch) {
   const std::string Payload = encodeMessage(Batch);
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -41,6 +41,14 @@
     this->Owner.connectPeers();
   }
 
+  void operator()(const PersistSuspects &Effect) {
+    this->Owner.Writer->submitSuspects(Effect.Suspects);
+  }
+
+  void operator()(const NotifyRelays &Effect) {
+    this->Owner.notifyRelays(Effect.Body);
+  }
+
   void operator()(const SendHistory &Effect) {
     const auto History = this->Owner.Folder.readHistory(Effect.Turns);
     TurnOpened Reply = Effect.Reply;
@@ -130,6 +138,7 @@
   this->State.Self = LedgerMember{
       this->Folder.holder(), this->Settings.Host, this->Settings.Peers.Address,
       this->Settings.Peers.Port, this->Settings.Zone};
+  this->recoverSuspects(Present);
   this->Writer = std::make_unique<LedgerWriter>(
       this->Folder, [this](std::vector<LedgerEvent> Events) {
         this->Loop.post([this, Events = std::move(Events)] {
@@ -234,6 +243,9 @@
   for (const auto &[Key, Item] : this->CachedDirectory)
     Known.Items.push_back(Item);
   this->Hub.send(Id, Known);
+  for (const SuspectNotice &Each :
+       allNotices(this->State.Suspects, this->Loop.now()))
+    this->Hub.send(Id, Each);
 }
 
 void LedgerProcess::onClosed(ConnectionId Id) {
@@ -283,8 +295,7 @@
     else
       this->CachedDirectory[Item.Key] = Item;
   }
-  for (const ConnectionId Relay : this->Relays)
-    this->Hub.send(Relay, Notice);
+  this->notifyRelays(Notice);
   DirectoryChanges Snapshot;
   for (const auto &[Key, Item] : this->CachedDirectory)
     Snapshot.Items.push_back(Item);
@@ -300,6 +311,13 @@
   this->Keys.applyChanges(Changes);
 }
 
+void LedgerProcess::recoverSuspects(std::int64_t PresentMillis) {
+  SuspectList Stored = this->Folder.readSuspects();
+  const Milliseconds Age(
+      std::max<std::int64_t>(0, PresentMillis - Stored.WrittenAtMillis));
+  this->apply(SuspectsRecovered{std::move(Stored), Age});
+}
+
 void LedgerProcess::applyLedgerKey(const KeyChange &Change) {
   const std::string &Key = Change.Item.Key;
   if (Key == ledgerViewKey()) {
@@ -330,8 +348,12 @@
 void LedgerProcess::notifyRelaysOfOutage() {
   DirectoryChanges Notice;
   Notice.IsServiceLost = true;
+  this->notifyRelays(Notice);
+}
+
+void LedgerProcess::notifyRelays(const Message &Body) {
   for (const ConnectionId Relay : this->Relays)
-    this->Hub.send(Relay, Notice);
+    this->Hub.send(Relay, Body);
 }
 
 void LedgerProcess::onServiceAvailable() {
--- a/packages/ledger/src/LedgerWriter.cpp
+++ b/packages/ledger/src/LedgerWriter.cpp
@@ -43,14 +43,24 @@
   this->HasWork.notify_one();
 }
 
+void LedgerWriter::submitSuspects(SuspectList Suspects) {
+  {
+    const std::lock_guard<std::mutex> Guard(this->Lock);
+    this->QueuedSuspects = std::move(Suspects);
+  }
+  this->HasWork.notify_one();
+}
+
 bool LedgerWriter::takeQueued() {
   std::unique_lock<std::mutex> Guard(this->Lock);
   this->HasWork.wait(Guard, [this] {
-    return this->IsStopping || !this->Queued.empty() || this->QueuedDirectory;
+    return this->IsStopping || !this->Queued.empty() || this->QueuedDirectory ||
+           this->QueuedSuspects;
   });
   this->Group.swap(this->Queued);
   this->Directory.swap(this->QueuedDirectory);
-  return !this->Group.empty() || this->Directory;
+  this->Suspects.swap(this->QueuedSuspects);
+  return !this->Group.empty() || this->Directory || this->Suspects;
 }
 
 void LedgerWriter::writeDirectory() {
@@ -60,6 +70,14 @@
   this->Directory.reset();
 }
 
+void LedgerWriter::writeSuspects() {
+  this->Suspects->WrittenAtMillis = wallClockMillis();
+  const auto Written = this->Folder.writeSuspects(*this->Suspects);
+  if (!Written)
+    logFailure(Written.error());
+  this->Suspects.reset();
+}
+
 std::vector<LedgerEvent> LedgerWriter::writeGroup() {
   std::vector<LedgerEvent> Events;
   for (PersistLedgerBatch &Each : this->Group) {
@@ -89,6 +107,8 @@
     this->Group.clear();
     if (this->Directory)
       this->writeDirectory();
+    if (this->Suspects)
+      this->writeSuspects();
     if (const auto Written = this->Folder.indexNext(); !Written)
       logFailure(Written.error());
   }
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -31,6 +31,7 @@
     virtual void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) = 0;
     virtual void onAttemptEnd(RelayAttemptId Attempt,
                               AttemptEnded::Kind Outcome) = 0;
+    virtual void onTargetProbed(const TargetConnectionProbed &Result) = 0;
   };
 
   /// A request and its destination.
@@ -59,6 +60,10 @@
   /// Closes an attempt's connection, which makes the target stop its work.
   void cancel(RelayAttemptId Attempt);
 
+  /// Opens a connection to a target, closes it again, and reports whether the
+  /// target accepted it.
+  void probe(const ProbeTargetConnection &Probe);
+
 private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -72,6 +72,7 @@
   void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) override;
   void onAttemptEnd(RelayAttemptId Attempt,
                     AttemptEnded::Kind Outcome) override;
+  void onTargetProbed(const TargetConnectionProbed &Result) override;
 
   // Ledger replicas.
   void onOpened(ConnectionId Id) override;
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -325,6 +325,39 @@
   this->drop(Target);
 }
 
+void AttemptClient::probe(const ProbeTargetConnection &Probe) {
+  const TargetRun Run = Probe.Run;
+  const auto Report = [this, Run](TargetConnectionProbed::Outcome Result) {
+    this->Callbacks.onTargetProbed(TargetConnectionProbed{Run, Result});
+  };
+  boost::system::error_code Error;
+  const auto Ip = boost::asio::ip::make_address(Probe.Address, Error);
+  if (Error) {
+    this->Loop.post(
+        [Report] { Report(TargetConnectionProbed::Outcome::NoAnswer); });
+    return;
+  }
+  const auto Socket = std::make_shared<tcp::socket>(this->Loop.context());
+  const auto Timer =
+      std::make_shared<boost::asio::steady_timer>(this->Loop.context());
+  Timer->expires_after(ConnectTimeout);
+  Timer->async_wait([Socket](const auto &TimerError) {
+    boost::system::error_code Ignored;
+    if (!TimerError)
+      Socket->close(Ignored);
+  });
+  Socket->async_connect(
+      Endpoint(Ip, Probe.Port), [Report, Socket, Timer](const auto &Failed) {
+        Timer->cancel();
+        if (!Failed)
+          Report(TargetConnectionProbed::Outcome::Accepted);
+        else if (Failed == boost::asio::error::connection_refused)
+          Report(TargetConnectionProbed::Outcome::Refused);
+        else
+          Report(TargetConnectionProbed::Outcome::NoAnswer);
+      });
+}
+
 void AttemptClient::drop(const ConnectionPtr &Target) {
   Target->IsOpen = false;
   Target->Current.Attempt = RelayAttemptId();
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -64,6 +64,9 @@
   void operator()(const CancelTargetAttempt &Effect) {
     this->Owner.Targets.cancel(Effect.Attempt);
   }
+  void operator()(const ProbeTargetConnection &Effect) {
+    this->Owner.Targets.probe(Effect);
+  }
   void operator()(const SendToReplica &Effect) {
     const auto Connection = this->Owner.ReplicaConnections.find(Effect.Holder);
     if (Connection != this->Owner.ReplicaConnections.end())
@@ -179,6 +182,10 @@
   this->apply(AttemptEnded{Attempt, Outcome});
 }
 
+void RelayProcess::onTargetProbed(const TargetConnectionProbed &Result) {
+  this->apply(Result);
+}
+
 void RelayProcess::connectReplicas(
     const std::vector<ListenAddress> &Addresses) {
   ConnectionHub::Addresses Endpoints;
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -215,12 +215,54 @@
 wire::SuspectNoticeT toTable(const SuspectNotice &Body) {
   wire::SuspectNoticeT Table;
   Table.content = Body.Content.Value;
-  Table.crashes = Body.Crashes;
+  Table.crashes = Body.CrashCount;
+  for (const SuspectNotice::Crash &Each : Body.Crashes) {
+    auto Row = std::make_unique<wire::CrashRowT>();
+    Row->target = Each.Run.Target.Value;
+    Row->started_at_ms = Each.Run.StartedAtMillis;
+    Row->exposure = static_cast<std::uint8_t>(Each.Exposure);
+    Row->age_ms = Each.Age.count();
+    Table.evidence.push_back(std::move(Row));
+  }
+  Table.has_cleared = Body.ClearedAge.has_value();
+  Table.cleared_age_ms = Body.ClearedAge.value_or(Milliseconds(0)).count();
   return Table;
 }
 
 SuspectNotice fromTable(const wire::SuspectNoticeT &Table) {
-  return SuspectNotice{Fingerprint(Table.content), Table.crashes};
+  SuspectNotice Body;
+  Body.Content = Fingerprint(Table.content);
+  Body.CrashCount = Table.crashes;
+  for (const auto &Row : Table.evidence) {
+    // An unknown exposure counts as the one that proves least.
+    const bool IsKnown =
+        Row->exposure <= static_cast<std::uint8_t>(CrashExposure::AfterOutput);
+    Body.Crashes.push_back(SuspectNotice::Crash{
+        TargetRun{TargetId(Row->target), Row->started_at_ms},
+        IsKnown ? static_cast<CrashExposure>(Row->exposure)
+                : CrashExposure::AfterOutput,
+        Milliseconds(Row->age_ms)});
+  }
+  if (Table.has_cleared)
+    Body.ClearedAge = Milliseconds(Table.cleared_age_ms);
+  return Body;
+}
+
+wire::SuspectListT toTable(const SuspectList &Body) {
+  wire::SuspectListT Table;
+  Table.written_at_ms = Body.WrittenAtMillis;
+  for (const SuspectNotice &Each : Body.Notices)
+    Table.notices.push_back(
+        std::make_unique<wire::SuspectNoticeT>(toTable(Each)));
+  return Table;
+}
+
+SuspectList fromTable(const wire::SuspectListT &Table) {
+  SuspectList Body;
+  Body.WrittenAtMillis = Table.written_at_ms;
+  for (const auto &Each : Table.notices)
+    Body.Notices.push_back(fromTable(*Each));
+  return Body;
 }
 
 wire::DispatchAttemptT toTable(const DispatchAttempt &Body) {
@@ -466,6 +508,8 @@
     return fromTable(*Body.AsRecordsPage());
   case wire::Body::DirectoryChanges:
     return fromTable(*Body.AsDirectoryChanges());
+  case wire::Body::SuspectList:
+    return fromTable(*Body.AsSuspectList());
   }
   return std::nullopt;
 }
