--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -100,6 +100,21 @@
   CHECK(Site.FirstWorker.bodies().empty());
 }
 
+TEST_CASE("Platform path: a reload cuts nothing") {
+  PlatformSite Site;
+  const auto Delay = std::chrono::milliseconds(200);
+  Site.FirstWorker.setDelay(Delay);
+  Site.SecondWorker.setDelay(Delay);
+  auto Pending = std::async(std::launch::async,
+                            [&] { return Site.sendTurn("t1", "", "in1;"); });
+  std::this_thread::sleep_for(Delay);
+  Site.Relays[0].signal(SIGHUP);
+  for (const ChildProcess &Each : Site.Ledgers)
+    Each.signal(SIGHUP);
+  CHECK(Pending.get().Status == 200);
+  CHECK(Site.sendTurn("t2", "t1", "in2;").Status == 200);
+}
+
 TEST_CASE("Platform path: stopping a relay cuts nothing") {
   PlatformSite Site;
   const auto Delay = std::chrono::milliseconds(400);
