Quarantine on four crashes, and only where they point at one content

Now four crashes without output are required (one late try where three are allowed), a content that shares all but one of them is taken for a possible cause, and so are crashes without either: a content has to be in more than two thirds of those of the last 30 s. Five crashes decide in any case, so the bound holds. Also: crashes of a target that reports no start time and returns under its id count each, and are not refuted, as its registration does not tell its runs apart.

--- a/packages/decision/include/tanagerlanding/decision/CrashEvidence.h
+++ b/packages/decision/include/tanagerlanding/decision/CrashEvidence.h
@@ -23,7 +23,8 @@
 /// A run of a target's process. A target may start again under the same id.
 struct TargetRun {
   TargetId Target;
-  /// Start of the process in milliseconds since the Unix epoch; 0 if unknown.
+  /// Start of the process in milliseconds since the Unix epoch. If it is
+  /// unknown, 0 for the first run and lower for each later one.
   std::int64_t StartedAtMillis = 0;
 
   bool operator==(const TargetRun &Other) const {
@@ -93,11 +94,14 @@
 
 /// For targets where other requests always run beside a suspect one.
 struct SharedRunPolicy {
-  /// Crashes without output after which a content is quarantined, unless
-  /// another content was in flight in all of them and may be the cause.
-  std::uint32_t RequiredCrashes = 3;
+  /// Crashes without output after which a content is quarantined, unless there
+  /// is another explanation: a content that was in flight in all but one of
+  /// them, or targets that crash without the content.
+  std::uint32_t RequiredCrashes = 4;
   /// Crashes after which a content is quarantined in any case.
   std::uint32_t MaxCrashes = 5;
+  /// How far back other crashes are taken into account.
+  Milliseconds OtherCrashWindow{30000};
 };
 
 using QuarantinePolicy = std::variant<IsolatedRunPolicy, SharedRunPolicy>;
@@ -125,6 +129,9 @@
   std::map<Fingerprint, ContentEvidence> Contents;
   /// Runs that were taken for crashed and turned out to be alive.
   std::set<TargetRun> RefutedRuns;
+  /// All crashes within the retention, also those that count against no content
+  /// any more.
+  std::map<TargetRun, Instant> AllCrashes;
 };
 
 /// Returns the fingerprint of a request's content, made of the parts that are
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -151,6 +151,7 @@
   CallerAttemptId Request;
   Fingerprint Content;
   CrashExposure Exposure = CrashExposure::BeforeOutput;
+  Instant SentAt;
   Instant EndedAt;
 };
 
@@ -258,7 +259,7 @@
   TargetId Target;
   RegisteredTarget SentTo;
   Instant SentAt;
-  /// EventsSent when the attempt was sent.
+  /// EventsSent at the time when the attempt was sent.
   std::uint32_t EventsBeforeAttempt = 0;
   /// Whether the attempt's first-byte timeout has been recorded as a failure.
   bool IsFirstByteTimeoutRecorded = false;
@@ -337,6 +338,8 @@
   Instant PromptCachesExpiredAt;
   /// Evidence against contents that crash their targets.
   QuarantineTable Quarantine{SharedRunPolicy{}, SharedContentLimit};
+  /// Attempts lost within LostAttemptRetention, by the run that they were sent
+  /// to.
   std::map<TargetRun, TargetLosses> Losses;
   Instant CrashEvidenceReviewedAt;
   /// When this relay lost the ledger's quorum; nothing while it has one. Starts
--- a/packages/decision/src/CrashEvidence.cpp
+++ b/packages/decision/src/CrashEvidence.cpp
@@ -27,24 +27,41 @@
                                        : countedCrashes(Table, Found->second);
 }
 
-/// Returns whether another content was in flight in all of these crashes, so
-/// that either of the two may have caused them.
+/// Returns whether another content was in flight in all but one of these
+/// crashes, so that it may be the cause: the content may have lost one more
+/// target by chance.
 bool hasCompanion(const QuarantineTable &Table, Fingerprint Content,
                   const CountedCrashes &Crashes) {
   for (const auto &[Other, Evidence] : Table.Contents) {
     if (Other == Content)
       continue;
-    const bool IsInAll =
-        std::all_of(Crashes.begin(), Crashes.end(),
-                    [&Evidence = Evidence](const auto &Each) {
-                      return Evidence.Crashes.count(Each.first) > 0;
-                    });
-    if (IsInAll)
+    const auto Shared =
+        std::count_if(Crashes.begin(), Crashes.end(),
+                      [&Evidence = Evidence](const auto &Each) {
+                        return Evidence.Crashes.count(Each.first) > 0;
+                      });
+    if (Crashes.size() <= static_cast<std::size_t>(Shared) + 1)
       return true;
   }
   return false;
 }
 
+/// Returns whether a content was in flight in more than two thirds of the
+/// crashes within the window before its last one.
+bool isInMostCrashes(const QuarantineTable &Table,
+                     const CountedCrashes &Crashes, Milliseconds Window) {
+  Instant Last = Crashes.begin()->second.At;
+  for (const auto &[Run, Crash] : Crashes)
+    Last = std::max(Last, Crash.At);
+  const auto Others = std::count_if(
+      Table.AllCrashes.begin(), Table.AllCrashes.end(), [&](const auto &Each) {
+        return Crashes.count(Each.first) == 0 &&
+               Table.RefutedRuns.count(Each.first) == 0 &&
+               Last - Each.second < Window;
+      });
+  return 2 * static_cast<std::size_t>(Others) < Crashes.size();
+}
+
 /// Decides whether a content with the given crashes is quarantined, one
 /// overload for each policy.
 class QuarantineDecision {
@@ -66,7 +83,8 @@
     const std::uint32_t WithoutOutput = this->count(
         [](CrashExposure Each) { return Each != CrashExposure::AfterOutput; });
     return Policy.RequiredCrashes <= WithoutOutput &&
-           !hasCompanion(this->Table, this->Content, this->Crashes);
+           !hasCompanion(this->Table, this->Content, this->Crashes) &&
+           isInMostCrashes(this->Table, this->Crashes, Policy.OtherCrashWindow);
   }
 
 private:
@@ -124,18 +142,25 @@
     Table.Contents.erase(Content);
 }
 
-/// Drops refuted runs that no crash refers to any more.
+/// Drops crashes that are too old, and the oldest ones beyond the limit.
+void dropOldCrashes(QuarantineTable &Table, Instant Now) {
+  auto &Crashes = Table.AllCrashes;
+  for (auto Each = Crashes.begin(); Each != Crashes.end();)
+    Each = Table.Retention <= Now - Each->second ? Crashes.erase(Each)
+                                                 : std::next(Each);
+  while (Table.ContentLimit < Crashes.size())
+    Crashes.erase(std::min_element(Crashes.begin(), Crashes.end(),
+                                   [](const auto &Left, const auto &Right) {
+                                     return Left.second < Right.second;
+                                   }));
+}
+
+/// Drops refuted runs whose crash has been dropped.
 void dropUnusedRefutations(QuarantineTable &Table) {
-  if (Table.RefutedRuns.empty())
-    return;
-  std::set<TargetRun> Used;
-  for (const auto &[Content, Evidence] : Table.Contents) {
-    for (const auto &[Run, Crash] : Evidence.Crashes)
-      Used.insert(Run);
-  }
-  for (auto Each = Table.RefutedRuns.begin(); Each != Table.RefutedRuns.end();)
-    Each =
-        Used.count(*Each) > 0 ? std::next(Each) : Table.RefutedRuns.erase(Each);
+  auto &Refuted = Table.RefutedRuns;
+  for (auto Each = Refuted.begin(); Each != Refuted.end();)
+    Each = Table.AllCrashes.count(*Each) > 0 ? std::next(Each)
+                                             : Refuted.erase(Each);
 }
 
 } // namespace
@@ -198,6 +223,7 @@
 
 bool recordCrash(QuarantineTable &Table, Fingerprint Content,
                  const TargetRun &Run, const ObservedCrash &Crash) {
+  Table.AllCrashes.emplace(Run, Crash.At);
   ContentEvidence &Evidence = Table.Contents[Content];
   if (Evidence.ClearedAt && Crash.At <= *Evidence.ClearedAt)
     return false;
@@ -261,6 +287,7 @@
     Each = IsOld ? Table.Contents.erase(Each) : std::next(Each);
   }
   dropContentsAboveLimit(Table);
+  dropOldCrashes(Table, Now);
   dropUnusedRefutations(Table);
 }
 
--- a/packages/decision/src/relay/CrashDetection.cpp
+++ b/packages/decision/src/relay/CrashDetection.cpp
@@ -38,18 +38,39 @@
   Context.log(Event, std::move(All));
 }
 
+/// Returns the run whose crash ended an attempt. Runs of a target that does not
+/// report its start are told apart by time: a crash well before the attempt was
+/// sent was of an earlier run.
+TargetRun crashedRunOf(const RelayState &State, const TargetRun &Run,
+                       const LostAttempt &Lost) {
+  const auto Evidence = State.Quarantine.Contents.find(Lost.Content);
+  if (Run.StartedAtMillis != 0 || Evidence == State.Quarantine.Contents.end())
+    return Run;
+  TargetRun Candidate = Run;
+  for (;;) {
+    const auto Known = Evidence->second.Crashes.find(Candidate);
+    const bool IsEarlierRun =
+        Known != Evidence->second.Crashes.end() &&
+        Known->second.At + State.Options.CrashSettleTime < Lost.SentAt;
+    if (!IsEarlierRun)
+      return Candidate;
+    --Candidate.StartedAtMillis;
+  }
+}
+
 /// Records that the attempts lost at a run of a target were in flight when it
 /// crashed.
 void countLostAttempts(RelayContext &Context, const TargetRun &Run,
                        TargetLosses &Losses) {
   for (const LostAttempt &Each : Losses.Attempts) {
-    if (!recordCrash(Context.State.Quarantine, Each.Content, Run,
+    const TargetRun Crashed = crashedRunOf(Context.State, Run, Each);
+    if (!recordCrash(Context.State.Quarantine, Each.Content, Crashed,
                      {Each.Exposure, Each.EndedAt}))
       continue;
     logStatus(Context, "content_suspect", Each.Content,
               {{"request", Each.Request.Value},
                {"target", Run.Target.Value},
-               {"started_at_ms", std::to_string(Run.StartedAtMillis)},
+               {"started_at_ms", std::to_string(Crashed.StartedAtMillis)},
                {"exposure", toString(Each.Exposure)}});
     sendToReplicas(Context, Each.Content);
   }
@@ -81,12 +102,14 @@
 }
 
 /// Returns whether a run that was taken for crashed is still registered after
-/// the time in which the registration of a crashed target is removed.
+/// the time in which the registration of a crashed target is removed. Without
+/// the start of its process a registration does not tell which run it is of.
 bool isRefuted(const RelayState &State, const TargetRun &Run, Instant At) {
   const Milliseconds Lapse = State.Options.RegistrationLapse;
   const auto Found = State.Targets.find(Run.Target);
   const bool IsRegistered =
-      Found != State.Targets.end() && !Found->second.MissingSince &&
+      Run.StartedAtMillis != 0 && Found != State.Targets.end() &&
+      !Found->second.MissingSince &&
       Found->second.Entry.StartedAtMillis == Run.StartedAtMillis;
   // In an outage of the key-value service registrations may stay although their
   // targets are gone.
@@ -141,7 +164,8 @@
   Losses.UpdatedAt = State.Now;
   if (Losses.Attempts.size() < State.Options.MaxLostAttemptsPerTarget)
     Losses.Attempts.push_back(LostAttempt{Call.InboundRequest.Id, Call.Content,
-                                          exposureOf(Call), State.Now});
+                                          exposureOf(Call), Call.SentAt,
+                                          State.Now});
   const bool HasCrashed = Losses.CrashedAt && State.Now - *Losses.CrashedAt <
                                                   State.Options.CrashSettleTime;
   if (HasCrashed) {
