--- a/packages/decision/src/relay/CrashDetection.h
+++ b/packages/decision/src/relay/CrashDetection.h
@@ -21,8 +21,8 @@
 bool isQuarantined(const RelayState &State, const RelayCall &Call);
 
 /// Records that a call's attempt ended without a complete answer. Probes the
-/// target if the connection was closed; one that was silent is only probed by
-/// its next registration.
+/// target if the connection was closed. A silent target is judged only by the
+/// next registration at its address.
 void recordLostAttempt(RelayContext &Context, const RelayCall &Call,
                        bool IsConnectionClosed);
 
