--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -26,6 +26,9 @@
   void onAttemptEnd(RelayAttemptId, AttemptEnded::Kind Outcome) override {
     this->Ends.push_back(Outcome);
   }
+  void onTargetProbed(const TargetConnectionProbed &Result) override {
+    this->Probes.push_back(Result.Result);
+  }
 
   void accept() {
     auto NewTarget = std::make_unique<RawPeer>(this->Loop);
@@ -82,6 +85,7 @@
   std::vector<std::uint16_t> Statuses;
   std::string Body;
   std::vector<AttemptEnded::Kind> Ends;
+  std::vector<TargetConnectionProbed::Outcome> Probes;
 };
 
 using Kind = AttemptEnded::Kind;
@@ -217,6 +221,26 @@
   CHECK(Fixture.Ends[0] == Kind::NeverSent);
 }
 
+TEST_CASE("Targets: a probe tells a listening target from a refusing host") {
+  TargetFixture Fixture;
+  ProbeTargetConnection Probe{TargetRun(), "127.0.0.1", 0};
+  auto Expected = TargetConnectionProbed::Outcome::Accepted;
+  SECTION("a listening target") {
+    Probe.Port = Fixture.Acceptor.local_endpoint().port();
+  }
+  SECTION("no process listens") {
+    Probe.Port = freeTestPort(Fixture.Loop);
+    Expected = TargetConnectionProbed::Outcome::Refused;
+  }
+  SECTION("the address is invalid") {
+    Probe.Address = "nowhere";
+    Expected = TargetConnectionProbed::Outcome::NoAnswer;
+  }
+  Fixture.Client.probe(Probe);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return !Fixture.Probes.empty(); }));
+  CHECK(Fixture.Probes[0] == Expected);
+}
+
 TEST_CASE("Targets: cancelling closes the connection and stops callbacks") {
   TargetFixture Fixture;
   RawPeer &Target = Fixture.send("1");
