Keep a content quarantined when other targets crash later

The look at other crashes within 30 s counted those after the content's last one too, so two ordinary crashes released a content that had four. Found by reading; the new case failed before (suspect, expected quarantined) and passes now. The bound of five crashes held meanwhile.

--- a/packages/decision/src/CrashEvidence.cpp
+++ b/packages/decision/src/CrashEvidence.cpp
@@ -57,7 +57,7 @@
       Table.AllCrashes.begin(), Table.AllCrashes.end(), [&](const auto &Each) {
         return Crashes.count(Each.first) == 0 &&
                Table.RefutedRuns.count(Each.first) == 0 &&
-               Last - Each.second < Window;
+               Each.second <= Last && Last - Each.second < Window;
       });
   return 2 * static_cast<std::size_t>(Others) < Crashes.size();
 }
--- a/packages/decision/tests/CrashEvidenceTest.cpp
+++ b/packages/decision/tests/CrashEvidenceTest.cpp
@@ -111,6 +111,16 @@
   CHECK(statusOf(Table, Guilty) == ContentStatus::Quarantined);
 }
 
+TEST_CASE("CrashEvidence: later crashes without a quarantined content do not "
+          "release it") {
+  QuarantineTable Table = sharedTable();
+  for (int Number = 1; Number <= 4; ++Number)
+    crash(Table, Guilty, Number);
+  for (int Number = 5; Number <= 9; ++Number)
+    crash(Table, Beside, Number);
+  CHECK(statusOf(Table, Guilty) == ContentStatus::Quarantined);
+}
+
 TEST_CASE("CrashEvidence: five crashes quarantine a content in any case") {
   QuarantineTable Table = sharedTable();
   SECTION("with another content in all of them") {
