--- a/packages/decision/tests/RelayCrashRandomTest.cpp
+++ b/packages/decision/tests/RelayCrashRandomTest.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr std::size_t RelayCount = 4;
 constexpr int TargetCount = 9;
 constexpr int CallerCount = 60;
 constexpr Milliseconds Step{25};
@@ -24,35 +23,41 @@
 constexpr Milliseconds KnowledgeLimit{3000};
 constexpr std::size_t FreeCrashes = 3;
 constexpr std::size_t MaxLateRuns = 3;
-const std::string CrashingPath = "/once/crash";
 
 struct Faults {
-  bool HasCrashingContent = true;
+  /// Number of callers that send the crashing content at the same time.
+  int CrashingCallers = 1;
   /// Mean time between crashes of a random target; 0 for none.
   Milliseconds TargetCrashInterval{0};
   /// Mean time between faults of a relay or replica; 0 for none.
   Milliseconds ProcessFaultInterval{0};
+  /// Longest pause of a caller of the crashing content between two attempts.
+  Milliseconds MaxResendPause{600};
+  /// Route of all requests.
+  std::string Route = "/once/";
+  std::size_t RelayCount = 4;
 };
 
 /// The processes, targets and callers of one run.
 class Deployment {
 public:
-  Deployment(unsigned Seed, Faults Injected)
-      : Random(Seed), Injected(Injected), Relays(RelayCount) {
+  Deployment(unsigned Seed, const Faults &Injected)
+      : Random(Seed), Injected(Injected), RelayCount(Injected.RelayCount),
+        CrashingPath(Injected.Route + "crash"), Relays(Injected.RelayCount) {
     for (const char *Holder : {"a", "b", "c"})
       this->Replicas[Holder].State.Now = Instant{Milliseconds(1)};
     for (Relay &Each : this->Relays)
       Each.FaultAt = Instant{-KnowledgeLimit};
     for (int Number = 0; Number < TargetCount; ++Number)
       this->startTarget();
-    for (std::size_t Number = 0; Number < RelayCount; ++Number)
+    for (std::size_t Number = 0; Number < this->RelayCount; ++Number)
       this->startRelay(Number);
     for (int Number = 0; Number < CallerCount; ++Number)
       this->sendOrdinary(this->nextPath());
   }
 
   void run() {
-    if (this->Injected.HasCrashingContent)
+    for (int Caller = 0; Caller < this->Injected.CrashingCallers; ++Caller)
       this->sendCrashing();
     this->scheduleTargetCrash();
     this->scheduleProcessFault();
@@ -114,7 +119,7 @@
     }
     for (auto &[Holder, Each] : this->Replicas)
       Each.State.Now = Each.State.Now + Step;
-    for (std::size_t Number = 0; Number < RelayCount; ++Number) {
+    for (std::size_t Number = 0; Number < this->RelayCount; ++Number) {
       this->Relays[Number].Process->passTime(Step);
       this->perform(Number);
     }
@@ -125,7 +130,7 @@
   void startTarget() {
     const std::string Id = "t" + std::to_string(++this->LastTarget);
     this->Targets[Id];
-    for (std::size_t Number = 0; Number < RelayCount; ++Number) {
+    for (std::size_t Number = 0; Number < this->RelayCount; ++Number) {
       if (this->Relays[Number].Process)
         this->afterAt(Number, this->draw(50, 500),
                       [Id](RelayFixture &Each) { Each.addTarget(Id); });
@@ -145,7 +150,7 @@
           });
     Crashed.Attempts.clear();
     this->after(this->draw(1000, 4000), [this] { this->startTarget(); });
-    for (std::size_t Number = 0; Number < RelayCount; ++Number)
+    for (std::size_t Number = 0; Number < this->RelayCount; ++Number)
       this->afterAt(Number, this->draw(3600, 4200), [Id](RelayFixture &Each) {
         Each.apply(TargetUnregistered{TargetId(Id)});
       });
@@ -162,7 +167,7 @@
       return;
     }
     this->Targets[Id].Attempts.push_back(Running{Number, Attempt});
-    if (Path == CrashingPath) {
+    if (Path == this->CrashingPath) {
       this->countCrashingRun(Number);
       this->crashTarget(Id);
       return;
@@ -243,7 +248,7 @@
       if (const auto *Stored = std::get_if<PersistSuspects>(&Each))
         Receiver.Stored = Stored->Suspects;
       if (const auto *Notify = std::get_if<NotifyRelays>(&Each)) {
-        for (std::size_t Number = 0; Number < RelayCount; ++Number)
+        for (std::size_t Number = 0; Number < this->RelayCount; ++Number)
           this->sendToRelay(Number, Holder, Notify->Body);
       }
     }
@@ -256,7 +261,7 @@
     Restarted.State.Now = Present;
     reduce(Restarted.State,
            SuspectsRecovered{Restarted.Stored, Milliseconds(0)});
-    for (std::size_t Number = 0; Number < RelayCount; ++Number)
+    for (std::size_t Number = 0; Number < this->RelayCount; ++Number)
       this->reconnect(Number, Holder, 0);
   }
 
@@ -272,17 +277,22 @@
 
   // Callers.
 
-  std::string nextPath() { return "/once/" + std::to_string(++this->LastPath); }
+  std::string nextPath() {
+    return this->Injected.Route + std::to_string(++this->LastPath);
+  }
 
   void sendOrdinary(const std::string &Path) { this->send(Path); }
 
   void sendCrashing() {
-    this->send(CrashingPath);
-    this->after(this->draw(100, 600), [this] { this->sendCrashing(); });
+    this->send(this->CrashingPath);
+    const auto MaxPause =
+        static_cast<int>(this->Injected.MaxResendPause.count());
+    this->after(this->draw(100, MaxPause), [this] { this->sendCrashing(); });
   }
 
   void send(const std::string &Path) {
-    const auto Number = static_cast<std::size_t>(this->draw(0, RelayCount - 1));
+    const auto Number =
+        static_cast<std::size_t>(this->draw(0, this->RelayCount - 1));
     Relay &Chosen = this->Relays[Number];
     const RequestId Request =
         Chosen.Process->ask(Path, "r" + std::to_string(++this->LastRequest));
@@ -295,7 +305,7 @@
     Relay &Each = this->Relays[Number];
     const std::string Path = Each.Paths.at(Request);
     Each.Paths.erase(Request);
-    if (Path == CrashingPath)
+    if (Path == this->CrashingPath)
       return;
     this->WronglyQuarantined += IsQuarantined ? 1 : 0;
     this->Served += IsServed ? 1 : 0;
@@ -382,7 +392,8 @@
   }
 
   void injectProcessFault() {
-    const auto Number = static_cast<std::size_t>(this->draw(0, RelayCount - 1));
+    const auto Number =
+        static_cast<std::size_t>(this->draw(0, this->RelayCount - 1));
     const std::string Holder(1, static_cast<char>('a' + this->draw(0, 2)));
     switch (this->draw(0, 2)) {
     case 0:
@@ -402,7 +413,7 @@
     Restarted.FaultAt = this->Now;
     std::vector<std::string> Lost;
     for (const auto &[Request, Path] : Restarted.Paths) {
-      if (Path != CrashingPath)
+      if (Path != this->CrashingPath)
         Lost.push_back(Path);
     }
     this->startRelay(Number);
@@ -412,6 +423,8 @@
 
   std::mt19937 Random;
   const Faults Injected;
+  const std::size_t RelayCount;
+  const std::string CrashingPath;
   Instant Now;
   std::multimap<Instant, std::function<void()>> Pending;
   std::vector<Relay> Relays;
@@ -431,7 +444,7 @@
     CHECK(Run.LateRuns <= MaxLateRuns);
     CHECK(Run.WronglyQuarantined == 0);
     CHECK(Run.Served > 0);
-    if (Injected.HasCrashingContent)
+    if (Injected.CrashingCallers > 0)
       CHECK(Run.Crashes >= FreeCrashes);
   }
 }
@@ -449,7 +462,7 @@
 }
 
 TEST_CASE("RelayCrashRandom: ordinary crashes without a crashing content") {
-  checkRuns(Faults{false, Milliseconds(500), Milliseconds(0)}, firstSeeds(40));
+  checkRuns(Faults{0, Milliseconds(500), Milliseconds(0)}, firstSeeds(40));
 }
 
 TEST_CASE("RelayCrashRandom: a crashing content, other crashes, restarts and "
@@ -457,5 +470,19 @@
   std::vector<unsigned> Seeds = firstSeeds(40);
   // A content beside the crashing one three times that lost a fourth target.
   Seeds.insert(Seeds.end(), {60, 104});
-  checkRuns(Faults{true, Milliseconds(2000), Milliseconds(1000)}, Seeds);
+  checkRuns(Faults{1, Milliseconds(2000), Milliseconds(1000)}, Seeds);
+}
+
+TEST_CASE("RelayCrashRandom: a crashing content that several callers send at "
+          "once takes the whole service down") {
+  Faults Injected;
+  Injected.CrashingCallers = 3;
+  Injected.MaxResendPause = Milliseconds(150);
+  Injected.Route = "/plain/";
+  Injected.RelayCount = 6;
+  SECTION("nothing else fails") { checkRuns(Injected, firstSeeds(40)); }
+  SECTION("relays and replicas restart and lose connections") {
+    Injected.ProcessFaultInterval = Milliseconds(1000);
+    checkRuns(Injected, firstSeeds(40));
+  }
 }
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -298,8 +298,8 @@
   this->Changed.notify_all();
 }
 
-WorkerStandin::WorkerStandin(std::string Id, std::string CrashBody)
-    : Id(std::move(Id)), CrashBody(std::move(CrashBody)),
+WorkerStandin::WorkerStandin(std::string Id, std::string CrashMark)
+    : Id(std::move(Id)), CrashMark(std::move(CrashMark)),
       Server(std::make_unique<BlockingServer>(
           [this](const auto &Call, auto &Caller) {
             return this->handle(Call, Caller);
@@ -345,9 +345,12 @@
   }
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
-    this->Runs.push_back(Run{std::string(Call["Request-Id"]), Call.body()});
+    this->Runs.push_back(Run{std::string(Call["Request-Id"]),
+                             std::string(Call.target()), Call.body()});
   }
-  if (!this->CrashBody.empty() && Call.body() == this->CrashBody) {
+  const bool IsCrashing =
+      Call.body() == this->CrashMark || Call.target() == this->CrashMark;
+  if (!this->CrashMark.empty() && IsCrashing) {
     this->crash();
     return false;
   }
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -122,9 +122,9 @@
 /// streams turns as events.
 class WorkerStandin {
 public:
-  /// Crashes when it begins to run a request with the body CrashBody, unless
-  /// that is empty.
-  explicit WorkerStandin(std::string Id, std::string CrashBody = {});
+  /// Crashes when it begins to run a request with the body or the path
+  /// CrashMark, unless that is empty.
+  explicit WorkerStandin(std::string Id, std::string CrashMark = {});
 
   std::uint16_t port() const { return this->Server->port(); }
   /// Returns the worker's registration in the store, as JSON.
@@ -133,6 +133,7 @@
   /// A request that the worker ran.
   struct Run {
     std::string RequestId;
+    std::string Path;
     std::string Body;
   };
   /// Returns the requests that the worker ran, in order.
@@ -153,7 +154,7 @@
               BlockingServer::Socket &Caller);
 
   const std::string Id;
-  const std::string CrashBody;
+  const std::string CrashMark;
   std::atomic<bool> HasCrashed{false};
   std::mutex Lock;
   std::vector<Run> Runs;
--- a/tests/harness/WorkerFleet.cpp
+++ b/tests/harness/WorkerFleet.cpp
@@ -25,7 +25,7 @@
 
 void WorkerFleet::startWorker(Member &Each) {
   Each.Worker = std::make_unique<WorkerStandin>(
-      "w-" + std::to_string(this->NextId++), this->FleetOptions.CrashBody);
+      "w-" + std::to_string(this->NextId++), this->FleetOptions.CrashMark);
   Each.Worker->setDelay(this->FleetOptions.Delay);
   Each.IsDown = false;
   this->Store.put("servers/" + Each.Worker->id(),
@@ -59,9 +59,12 @@
 }
 
 std::size_t WorkerFleet::crashingRunsOf(WorkerStandin &Worker) const {
-  const std::vector<std::string> Bodies = Worker.bodies();
+  const std::string &Mark = this->FleetOptions.CrashMark;
+  const std::vector<WorkerStandin::Run> Runs = Worker.runs();
   return static_cast<std::size_t>(
-      std::count(Bodies.begin(), Bodies.end(), this->FleetOptions.CrashBody));
+      std::count_if(Runs.begin(), Runs.end(), [&](const auto &Each) {
+        return Each.Body == Mark || Each.Path == Mark;
+      }));
 }
 
 std::size_t WorkerFleet::crashingRuns() {
--- a/tests/harness/WorkerFleet.h
+++ b/tests/harness/WorkerFleet.h
@@ -22,8 +22,9 @@
 public:
   struct Options {
     std::size_t Count = 8;
-    /// Body of the requests that crash the worker that begins to run them.
-    std::string CrashBody = "CRASH";
+    /// Body or path of the requests that crash the worker that begins to run
+    /// them.
+    std::string CrashMark = "CRASH";
     std::chrono::milliseconds RestartDelay{1500};
     /// Duration of other requests; see WorkerStandin::setDelay().
     std::chrono::milliseconds Delay{0};
@@ -36,7 +37,7 @@
 
   /// Crashes one of the workers that are up.
   void crashOne(std::size_t Number);
-  /// Returns how often a worker began to run a request with the crashing body.
+  /// Returns how often a worker began to run a crashing request.
   std::size_t crashingRuns();
 
 private:
@@ -55,7 +56,7 @@
   std::mutex Lock;
   std::vector<Member> Members;
   std::size_t NextId = 1;
-  /// Runs of the crashing body at workers that have been replaced.
+  /// Crashing runs at workers that have been replaced.
   std::size_t EarlierRuns = 0;
   std::atomic<bool> IsStopping{false};
   std::thread Supervisor;
--- a/tests/integration/CrashingRequests.cpp
+++ b/tests/integration/CrashingRequests.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::size_t RelayCount = 2;
+constexpr std::size_t ManyRelays = 6;
 /// Crashes after which a content may reach workers only a few more times, the
 /// time in which all relays have to know of them, and that number of times.
 constexpr std::size_t FreeCrashes = 3;
@@ -30,6 +31,7 @@
 constexpr double MinQuarantineRetrySeconds = 30;
 
 const std::string CrashBody = "CRASH";
+const std::string CrashPath = "/plain/crash";
 
 using Sender = std::function<Response(const std::string &Id, std::size_t Relay,
                                       const std::string &Body)>;
@@ -57,7 +59,8 @@
 /// Relays and replicas before a fleet of workers. The site's own two workers do
 /// not crash, so they are removed first.
 struct CrashSite {
-  explicit CrashSite(const WorkerFleet::Options &FleetOptions = {})
+  explicit CrashSite(const WorkerFleet::Options &FleetOptions = {},
+                     std::size_t RelayCount = ::RelayCount)
       : Site(RelayCount), Fleet(Site.Store, FleetOptions) {
     this->Site.Store.remove("servers/i-1");
     this->Site.Store.remove("servers/i-2");
@@ -127,7 +130,9 @@
 /// served.
 class OrdinaryCallers {
 public:
-  OrdinaryCallers(Sender Send, unsigned Threads) : Send(std::move(Send)) {
+  OrdinaryCallers(Sender Send, unsigned Threads,
+                  std::size_t RelayCount = ::RelayCount)
+      : Send(std::move(Send)), RelayCount(RelayCount) {
     for (unsigned Thread = 0; Thread < Threads; ++Thread)
       this->Threads.emplace_back([this, Thread] { this->run(Thread); });
   }
@@ -155,8 +160,8 @@
 
   void serve(const std::string &Name) {
     for (unsigned Try = 0; Try < MaxTries; ++Try) {
-      const Response Result =
-          this->Send(Name + "-" + std::to_string(Try), Try % RelayCount, Name);
+      const Response Result = this->Send(Name + "-" + std::to_string(Try),
+                                         Try % this->RelayCount, Name);
       if (isQuarantineRefusal(Result))
         ++this->Quarantined;
       if (Result.Status == 200) {
@@ -169,6 +174,39 @@
   }
 
   const Sender Send;
+  const std::size_t RelayCount;
+  std::atomic<bool> IsStopping{false};
+  std::vector<std::thread> Threads;
+};
+
+/// Callers that send a GET request that crashes workers, each again as soon as
+/// it has an answer, through all relays.
+class CrashingCallers {
+public:
+  CrashingCallers(PlatformSite &Site, unsigned Threads, std::size_t RelayCount)
+      : Site(Site), RelayCount(RelayCount) {
+    for (unsigned Thread = 0; Thread < Threads; ++Thread)
+      this->Threads.emplace_back([this, Thread] { this->run(Thread); });
+  }
+  ~CrashingCallers() {
+    this->IsStopping = true;
+    for (std::thread &Each : this->Threads)
+      Each.join();
+  }
+
+private:
+  void run(unsigned Thread) {
+    for (unsigned Number = 0; !this->IsStopping; ++Number) {
+      this->Site.sendCall(CrashPath,
+                          "c" + std::to_string(Thread) + "-" +
+                              std::to_string(Number),
+                          "", (Thread + Number) % this->RelayCount);
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+  }
+
+  PlatformSite &Site;
+  const std::size_t RelayCount;
   std::atomic<bool> IsStopping{false};
   std::vector<std::thread> Threads;
 };
@@ -254,3 +292,30 @@
   CHECK(Callers.Abandoned == 0);
   CHECK(Callers.Served > 0);
 }
+
+TEST_CASE("A GET request that crashes a whole service is not sent on when the "
+          "service is back") {
+  WorkerFleet::Options FleetOptions;
+  FleetOptions.Count = 9;
+  FleetOptions.CrashMark = CrashPath;
+  FleetOptions.RestartDelay = milliseconds(2000);
+  FleetOptions.Delay = milliseconds(30);
+  CrashSite Deployment(FleetOptions, ManyRelays);
+  OrdinaryCallers Beside(callSender(Deployment.Site, "/plain/x"), 6,
+                         ManyRelays);
+  CrashingCallers Callers(Deployment.Site, 3, ManyRelays);
+  REQUIRE(
+      waitFor([&] { return FreeCrashes <= Deployment.Fleet.crashingRuns(); }));
+  std::this_thread::sleep_for(KnowledgeLimit);
+  const std::size_t Known = Deployment.Fleet.crashingRuns();
+  // A relay that starts again has to know the verdict before it serves.
+  Deployment.Site.Relays[0].kill();
+  Deployment.Site.startRelay(0);
+  REQUIRE(Deployment.Site.awaitReady(0));
+  const unsigned Served = Beside.Served;
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  CHECK(Deployment.Fleet.crashingRuns() - Known <= MaxLateRuns);
+  CHECK(Beside.Quarantined == 0);
+  CHECK(Beside.Abandoned == 0);
+  CHECK(Beside.Served > Served);
+}
