Reproduce streams that go on at another software version

Two relays, three replicas, two workers each of versions v1 and v2 in one service, real processes. A stream is cut after its first event, by its worker or as its relay is killed, and its caller takes it up with Resumes and Last-Event-Id at either relay.

--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -36,7 +36,7 @@
           {"platform", {{"address", loopback(Site.Store.port())}}}};
 }
 
-Json route(const char *Prefix, const char *Kind) {
+Json route(const char *Prefix, const char *Kind, int Attempts = 2) {
   return Json{{"name", Prefix},
               {"host", PlatformSite::Host},
               {"pathPrefix", Prefix},
@@ -45,11 +45,19 @@
               {"targetLatencyMs", 200},
               {"priority", 0},
               {"service", "app"},
-              {"attempts", 2},
+              {"attempts", Attempts},
               {"retentionS", 60.0},
               {"keepsHistory", std::string(Kind) == "streaming"}};
 }
 
+/// Returns a route for streams that may be resumed and keep no history.
+Json resumableRoute(const char *Prefix, int Attempts) {
+  Json Route = route(Prefix, "streaming", Attempts);
+  Route["keepsHistory"] = false;
+  Route["resumable"] = true;
+  return Route;
+}
+
 } // namespace
 
 PlatformSite::PlatformSite(std::size_t RelayCount)
@@ -91,7 +99,8 @@
       {"version", Version},
       {"routes",
        {route("/plain/", "idempotent"), route("/turn/", "streaming"),
-        route("/once/", "non_idempotent")}},
+        route("/once/", "non_idempotent"), resumableRoute("/stream/", 1),
+        resumableRoute("/stream-again/", 4)}},
       {"services",
        {{{"name", "app"},
          {"connectionLimit", 64},
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -306,11 +306,12 @@
           })) {}
 
 std::string WorkerStandin::registration(const std::string &Service,
-                                        const std::string &State) const {
+                                        const std::string &State,
+                                        const std::string &Version) const {
   const Json Entry = {{"service", Service},
                       {"address", "127.0.0.1:" + std::to_string(this->port())},
                       {"zone", "z"},
-                      {"version", "v1"},
+                      {"version", Version},
                       {"slots", 4},
                       {"state", State},
                       {"coldRemainingMs", 0},
@@ -365,7 +366,11 @@
                                          "Content-Type: text/event-stream\r\n"
                                          "Transfer-Encoding: chunked\r\n\r\n"),
                      Error);
-  for (int Number = 1; Number <= EventsPerTurn && !Error; ++Number) {
+  const std::string LastEventId(Call["Last-Event-Id"]);
+  const int Start = LastEventId.empty() ? 0 : std::stoi(LastEventId);
+  for (int Number = Start + 1; Number <= EventsPerTurn && !Error; ++Number) {
+    if (Start == 0 && Number - 1 == this->CutAfter && this->CutAfter > 0)
+      return false;
     const std::string Event = "id: " + std::to_string(Number) + "\ndata: e" +
                               std::to_string(Number) + "\n\n";
     char Size[16];
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -119,7 +119,7 @@
 };
 
 /// Stand-in for a worker: sends an unstreamed response to plain requests and
-/// streams turns as events.
+/// streams turns as events, from the one after Last-Event-Id if it is sent.
 class WorkerStandin {
 public:
   /// Crashes when it begins to run a request with the body or the path
@@ -129,7 +129,8 @@
   std::uint16_t port() const { return this->Server->port(); }
   /// Returns the worker's registration in the store, as JSON.
   std::string registration(const std::string &Service,
-                           const std::string &State = "ready") const;
+                           const std::string &State = "ready",
+                           const std::string &Version = "v1") const;
   /// A request that the worker ran.
   struct Run {
     std::string RequestId;
@@ -144,6 +145,10 @@
   /// and after each event.
   void setDelay(std::chrono::milliseconds NewDelay) { this->Delay = NewDelay; }
 
+  /// Closes the connection after this many events of a stream that starts at
+  /// its beginning; 0 means never.
+  void setCutAfter(int Events) { this->CutAfter = Events; }
+
   const std::string &id() const { return this->Id; }
   /// Ends the worker as a crash of its process does.
   void crash();
@@ -159,6 +164,7 @@
   std::mutex Lock;
   std::vector<Run> Runs;
   std::atomic<std::chrono::milliseconds> Delay{std::chrono::milliseconds(0)};
+  std::atomic<int> CutAfter{0};
   std::unique_ptr<BlockingServer> Server;
 };
 
