Continue a stream only at the software version that began it

What callers saw: a stream that broke off went on with the output of another software version of its service, and nothing told them.

Cause: relays did not know versions. The field of a target's entry was checked for its type and dropped; `Resumes` was not read; placement looked at neither, also when a relay resumes a stream within one answer. Class: a condition under which two runs may be joined that no type carried, so nothing could check it.

Change: RegisteredTarget has its version, compared for equality only. With the first event, before the caller gets it, the relay binds the call to the service and version of its target (StreamOrigin) and tells all replicas it is connected to. A caller that continues a stream names the attempt that began it; the relay asks the ledger before the request runs, in the message that opens turns, and only targets of that origin are candidates. What no replica knows is refused as not run (unknown_stream), so is a stream without a target of its version (no_target_of_version), both at once and with nothing to wait for. Before the first event attempts cross versions as before.

Weighed: a durable record before the first event. Not needed, since a missing record only refuses; it would delay each first event by a disk sync. So the origin is kept in memory for the caller's time and 5 s more, in at most 100,000 entries; one message of some 80 bytes to each replica for each stream that may be resumed, none on the way of the first event.

--- a/packages/basics/include/tanagerlanding/basics/Ids.h
+++ b/packages/basics/include/tanagerlanding/basics/Ids.h
@@ -76,6 +76,9 @@
 using TurnId = CallerAttemptId;
 /// A run of a target; unique for each start of the target.
 using TargetId = StrongId<struct TargetTag, std::string>;
+/// The version of a target's software. Versions have no order; an empty one is
+/// unknown.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag, std::string>;
 /// A route of the configuration.
 using RouteName = StrongId<struct RouteTag, std::string>;
 /// An attempt at a target, local to the relay that made it.
--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -218,7 +218,7 @@
                  ForgetAttempt, CancelAttempt, KeepPrefixes, ReleasePrefixes,
                  LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
                  TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
-                 DirectoryChanges, SuspectList>;
+                 DirectoryChanges, SuspectList, StreamStarted>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -56,6 +56,26 @@
   std::vector<LedgerRecord> Records;
 };
 
+/// The service and the software version whose target sent a stream's first
+/// event. The stream may continue only there.
+struct StreamOrigin {
+  ServiceName Service;
+  SoftwareVersion Version;
+
+  bool operator==(const StreamOrigin &Other) const {
+    return this->Service == Other.Service && this->Version == Other.Version;
+  }
+};
+
+/// Records the origin of a stream before its first event is sent to the caller.
+/// A later message replaces an earlier one about the same attempt.
+struct StreamStarted {
+  CallerAttemptId Attempt;
+  StreamOrigin Origin;
+  /// How long the caller may still continue the stream.
+  Milliseconds Retention{0};
+};
+
 /// Opens a turn before it may run: requests a claim on its program's budget,
 /// the existing claims, and the history of the conversation.
 struct OpenTurn {
@@ -69,6 +89,8 @@
   /// Whether the receiver should send the history that ends with Previous.
   bool IsHistoryRequested = false;
   Milliseconds Retention{0};
+  /// The attempt that began the stream that the caller continues.
+  std::optional<CallerAttemptId> ResumedAttempt;
 };
 
 /// Reply to OpenTurn, sent once the claim is durable.
@@ -86,6 +108,9 @@
   std::optional<TurnId> MissingTurn;
   /// All claims of the program that the replica has.
   std::vector<TokenClaim> Claims;
+  /// The origin of the stream that ResumedAttempt began; absent if the replica
+  /// does not know it.
+  std::optional<StreamOrigin> ResumedOrigin;
 };
 
 /// Ends a turn: settles its claim, and stores the turn if its answer is
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -42,6 +42,9 @@
   /// Bytes of records in one page of a pull; small compared with the window of
   /// a connection.
   std::uint32_t PageBytes = 64 * 1024;
+  /// Number of streams whose origin is kept. A stream above it can't be
+  /// continued by its caller.
+  std::size_t StartedStreamLimit = 100000;
 };
 
 /// Location of a batch in the data folder.
@@ -80,6 +83,12 @@
   Instant ExpiresAt;
 };
 
+/// The origin of a stream that its caller may continue at any relay.
+struct StartedStream {
+  StreamOrigin Origin;
+  Instant ExpiresAt;
+};
+
 /// A batch that has been submitted to the data folder and is not durable yet.
 struct PendingBatch {
   /// Host that gets the reply; absent for pulled batches.
@@ -144,6 +153,10 @@
 
   std::map<TurnId, TurnIndexEntry> Turns;
   std::map<ProgramId, ProgramClaims> Programs;
+  /// Origins of streams by the hash of the attempt that began them. They are
+  /// not stored on disk: a stream ends within seconds, and one whose origin is
+  /// lost is begun anew by its caller.
+  std::map<Fingerprint, StartedStream> StartedStreams;
   std::map<std::uint64_t, StoredBatch> StoredBatches;
   std::map<std::uint64_t, std::uint32_t> BatchesInSegment;
   std::uint64_t NextBatch = 1;
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -42,6 +42,10 @@
   std::optional<ProgramContext> Program;
   /// The turn that this turn continues from.
   std::optional<TurnId> PreviousTurn;
+  /// The attempt that delivered the first event of the stream that this request
+  /// continues; empty if the caller does not name it. Absent if the request
+  /// continues no stream.
+  std::optional<CallerAttemptId> ResumedAttempt;
   /// Tokens of the whole prompt.
   TokenCount PromptTokens;
   /// Maximum number of tokens in the answer.
@@ -86,6 +90,11 @@
   DeadlinePassed,
   /// The same content has crashed several targets.
   Quarantined,
+  /// No replica knows which software version began the stream that the caller
+  /// continues.
+  UnknownStream,
+  /// No target of the software version that began the stream is left.
+  NoTargetOfVersion,
 };
 
 /// Returns the stable name of a reason, for logs and metrics.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -128,6 +128,10 @@
   /// The time after which a crashed target is no longer registered: three
   /// heartbeats of 1.2 s, and as much again for a slow key-value service.
   Milliseconds RegistrationLapse{8000};
+  /// Added to the time that a caller has left, to get the time for which
+  /// replicas keep the origin of its stream. Covers processes that are
+  /// suspended.
+  Milliseconds StreamOriginMargin{5000};
 };
 
 /// A target as registered in the key-value service.
@@ -142,6 +146,7 @@
   /// Start time of the target's process, in milliseconds since the Unix epoch;
   /// 0 if not reported. A target may restart under the same id.
   std::int64_t StartedAtMillis = 0;
+  SoftwareVersion Version;
 
   TargetRun run() const { return TargetRun{this->Id, this->StartedAtMillis}; }
 };
@@ -275,6 +280,9 @@
   EventSplitter Splitter;
   std::uint32_t EventsSent = 0;
   std::uint64_t LastEventId = 0;
+  /// Where the stream began, once its first event was received or if the caller
+  /// continues it. Only targets of the same version may go on with it.
+  std::optional<StreamOrigin> Origin;
   /// Data of the events, stored as the turn's output in the history.
   std::string Output;
   /// Whether the answer's head has been sent to the caller.
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -20,6 +20,8 @@
   Reply.Operation = Request.Operation;
   Reply.Holder = State.Self.Holder;
   Reply.Claims = claimsOf(State, Request.Program);
+  if (Request.ResumedAttempt)
+    Reply.ResumedOrigin = originOf(State, *Request.ResumedAttempt);
   if (Request.Previous) {
     const auto Previous = State.Turns.find(*Request.Previous);
     Reply.HasPrevious = Previous != State.Turns.end();
@@ -98,6 +100,9 @@
     this->persist(Request, Request.View, Request.Retention, std::move(Records));
   }
 
+  void operator()(const StreamStarted &Started) {
+    recordStartedStream(this->Context, Started);
+  }
   void operator()(const ViewOffer &Offer) {
     adoptView(this->Context, Offer.View);
   }
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -27,8 +27,9 @@
     Total += Each.Weight;
   if (Total == 0)
     return Route.Services.front().Service;
+  const CallerAttemptId &First = Inbound.ResumedAttempt.value_or(Inbound.Id);
   const std::string &Key =
-      Inbound.Program ? Inbound.Program->Program.Value : Inbound.Id.Value;
+      Inbound.Program ? Inbound.Program->Program.Value : First.Value;
   std::uint64_t Point = hashBytes(Key) % Total;
   for (const WeightedService &Each : Route.Services) {
     if (Point < Each.Weight)
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -3,6 +3,7 @@
 #include "CallQueue.h"
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
+#include "StreamOrigins.h"
 #include "TargetHealth.h"
 #include "TurnCloses.h"
 
@@ -232,9 +233,12 @@
   }
   if (Whole.empty())
     return;
+  recordStreamStart(Context, Call);
   if (!Call.HasBegunAnswer) {
     Call.HasBegunAnswer = true;
-    Context.logCall("stream_started", Call, {{"target", Call.Target.Value}});
+    Context.logCall("stream_started", Call,
+                    {{"target", Call.Target.Value},
+                     {"version", Call.Origin->Version.Value}});
     Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
   }
   Context.add(ContinueAnswer{Call.Request, std::move(Whole)});
@@ -255,6 +259,16 @@
   Call.BufferedBody.clear();
 }
 
+/// Returns the refusal of a call for which no target could be chosen.
+RelayRefusalReason refusalFor(const RelayState &State, const RelayCall &Call,
+                              PlacementFailure Failure) {
+  if (Failure == PlacementFailure::Overloaded)
+    return RelayRefusalReason::Overloaded;
+  if (Call.Origin && !hasTargetOfOrigin(State, Call))
+    return RelayRefusalReason::NoTargetOfVersion;
+  return RelayRefusalReason::NoTarget;
+}
+
 /// Returns whether any attempt so far may have run at a target.
 Execution executionOf(const RelayCall &Call) {
   return Call.UncertainSends > 0 ? Execution::Unknown : Execution::NotRun;
@@ -299,10 +313,7 @@
               const Result<TargetId, PlacementFailure> &Chosen) {
   RelayState &State = Context.State;
   if (!Chosen) {
-    const bool IsFull = Chosen.error() == PlacementFailure::Overloaded;
-    refuseCall(Context, Call,
-               IsFull ? RelayRefusalReason::Overloaded
-                      : RelayRefusalReason::NoTarget);
+    refuseCall(Context, Call, refusalFor(State, Call, Chosen.error()));
     return;
   }
   // The content may have been quarantined since the call was admitted.
@@ -332,6 +343,7 @@
   Context.logCall("attempt_sent", Call,
                   {{"target", Call.Target.Value},
                    {"service", Call.Service.Value},
+                   {"version", Call.SentTo.Version.Value},
                    {"content", std::to_string(Call.Content.Value)},
                    {"outstanding", std::to_string(Target.Outstanding)},
                    {"others", std::to_string(Target.ExternalLoad)},
@@ -355,12 +367,14 @@
                                Context.now())
           : retryAfterFor(Context.State, Reason);
   const RelayRefusal Refusal{Reason, executionOf(Call), RetryAfter};
-  Context.logCall("request_refused", Call,
-                  {{"reason", toString(Reason)},
-                   {"execution", toString(Refusal.ExecutionStatus)},
-                   {"content", std::to_string(Call.Content.Value)},
-                   {"retry_after_ms", RelayContext::millis(Refusal.RetryAfter)},
-                   {"target", Call.Target.Value}});
+  Context.logCall(
+      "request_refused", Call,
+      {{"reason", toString(Reason)},
+       {"execution", toString(Refusal.ExecutionStatus)},
+       {"version", Call.Origin ? Call.Origin->Version.Value : std::string()},
+       {"content", std::to_string(Call.Content.Value)},
+       {"retry_after_ms", RelayContext::millis(Refusal.RetryAfter)},
+       {"target", Call.Target.Value}});
   Context.count("relay_refusals_total", toString(Reason));
   Context.add(RefuseCaller{Call.Request, Refusal});
   removeCall(Context, Call);
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -1,6 +1,7 @@
 #include "Directory.h"
 
 #include "CrashDetection.h"
+#include "StreamOrigins.h"
 
 namespace tanagerlanding {
 
@@ -43,6 +44,7 @@
   const bool IsRestarted =
       !IsNew && Found->second.Entry.StartedAtMillis != Entry.StartedAtMillis;
   detectReplacedRun(Context, Entry);
+  invalidateOrigins(Context, Entry);
   if (!IsNew)
     removeFromServiceIndex(State, Found->second);
   RelayTarget &Target = State.Targets[Entry.Id];
@@ -64,6 +66,7 @@
                 {{"target", Entry.Id.Value},
                  {"service", Entry.Service.Value},
                  {"address", Entry.Address + ":" + std::to_string(Entry.Port)},
+                 {"version", Entry.Version.Value},
                  {"leaving", Entry.IsLeaving ? "yes" : "no"},
                  {"restarted", IsRestarted ? "yes" : "no"}});
 }
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -1,6 +1,7 @@
 #include "Placement.h"
 
 #include "CallQueue.h"
+#include "StreamOrigins.h"
 #include "TargetHealth.h"
 
 #include <algorithm>
@@ -66,7 +67,8 @@
 
 bool isUsable(const RelayState &State, const RelayTarget &Target,
               const RelayCall &Call) {
-  if (Target.Entry.IsLeaving || Call.TriedTargets.count(Target.Entry.Id) > 0)
+  if (Target.Entry.IsLeaving || Call.TriedTargets.count(Target.Entry.Id) > 0 ||
+      !mayContinueAt(Call, Target.Entry))
     return false;
   if (!Target.MissingSince)
     return true;
--- a/packages/decision/src/relay/RelayRefusal.cpp
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -32,6 +32,10 @@
     return "deadline_passed";
   case RelayRefusalReason::Quarantined:
     return "quarantined";
+  case RelayRefusalReason::UnknownStream:
+    return "unknown_stream";
+  case RelayRefusalReason::NoTargetOfVersion:
+    return "no_target_of_version";
   }
   return "unknown";
 }
--- /dev/null
+++ b/packages/decision/src/relay/StreamOrigins.h
@@ -0,0 +1,38 @@
+/// \file
+/// The software version at which a stream began. Streams of two versions do not
+/// fit together, so only targets of that version may go on with a stream. The
+/// ledger's replicas keep the origins for relays at which callers continue.
+#ifndef TANAGERLANDING_DECISION_RELAY_STREAMORIGINS_H
+#define TANAGERLANDING_DECISION_RELAY_STREAMORIGINS_H
+
+#include "RelayContext.h"
+
+namespace tanagerlanding {
+
+/// Returns the attempt that began the stream that a call continues; empty if
+/// the caller does not name it, absent if the call begins a stream.
+std::optional<CallerAttemptId> resumedAttemptOf(const RelayCall &Call);
+
+/// Records where a stream begins, at the relay and, if its caller may continue
+/// it, at the replicas. Call this before its first event is sent to the caller.
+void recordStreamStart(RelayContext &Context, RelayCall &Call);
+
+/// Adds what a replica knows of the stream that a call continues.
+void mergeResumedOrigin(RelayState &State, RelayCall &Call,
+                        const StreamOrigin &Origin);
+
+/// Returns whether a target may run a call: any target unless the call goes on
+/// with a stream.
+bool mayContinueAt(const RelayCall &Call, const RegisteredTarget &Target);
+
+/// Returns whether a target that may run the call is registered, even if it
+/// can't be used at present.
+bool hasTargetOfOrigin(const RelayState &State, const RelayCall &Call);
+
+/// Marks the origin of streams as unknown that were sent to an earlier run of a
+/// target: the new run may already have begun them.
+void invalidateOrigins(RelayContext &Context, const RegisteredTarget &Entry);
+
+} // namespace tanagerlanding
+
+#endif
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "CrashDetection.h"
+#include "StreamOrigins.h"
 #include "TurnCloses.h"
 
 #include <algorithm>
@@ -72,6 +73,7 @@
   Open.Program = programOf(Call);
   Open.Previous = previousOf(Call);
   Open.Retention = Call.Route.Retention;
+  Open.ResumedAttempt = resumedAttemptOf(Call);
   if (IsFirst && hasBudget(Call)) {
     Open.Claimed = Call.InboundRequest.MaxTokens;
     Ledger.HasClaim = true;
@@ -162,6 +164,11 @@
   TurnLedger &Ledger = Call.Ledger;
   if (!Ledger.LastMissingTurn) {
     Context.State.PendingOpens.erase(Ledger.OpenRequest.Operation);
+    if (const auto Resumed = resumedAttemptOf(Call))
+      Context.logCall("stream_continued", Call,
+                      {{"begun_by", Resumed->Value},
+                       {"service", Call.Origin->Service.Value},
+                       {"version", Call.Origin->Version.Value}});
     dispatchCall(Context, Call);
     return;
   }
@@ -191,6 +198,10 @@
     refuseCall(Context, Call, RelayRefusalReason::UnknownTurn);
     return;
   }
+  if (resumedAttemptOf(Call) && !Call.Origin) {
+    refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
+    return;
+  }
   if (hasBudget(Call)) {
     const TokenCount Budget = *Call.InboundRequest.Program->Budget;
     const TokenCount Claimed = claimedByOthers(Call);
@@ -242,6 +253,8 @@
     Ledger.ReplicasWithPrevious.insert(Holder);
   if (!Reply.PreviousTarget.Value.empty())
     Ledger.PreviousTarget = Reply.PreviousTarget;
+  if (Reply.ResumedOrigin && resumedAttemptOf(Call))
+    mergeResumedOrigin(State, Call, *Reply.ResumedOrigin);
   mergeHistory(Call, Reply);
   Ledger.AnsweredBy.insert(Holder);
   if (!WasCollecting) {
@@ -344,7 +357,8 @@
 }
 
 bool needsLedger(const RelayCall &Call) {
-  return hasBudget(Call) || previousOf(Call).has_value();
+  return hasBudget(Call) || previousOf(Call).has_value() ||
+         resumedAttemptOf(Call).has_value();
 }
 
 bool hasClaimsOfOtherTurns(const RelayCall &Call) {
--- a/packages/decision/tests/RelayFixture.h
+++ b/packages/decision/tests/RelayFixture.h
@@ -64,7 +64,7 @@
   }
 
   void addTarget(const std::string &Name, const std::string &Zone = "a",
-                 bool IsLeaving = false) {
+                 bool IsLeaving = false, const std::string &Version = "v1") {
     RegisteredTarget Entry;
     Entry.Id = TargetId(Name);
     Entry.Service = ServiceName("app");
@@ -73,6 +73,7 @@
     Entry.Zone = ZoneId(Zone);
     Entry.Slots = 4;
     Entry.IsLeaving = IsLeaving;
+    Entry.Version = SoftwareVersion(Version);
     this->apply(TargetRegistered{Entry});
   }
 
--- /dev/null
+++ b/packages/decision/tests/RelayStreamOriginTest.cpp
@@ -0,0 +1,305 @@
+/// Streams go on only at the software version that began them.
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::test;
+
+namespace {
+
+const StreamOrigin AppV1{ServiceName("app"), SoftwareVersion("v1")};
+
+/// A relay with a resumable route and two targets of version v1, t1 and t2.
+class StreamFixture : public RelayFixture {
+public:
+  explicit StreamFixture(std::uint32_t MaxAttempts = 1) {
+    this->makeReady();
+    RelayRoute &Route = this->State.Configuration->Routes[2];
+    Route.KeepsHistory = false;
+    Route.IsResumable = true;
+    Route.MaxAttempts = MaxAttempts;
+  }
+
+  void removeTarget(const std::string &Name) {
+    this->apply(TargetUnregistered{TargetId(Name)});
+  }
+
+  RequestId askStream(const std::string &Id,
+                      std::optional<CallerAttemptId> Resumed = std::nullopt) {
+    CallerRequest Inbound;
+    Inbound.Id = CallerAttemptId(Id);
+    Inbound.Method = "POST";
+    Inbound.Host = "shop.example";
+    Inbound.RequestTarget = "/turn/x";
+    Inbound.ResumedAttempt = std::move(Resumed);
+    const RequestId Request(++this->LastStream);
+    this->apply(CallerRequestReceived{Request, Inbound});
+    return Request;
+  }
+
+  /// Takes up the stream of attempt "first", whose origin two replicas name.
+  void resume(const std::optional<StreamOrigin> &Origin) {
+    this->askStream("next", CallerAttemptId("first"));
+    for (const char *Holder : {"a", "b"})
+      this->answerOrigin(Holder, Origin);
+  }
+
+  void answerOrigin(const std::string &Holder,
+                    const std::optional<StreamOrigin> &Origin) {
+    TurnOpened Reply;
+    Reply.Operation = this->sentToReplicas<OpenTurn>().back().Operation;
+    Reply.Holder = HolderId(Holder);
+    Reply.ResumedOrigin = Origin;
+    this->apply(ReplicaMessageReceived{Reply.Holder, Reply});
+  }
+
+  SendAttempt lastSent() const { return this->all<SendAttempt>().back(); }
+
+  void sendEvent(const SendAttempt &Sent, int Number) {
+    this->apply(AttemptHeadReceived{Sent.Attempt, head(200, true)});
+    this->apply(AttemptBytesReceived{
+        Sent.Attempt, "id: " + std::to_string(Number) + "\ndata: x\n\n"});
+  }
+
+  void breakOff(const SendAttempt &Sent) {
+    this->apply(AttemptEnded{Sent.Attempt, AttemptEnded::Kind::Broken});
+  }
+
+private:
+  std::uint64_t LastStream = 100;
+};
+
+void checkRefused(const StreamFixture &Fixture, RelayRefusalReason Reason) {
+  CHECK(Fixture.all<SendAttempt>().empty());
+  const auto Refused = Fixture.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Refusal.Reason == Reason);
+  CHECK(Refused[0].Refusal.ExecutionStatus == Execution::NotRun);
+}
+
+} // namespace
+
+TEST_CASE("StreamOrigin: replicas get it before the caller gets the first "
+          "event") {
+  StreamFixture Fixture;
+  Fixture.askStream("first");
+  Fixture.sendEvent(Fixture.lastSent(), 1);
+  const auto Started = Fixture.sentToReplicas<StreamStarted>();
+  REQUIRE(Started.size() == 3);
+  CHECK(Started[0].Attempt == CallerAttemptId("first"));
+  CHECK(Started[0].Origin == AppV1);
+  std::size_t Recorded = 0;
+  for (const RelayEffect &Each : Fixture.Effects) {
+    const auto *Sent = std::get_if<SendToReplica>(&Each);
+    Recorded += Sent && std::holds_alternative<StreamStarted>(Sent->Body);
+    if (std::holds_alternative<BeginAnswer>(Each))
+      CHECK(Recorded == 3);
+  }
+}
+
+TEST_CASE("StreamOrigin: a caller's stream goes on at its version") {
+  StreamFixture Fixture;
+  for (const char *Name : {"t1", "t2"})
+    Fixture.addTarget(Name, "a", false, "v2");
+  Fixture.addTarget("t3", "far", false, "v1");
+  Fixture.resume(AppV1);
+  REQUIRE(Fixture.all<SendAttempt>().size() == 1);
+  CHECK(Fixture.lastSent().Target.Id == TargetId("t3"));
+  // Replicas keep the origin under the attempt that began the stream.
+  Fixture.sendEvent(Fixture.lastSent(), 2);
+  CHECK(Fixture.sentToReplicas<StreamStarted>().empty());
+}
+
+TEST_CASE("StreamOrigin: a stream that no replica knows is not taken up") {
+  StreamFixture Fixture;
+  Fixture.resume(std::nullopt);
+  checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+}
+
+TEST_CASE("StreamOrigin: a stream is not taken up without the ledger") {
+  StreamFixture Fixture;
+  for (const char *Name : {"a", "b"})
+    Fixture.apply(ReplicaDisconnected{HolderId(Name)});
+  Fixture.askStream("next", CallerAttemptId("first"));
+  checkRefused(Fixture, RelayRefusalReason::LedgerUnavailable);
+}
+
+TEST_CASE("StreamOrigin: without a target of its version a stream is refused "
+          "at once, with nothing to wait for") {
+  StreamFixture Fixture;
+  SECTION("the origin's version is not registered") {
+    Fixture.resume(StreamOrigin{ServiceName("app"), SoftwareVersion("v1.0")});
+  }
+  SECTION("all of them are leaving") {
+    for (const char *Name : {"t1", "t2"})
+      Fixture.addTarget(Name, "a", true);
+    Fixture.addTarget("t3", "a", false, "v2");
+    Fixture.resume(AppV1);
+  }
+  SECTION("the origin is of another service") {
+    Fixture.resume(StreamOrigin{ServiceName("other"), SoftwareVersion("v1")});
+  }
+  SECTION("the origin and all targets have an unknown version") {
+    for (const char *Name : {"t1", "t2"})
+      Fixture.addTarget(Name, "a", false, "");
+    Fixture.resume(StreamOrigin{ServiceName("app"), SoftwareVersion()});
+  }
+  SECTION("replicas name different versions") {
+    Fixture.askStream("next", CallerAttemptId("first"));
+    Fixture.answerOrigin("a", AppV1);
+    Fixture.answerOrigin("b",
+                         StreamOrigin{ServiceName("app"), SoftwareVersion()});
+  }
+  checkRefused(Fixture, RelayRefusalReason::NoTargetOfVersion);
+  CHECK(Fixture.all<RefuseCaller>()[0].Refusal.RetryAfter == Milliseconds(0));
+}
+
+TEST_CASE("StreamOrigin: a target of the version that is only full is worth "
+          "another try") {
+  StreamFixture Fixture;
+  Fixture.removeTarget("t2");
+  Fixture.addTarget("t3", "a", false, "v2");
+  Fixture.resume(AppV1);
+  TargetAnswerHead Full = RelayFixture::head(503);
+  Full.IsNotRun = true;
+  Fixture.apply(AttemptHeadReceived{Fixture.lastSent().Attempt, Full});
+  Fixture.apply(
+      AttemptEnded{Fixture.lastSent().Attempt, AttemptEnded::Kind::Complete});
+  CHECK(Fixture.all<SendAttempt>().size() == 1);
+  const auto Refused = Fixture.all<RefuseCaller>();
+  REQUIRE(Refused.size() == 1);
+  CHECK(Refused[0].Refusal.Reason == RelayRefusalReason::NoTarget);
+  CHECK(Refused[0].Refusal.RetryAfter > Milliseconds(0));
+}
+
+TEST_CASE("StreamOrigin: within one answer a stream goes on at its version") {
+  StreamFixture Fixture(3);
+  Fixture.removeTarget("t2");
+  Fixture.addTarget("t3", "a", false, "v2");
+  Fixture.addTarget("t4", "far", false, "v1");
+  Fixture.askStream("first");
+  while (!(Fixture.lastSent().Target.Version == SoftwareVersion("v1")))
+    Fixture.breakOff(Fixture.lastSent());
+  Fixture.sendEvent(Fixture.lastSent(), 1);
+  const std::size_t Before = Fixture.all<SendAttempt>().size();
+  Fixture.breakOff(Fixture.lastSent());
+  REQUIRE(Fixture.all<SendAttempt>().size() == Before + 1);
+  CHECK(Fixture.lastSent().Target.Version == SoftwareVersion("v1"));
+  Fixture.breakOff(Fixture.lastSent());
+  CHECK(Fixture.all<SendAttempt>().size() == Before + 1);
+  CHECK(Fixture.all<AbortAnswer>().size() == 1);
+}
+
+TEST_CASE("StreamOrigin: before the first event an attempt may cross "
+          "versions") {
+  StreamFixture Fixture(2);
+  Fixture.removeTarget("t2");
+  Fixture.addTarget("t3", "a", false, "v2");
+  Fixture.askStream("first");
+  const SoftwareVersion First = Fixture.lastSent().Target.Version;
+  Fixture.breakOff(Fixture.lastSent());
+  REQUIRE(Fixture.all<SendAttempt>().size() == 2);
+  CHECK_FALSE(Fixture.lastSent().Target.Version == First);
+  Fixture.sendEvent(Fixture.lastSent(), 1);
+  CHECK(Fixture.sentToReplicas<StreamStarted>().back().Origin.Version ==
+        Fixture.lastSent().Target.Version);
+}
+
+TEST_CASE("StreamOrigin: a stream of a target that restarts with another "
+          "version is of unknown origin") {
+  StreamFixture Fixture;
+  Fixture.removeTarget("t2");
+  RegisteredTarget Entry = Fixture.State.Targets.at(TargetId("t1")).Entry;
+  Entry.StartedAtMillis = 5;
+  Fixture.apply(TargetRegistered{Entry});
+  Fixture.askStream("first");
+  Entry.StartedAtMillis = 6;
+  Entry.Version = SoftwareVersion("v2");
+  SECTION("before the first event") {
+    Fixture.apply(TargetRegistered{Entry});
+    Fixture.sendEvent(Fixture.lastSent(), 1);
+  }
+  SECTION("after the first event") {
+    Fixture.sendEvent(Fixture.lastSent(), 1);
+    Fixture.apply(TargetRegistered{Entry});
+  }
+  CHECK(Fixture.sentToReplicas<StreamStarted>().back().Origin.Version ==
+        SoftwareVersion());
+}
+
+TEST_CASE("StreamOrigin: a stream goes on at its service while the route "
+          "allows it") {
+  StreamFixture Fixture;
+  RelayRoute &Route = Fixture.State.Configuration->Routes[2];
+  RelayService Other;
+  Other.Name = ServiceName("other");
+  Fixture.State.Configuration->Services[Other.Name] = Other;
+  SECTION("it is one of several") {
+    Route.Services = {WeightedService{ServiceName("other"), 1000000},
+                      WeightedService{ServiceName("app"), 1}};
+    Fixture.resume(AppV1);
+    REQUIRE(Fixture.all<SendAttempt>().size() == 1);
+    CHECK(Fixture.lastSent().Target.Service == ServiceName("app"));
+  }
+  SECTION("it has been replaced") {
+    Route.Services = {WeightedService{ServiceName("other"), 1}};
+    Fixture.resume(AppV1);
+    checkRefused(Fixture, RelayRefusalReason::NoTargetOfVersion);
+  }
+}
+
+namespace {
+
+std::optional<StreamOrigin> originAt(LedgerState &State,
+                                     const std::string &Attempt) {
+  OpenTurn Open;
+  Open.View = State.View.Version;
+  Open.ResumedAttempt = CallerAttemptId(Attempt);
+  for (const LedgerEffect &Each :
+       reduce(State, LedgerMessageReceived{HostId("relay"), Open})) {
+    const auto *Sent = std::get_if<SendHost>(&Each);
+    if (Sent && std::holds_alternative<TurnOpened>(Sent->Body))
+      return std::get<TurnOpened>(Sent->Body).ResumedOrigin;
+  }
+  return std::nullopt;
+}
+
+void recordAt(LedgerState &State, const std::string &Attempt,
+              const StreamOrigin &Origin) {
+  reduce(State,
+         LedgerMessageReceived{HostId("relay"),
+                               StreamStarted{CallerAttemptId(Attempt), Origin,
+                                             Milliseconds(1000)}});
+}
+
+LedgerState replicaState() {
+  LedgerState State;
+  State.Self = RelayFixture::member("a");
+  State.View.Current = {State.Self};
+  return State;
+}
+
+} // namespace
+
+TEST_CASE("StreamOrigin: a replica keeps the last word on an attempt") {
+  LedgerState State = replicaState();
+  CHECK_FALSE(originAt(State, "first"));
+  recordAt(State, "first", AppV1);
+  CHECK(originAt(State, "first") == AppV1);
+  const StreamOrigin Unknown{ServiceName("app"), SoftwareVersion()};
+  recordAt(State, "first", Unknown);
+  CHECK(originAt(State, "first") == Unknown);
+}
+
+TEST_CASE("StreamOrigin: a replica keeps origins for a limited time, and a "
+          "limited number") {
+  LedgerState State = replicaState();
+  State.Options.StartedStreamLimit = 2;
+  for (const char *Name : {"first", "second", "third"})
+    recordAt(State, Name, AppV1);
+  CHECK(originAt(State, "second") == AppV1);
+  CHECK_FALSE(originAt(State, "third"));
+  reduce(State, LedgerTick{Instant{Milliseconds(5000)}});
+  CHECK(State.StartedStreams.empty());
+}
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -72,6 +72,17 @@
                     Row.settled()};
 }
 
+std::unique_ptr<wire::StreamOriginRowT> toRow(const StreamOrigin &Origin) {
+  auto Row = std::make_unique<wire::StreamOriginRowT>();
+  Row->service = Origin.Service.Value;
+  Row->version = Origin.Version.Value;
+  return Row;
+}
+
+StreamOrigin fromRow(const wire::StreamOriginRowT &Row) {
+  return StreamOrigin{ServiceName(Row.service), SoftwareVersion(Row.version)};
+}
+
 /// Visitor that fills a row from a ledger record.
 struct RecordEncoder {
   void operator()(const TurnRecord &Kept) const {
@@ -131,6 +142,23 @@
   return Body;
 }
 
+wire::StreamStartedT toTable(const StreamStarted &Body) {
+  wire::StreamStartedT Table;
+  Table.attempt = Body.Attempt.Value;
+  Table.origin = toRow(Body.Origin);
+  Table.retention_ms = Body.Retention.count();
+  return Table;
+}
+
+StreamStarted fromTable(const wire::StreamStartedT &Table) {
+  StreamStarted Body;
+  Body.Attempt = CallerAttemptId(Table.attempt);
+  if (Table.origin)
+    Body.Origin = fromRow(*Table.origin);
+  Body.Retention = Milliseconds(Table.retention_ms);
+  return Body;
+}
+
 wire::OpenTurnT toTable(const OpenTurn &Body) {
   wire::OpenTurnT Table;
   Table.operation = Body.Operation.Value;
@@ -143,6 +171,8 @@
   Table.previous = turnText(Body.Previous);
   Table.wants_history = Body.IsHistoryRequested;
   Table.retention_ms = Body.Retention.count();
+  Table.has_resumed = Body.ResumedAttempt.has_value();
+  Table.resumed = turnText(Body.ResumedAttempt);
   return Table;
 }
 
@@ -157,6 +187,7 @@
   Body.Previous = makeOptionalTurn(Table.has_previous, Table.previous);
   Body.IsHistoryRequested = Table.wants_history;
   Body.Retention = Milliseconds(Table.retention_ms);
+  Body.ResumedAttempt = makeOptionalTurn(Table.has_resumed, Table.resumed);
   return Body;
 }
 
@@ -172,6 +203,8 @@
   Table.missing = turnText(Body.MissingTurn);
   for (const TokenClaim &Each : Body.Claims)
     Table.claims.push_back(toRow(Each));
+  if (Body.ResumedOrigin)
+    Table.resumed_origin = toRow(*Body.ResumedOrigin);
   return Table;
 }
 
@@ -186,6 +219,8 @@
   Body.MissingTurn = makeOptionalTurn(Table.has_missing, Table.missing);
   for (const wire::ClaimRow &Row : Table.claims)
     Body.Claims.push_back(fromRow(Row));
+  if (Table.resumed_origin)
+    Body.ResumedOrigin = fromRow(*Table.resumed_origin);
   return Body;
 }
 
--- a/packages/wire/src/LedgerConversions.h
+++ b/packages/wire/src/LedgerConversions.h
@@ -11,6 +11,8 @@
 
 wire::LedgerBatchT toTable(const LedgerBatch &Body);
 LedgerBatch fromTable(const wire::LedgerBatchT &Table);
+wire::StreamStartedT toTable(const StreamStarted &Body);
+StreamStarted fromTable(const wire::StreamStartedT &Table);
 wire::OpenTurnT toTable(const OpenTurn &Body);
 OpenTurn fromTable(const wire::OpenTurnT &Table);
 wire::TurnOpenedT toTable(const TurnOpened &Body);
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -510,6 +510,8 @@
     return fromTable(*Body.AsDirectoryChanges());
   case wire::Body::SuspectList:
     return fromTable(*Body.AsSuspectList());
+  case wire::Body::StreamStarted:
+    return fromTable(*Body.AsStreamStarted());
   }
   return std::nullopt;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -80,6 +80,7 @@
   Reply.History = "history";
   Reply.MissingTurn = TurnId("older");
   Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
+  Reply.ResumedOrigin = StreamOrigin{ServiceName("s"), SoftwareVersion("v1")};
   return Reply;
 }
 
@@ -124,7 +125,7 @@
       sampleBatch(),
       OpenTurn{LedgerOperationId(1), ViewVersion(2), TurnId("t"),
                ProgramId("p"), TokenCount{5}, TurnId("before"), true,
-               Milliseconds(9)},
+               Milliseconds(9), CallerAttemptId("resumed")},
       sampleOpened(),
       CloseTurn{LedgerOperationId(1), ViewVersion(2), ProgramId("p"),
                 TokenCount{4}, TurnId("t"), true, TurnId("before"), "in", "out",
@@ -135,7 +136,10 @@
       PullRecords{sampleView(), 7},
       RecordsPage{ViewVersion(2), HolderId("h"), 8, true, {sampleBatch()}},
       DirectoryChanges{{DirectoryItem{"key", "value", Revision(3), true}},
-                       true}};
+                       true},
+      StreamStarted{CallerAttemptId("t"),
+                    {ServiceName("s"), SoftwareVersion("v1")},
+                    Milliseconds(9)}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
