Continue streams of callers that name no attempt while one version serves

Callers on the open sites send Last-Event-Id without Resumes.

Cause: seen with stream_unknown, which logs the named attempt and how many replicas answered: begun_by was empty. Ruled out: origins that did not reach the replicas.

Now the version is certain also if all targets of the service have had one and the same for as long as a stream may last, and this relay has watched the registrations all the while. Otherwise such a stream is refused as before.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -128,9 +128,8 @@
   /// The time after which a crashed target is no longer registered: three
   /// heartbeats of 1.2 s, and as much again for a slow key-value service.
   Milliseconds RegistrationLapse{8000};
-  /// Added to the time that a caller has left, to get the time for which
-  /// replicas keep the origin of its stream. Covers processes that are
-  /// suspended.
+  /// Added to the longest time of a caller, to get the time for which the
+  /// origin of its stream is kept. Covers processes that are suspended.
   Milliseconds StreamOriginMargin{5000};
 };
 
@@ -320,6 +319,9 @@
   std::optional<RelayConfiguration> Configuration;
   std::map<TargetId, RelayTarget> Targets;
   std::map<ServiceName, std::set<TargetId>> TargetsByService;
+  /// Versions of targets that are no longer registered, and when they last
+  /// were.
+  std::map<ServiceName, std::map<SoftwareVersion, Instant>> FormerVersions;
   /// Moving average of the time to first byte of each service, in milliseconds.
   std::map<ServiceName, double> TypicalFirstByteMillis;
   bool IsKeyValueServiceReachable = false;
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "CrashDetection.h"
+#include "StreamOrigins.h"
 #include "Turns.h"
 
 #include <algorithm>
@@ -56,6 +57,18 @@
   Context.add(RefuseCaller{Request, Refusal});
 }
 
+/// Determines the origin of a stream that a caller continues without naming the
+/// attempt that began it. Returns whether it is certain or not needed.
+bool findUnnamedOrigin(RelayContext &Context, RelayCall &Call) {
+  if (!isContinuation(Call) || resumedAttemptOf(Call))
+    return true;
+  Call.Origin = soleOriginOf(Context.State, Call);
+  if (!Call.Origin)
+    return false;
+  logContinuation(Context, Call);
+  return true;
+}
+
 } // namespace
 
 void admitCall(RelayContext &Context, RequestId Request, CallerRequest Inbound,
@@ -91,6 +104,8 @@
     refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
   else if (isQuarantined(State, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::Quarantined);
+  else if (!findUnnamedOrigin(Context, Admitted))
+    refuseCall(Context, Admitted, RelayRefusalReason::UnknownStream);
   else if (needsLedger(Admitted))
     openTurn(Context, Admitted);
   else
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -19,6 +19,7 @@
 void removeTarget(RelayContext &Context, const TargetId &Id) {
   const auto Found = Context.State.Targets.find(Id);
   removeFromServiceIndex(Context.State, Found->second);
+  recordFormerVersion(Context.State, Found->second.Entry);
   Context.State.Targets.erase(Found);
   Context.log("target_forgotten", {{"target", Id.Value}});
 }
@@ -45,8 +46,10 @@
       !IsNew && Found->second.Entry.StartedAtMillis != Entry.StartedAtMillis;
   detectReplacedRun(Context, Entry);
   invalidateOrigins(Context, Entry);
-  if (!IsNew)
+  if (!IsNew) {
     removeFromServiceIndex(State, Found->second);
+    recordFormerVersion(State, Found->second.Entry);
+  }
   RelayTarget &Target = State.Targets[Entry.Id];
   const bool IsChanged = IsNew || IsRestarted || Target.MissingSince ||
                          Target.Entry.IsLeaving != Entry.IsLeaving;
--- a/packages/decision/src/relay/StreamOrigins.cpp
+++ b/packages/decision/src/relay/StreamOrigins.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Longer than any stream lasts.
+constexpr Milliseconds FormerVersionRetention{600000};
+
 /// Returns the version that an attempt was sent to; empty if another run with
 /// another version has registered since.
 SoftwareVersion versionOfAttempt(const RelayState &State,
@@ -19,22 +22,68 @@
 }
 
 void sendToReplicas(RelayContext &Context, const RelayCall &Call) {
-  const CallerRequest &Inbound = Call.InboundRequest;
-  const RelayState &State = Context.State;
   StreamStarted Started;
-  Started.Attempt = Inbound.Id;
+  Started.Attempt = Call.InboundRequest.Id;
   Started.Origin = *Call.Origin;
-  Started.Retention = Inbound.TimeLeft.value_or(Call.Route.Timeout) +
-                      State.Options.StreamOriginMargin;
-  for (const HolderId &Each : State.ConnectedReplicas)
+  Started.Retention =
+      Call.InboundRequest.TimeLeft.value_or(Call.Route.Timeout) +
+      Context.State.Options.StreamOriginMargin;
+  for (const HolderId &Each : Context.State.ConnectedReplicas)
     Context.send(Each, Started);
 }
 
 } // namespace
 
+bool isContinuation(const RelayCall &Call) {
+  return Call.Route.IsStreaming && Call.InboundRequest.ResumedAttempt;
+}
+
 std::optional<CallerAttemptId> resumedAttemptOf(const RelayCall &Call) {
-  return Call.Route.IsStreaming ? Call.InboundRequest.ResumedAttempt
-                                : std::nullopt;
+  if (!isContinuation(Call) ||
+      Call.InboundRequest.ResumedAttempt->Value.empty())
+    return std::nullopt;
+  return Call.InboundRequest.ResumedAttempt;
+}
+
+std::optional<StreamOrigin> soleOriginOf(const RelayState &State,
+                                         const RelayCall &Call) {
+  const Milliseconds Window =
+      Call.Route.Timeout + State.Options.StreamOriginMargin;
+  const bool HasWatched = State.IsKeyValueServiceReachable &&
+                          Window <= State.Now - State.KeyValueServiceRegainedAt;
+  if (!HasWatched)
+    return std::nullopt;
+  std::set<SoftwareVersion> Versions;
+  for (const auto &[Id, Target] : State.Targets) {
+    if (Target.Entry.Service == Call.Service)
+      Versions.insert(Target.Entry.Version);
+  }
+  const auto Former = State.FormerVersions.find(Call.Service);
+  if (Former != State.FormerVersions.end()) {
+    for (const auto &[Version, LastSeenAt] : Former->second) {
+      if (State.Now - LastSeenAt < Window)
+        Versions.insert(Version);
+    }
+  }
+  if (Versions.size() != 1)
+    return std::nullopt;
+  return StreamOrigin{Call.Service, *Versions.begin()};
+}
+
+void recordFormerVersion(RelayState &State, const RegisteredTarget &Entry) {
+  auto &Versions = State.FormerVersions[Entry.Service];
+  for (auto Each = Versions.begin(); Each != Versions.end();)
+    Each = FormerVersionRetention < State.Now - Each->second
+               ? Versions.erase(Each)
+               : std::next(Each);
+  Versions[Entry.Version] = State.Now;
+}
+
+void logContinuation(RelayContext &Context, const RelayCall &Call) {
+  Context.logCall("stream_continued", Call,
+                  {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
+                   {"service", Call.Origin->Service.Value},
+                   {"version", Call.Origin->Version.Value}});
 }
 
 void recordStreamStart(RelayContext &Context, RelayCall &Call) {
@@ -87,7 +136,7 @@
   for (auto &[Request, Call] : Context.State.Calls) {
     const bool IsRunningThere =
         Call.Attempt.Value != 0 && Call.Target == Entry.Id;
-    if (!IsRunningThere || !Call.Origin || resumedAttemptOf(Call) ||
+    if (!IsRunningThere || !Call.Origin || isContinuation(Call) ||
         Call.SentTo.run() == Entry.run() ||
         Call.SentTo.Version == Entry.Version)
       continue;
--- a/packages/decision/src/relay/StreamOrigins.h
+++ b/packages/decision/src/relay/StreamOrigins.h
@@ -9,10 +9,24 @@
 
 namespace tanagerlanding {
 
-/// Returns the attempt that began the stream that a call continues; empty if
-/// the caller does not name it, absent if the call begins a stream.
+/// Returns whether a caller continues a stream with this call.
+bool isContinuation(const RelayCall &Call);
+
+/// Returns the attempt that began the stream that a call continues; absent if
+/// the caller does not name it or begins a stream.
 std::optional<CallerAttemptId> resumedAttemptOf(const RelayCall &Call);
 
+/// Returns the origin of a stream whose first attempt the caller does not name:
+/// it is certain only if all targets of the service have had one version for as
+/// long as a stream may last, and this relay has watched them meanwhile.
+std::optional<StreamOrigin> soleOriginOf(const RelayState &State,
+                                         const RelayCall &Call);
+
+/// Remembers the version of a target that is no longer registered.
+void recordFormerVersion(RelayState &State, const RegisteredTarget &Entry);
+
+void logContinuation(RelayContext &Context, const RelayCall &Call);
+
 /// Records where a stream begins, at the relay and, if its caller may continue
 /// it, at the replicas. Call this before its first event is sent to the caller.
 void recordStreamStart(RelayContext &Context, RelayCall &Call);
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -164,11 +164,8 @@
   TurnLedger &Ledger = Call.Ledger;
   if (!Ledger.LastMissingTurn) {
     Context.State.PendingOpens.erase(Ledger.OpenRequest.Operation);
-    if (const auto Resumed = resumedAttemptOf(Call))
-      Context.logCall("stream_continued", Call,
-                      {{"begun_by", Resumed->Value},
-                       {"service", Call.Origin->Service.Value},
-                       {"version", Call.Origin->Version.Value}});
+    if (resumedAttemptOf(Call))
+      logContinuation(Context, Call);
     dispatchCall(Context, Call);
     return;
   }
@@ -198,7 +195,10 @@
     refuseCall(Context, Call, RelayRefusalReason::UnknownTurn);
     return;
   }
-  if (resumedAttemptOf(Call) && !Call.Origin) {
+  if (const auto Resumed = resumedAttemptOf(Call); Resumed && !Call.Origin) {
+    Context.logCall("stream_unknown", Call,
+                    {{"begun_by", Resumed->Value},
+                     {"answered", std::to_string(Ledger.AnsweredBy.size())}});
     refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
     return;
   }
--- a/packages/decision/tests/RelayStreamOriginTest.cpp
+++ b/packages/decision/tests/RelayStreamOriginTest.cpp
@@ -117,6 +117,56 @@
   checkRefused(Fixture, RelayRefusalReason::UnknownStream);
 }
 
+TEST_CASE("StreamOrigin: a caller that names no attempt goes on while its "
+          "service has had one version only") {
+  StreamFixture Fixture;
+  const Milliseconds Lifetime = Fixture.State.Configuration->Routes[2].Timeout +
+                                Fixture.State.Options.StreamOriginMargin;
+  const CallerAttemptId Unnamed;
+  bool IsKnown = true;
+  SECTION("one version for long") { Fixture.passTime(Lifetime); }
+  SECTION("one version, not watched for long enough") {
+    Fixture.State.KeyValueServiceRegainedAt = Fixture.State.Now;
+    Fixture.passTime(Lifetime - Milliseconds(1));
+    IsKnown = false;
+  }
+  SECTION("two versions") {
+    Fixture.passTime(Lifetime);
+    Fixture.addTarget("t3", "a", false, "v2");
+    IsKnown = false;
+  }
+  SECTION("another version has left") {
+    Fixture.addTarget("t3", "a", false, "v2");
+    Fixture.passTime(Lifetime);
+    Fixture.removeTarget("t3");
+    Fixture.passTime(Lifetime - Milliseconds(1));
+    IsKnown = false;
+  }
+  SECTION("another version left long ago") {
+    Fixture.addTarget("t3", "a", false, "v2");
+    Fixture.passTime(Lifetime);
+    Fixture.removeTarget("t3");
+    Fixture.passTime(Lifetime);
+  }
+  SECTION("a target has another version since") {
+    Fixture.passTime(Lifetime);
+    for (const char *Name : {"t1", "t2"})
+      Fixture.addTarget(Name, "a", false, "v2");
+    IsKnown = false;
+  }
+  SECTION("the key-value service is unreachable") {
+    Fixture.passTime(Lifetime);
+    Fixture.apply(DirectoryLost{});
+    IsKnown = false;
+  }
+  Fixture.Effects.clear();
+  Fixture.askStream("next", Unnamed);
+  if (IsKnown)
+    CHECK(Fixture.all<SendAttempt>().size() == 1);
+  else
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+}
+
 TEST_CASE("StreamOrigin: a stream is not taken up without the ledger") {
   StreamFixture Fixture;
   for (const char *Name : {"a", "b"})
