Send no request to a target that says in an answer that it is leaving

Relays did not read the header and went by the registration alone, which may say ready or be out of date.

A run of a target that said so gets nothing more from this relay: no new, queued, retried or continued request, also when its registration lapses, comes back or says ready. Another run under its id does. The header is passed on to callers as before. One predicate, isLeaving, replaces the three places that read the registration: placement, origins of streams, and crash detection, where the end of a leaving target is no crash.

RelayPromisesTest: queued, retried, registered as ready, lapsed, another run.

--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -64,6 +64,8 @@
   bool IsNotRun = false;
   /// Whether a different target now serves at the address.
   bool IsMisdirected = false;
+  /// Whether the target states that it is leaving.
+  bool IsLeaving = false;
   /// Whether the answer carries the target's signature.
   bool IsSigned = false;
   /// Whether the body is a stream of events.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -319,6 +319,9 @@
   std::optional<RelayConfiguration> Configuration;
   std::map<TargetId, RelayTarget> Targets;
   std::map<ServiceName, std::set<TargetId>> TargetsByService;
+  /// Runs of targets that stated in an answer that they are leaving, and when
+  /// they last did. A run that leaves does not come back.
+  std::map<TargetRun, Instant> LeavingRuns;
   /// Versions of targets that are no longer registered, and when they last
   /// were.
   std::map<ServiceName, std::map<SoftwareVersion, Instant>> FormerVersions;
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -3,6 +3,7 @@
 #include "CallQueue.h"
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
+#include "Directory.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
 #include "TurnCloses.h"
@@ -395,6 +396,8 @@
   if (!Call)
     return;
   Call->Head = Event.Head;
+  if (Event.Head.IsLeaving)
+    recordLeavingRun(Context, Call->SentTo.run());
   if (Event.Head.Status < FirstServerError)
     recordAnswerStart(Context.State, *Call);
   if (Event.Head.Load)
--- a/packages/decision/src/relay/CrashDetection.cpp
+++ b/packages/decision/src/relay/CrashDetection.cpp
@@ -1,5 +1,7 @@
 #include "CrashDetection.h"
 
+#include "Directory.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -11,7 +13,7 @@
 
 bool isServing(const RelayState &State, const TargetId &Id) {
   const auto Found = State.Targets.find(Id);
-  return Found != State.Targets.end() && !Found->second.Entry.IsLeaving;
+  return Found != State.Targets.end() && !isLeaving(State, Found->second.Entry);
 }
 
 CrashExposure exposureOf(const RelayCall &Call) {
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Longer than a target serves after it has begun to leave.
+constexpr Milliseconds LeavingRunRetention{600000};
+
 void removeFromServiceIndex(RelayState &State, const RelayTarget &Target) {
   const auto Registered = State.TargetsByService.find(Target.Entry.Service);
   if (Registered == State.TargetsByService.end())
@@ -92,6 +95,25 @@
     Found->second.MissingSince = State.Now;
 }
 
+void recordLeavingRun(RelayContext &Context, const TargetRun &Run) {
+  auto &Runs = Context.State.LeavingRuns;
+  const bool IsNew = Runs.count(Run) == 0;
+  Runs[Run] = Context.now();
+  if (!IsNew)
+    return;
+  Context.log("target_leaving",
+              {{"target", Run.Target.Value},
+               {"started_at_ms", std::to_string(Run.StartedAtMillis)},
+               {"sign", "answer"}});
+  for (auto Each = Runs.begin(); Each != Runs.end();)
+    Each = LeavingRunRetention < Context.now() - Each->second ? Runs.erase(Each)
+                                                              : std::next(Each);
+}
+
+bool isLeaving(const RelayState &State, const RegisteredTarget &Entry) {
+  return Entry.IsLeaving || State.LeavingRuns.count(Entry.run()) > 0;
+}
+
 void removeMissingTargets(RelayContext &Context) {
   RelayState &State = Context.State;
   if (!State.IsKeyValueServiceReachable ||
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -1,6 +1,7 @@
 #include "Placement.h"
 
 #include "CallQueue.h"
+#include "Directory.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
 
@@ -67,7 +68,8 @@
 
 bool isUsable(const RelayState &State, const RelayTarget &Target,
               const RelayCall &Call) {
-  if (Target.Entry.IsLeaving || Call.TriedTargets.count(Target.Entry.Id) > 0 ||
+  if (isLeaving(State, Target.Entry) ||
+      Call.TriedTargets.count(Target.Entry.Id) > 0 ||
       !mayContinueAt(Call, Target.Entry))
     return false;
   if (!Target.MissingSince)
--- a/packages/decision/src/relay/StreamOrigins.cpp
+++ b/packages/decision/src/relay/StreamOrigins.cpp
@@ -1,5 +1,7 @@
 #include "StreamOrigins.h"
 
+#include "Directory.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -124,12 +126,12 @@
 }
 
 bool hasTargetOfOrigin(const RelayState &State, const RelayCall &Call) {
-  return std::any_of(State.Targets.begin(), State.Targets.end(),
-                     [&](const auto &Each) {
-                       const RegisteredTarget &Entry = Each.second.Entry;
-                       return Entry.Service == Call.Service &&
-                              !Entry.IsLeaving && mayContinueAt(Call, Entry);
-                     });
+  return std::any_of(
+      State.Targets.begin(), State.Targets.end(), [&](const auto &Each) {
+        const RegisteredTarget &Entry = Each.second.Entry;
+        return Entry.Service == Call.Service && !isLeaving(State, Entry) &&
+               mayContinueAt(Call, Entry);
+      });
 }
 
 void invalidateOrigins(RelayContext &Context, const RegisteredTarget &Entry) {
--- a/packages/decision/tests/RelayPromisesTest.cpp
+++ b/packages/decision/tests/RelayPromisesTest.cpp
@@ -43,10 +43,10 @@
     CHECK(Each.TimeLeft == Milliseconds(1000));
 }
 
-TEST_CASE("Promises: a queued turn whose caller has left is never sent") {
-  RelayFixture Fixture;
-  Fixture.makeReady();
-  const Milliseconds Waiting{200};
+namespace {
+
+/// Lets a turn wait until StartingLoadPerSlot is raised.
+RequestId queueTurn(RelayFixture &Fixture) {
   Fixture.State.Options.StartingLoadPerSlot = 0;
   CallerRequest Inbound;
   Inbound.Id = CallerAttemptId("turn");
@@ -56,6 +56,16 @@
       ProgramContext{ProgramId("p"), AgentId("s"), Milliseconds(5000), {}};
   const RequestId Request(900);
   Fixture.apply(CallerRequestReceived{Request, Inbound});
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("Promises: a queued turn whose caller has left is never sent") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  const Milliseconds Waiting{200};
+  const RequestId Request = queueTurn(Fixture);
   REQUIRE(Fixture.State.QueuedCalls.count(Request) == 1);
   Fixture.passTime(Waiting);
   Fixture.apply(RelayCallerDisconnected{Request});
@@ -110,3 +120,81 @@
   CHECK(bodyBytes(Fixture) == event(1) + event(2) + event(3) + event(4));
   CHECK(Fixture.all<BeginAnswer>().size() == 1);
 }
+
+namespace {
+
+/// Lets target t1, the only one, state in an answer that it is leaving.
+void announceLeaving(RelayFixture &Fixture) {
+  Fixture.apply(TargetUnregistered{TargetId("t2")});
+  Fixture.ask("/plain/x", "first");
+  TargetAnswerHead Head = RelayFixture::head(200);
+  Head.IsLeaving = true;
+  const RelayAttemptId Attempt = Fixture.all<SendAttempt>().back().Attempt;
+  Fixture.apply(AttemptHeadReceived{Attempt, Head});
+  Fixture.apply(AttemptEnded{Attempt, AttemptEnded::Kind::Complete});
+  Fixture.Effects.clear();
+}
+
+bool isSentToFirstTarget(RelayFixture &Fixture) {
+  Fixture.Effects.clear();
+  Fixture.ask("/plain/x", "next");
+  return !Fixture.all<SendAttempt>().empty();
+}
+
+RegisteredTarget firstTarget(const RelayFixture &Fixture) {
+  return Fixture.State.Targets.at(TargetId("t1")).Entry;
+}
+
+} // namespace
+
+TEST_CASE("Promises: no request is sent to a target that is leaving by its "
+          "answer") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  RegisteredTarget Entry = firstTarget(Fixture);
+  Entry.StartedAtMillis = 5;
+  Fixture.apply(TargetRegistered{Entry});
+  announceLeaving(Fixture);
+  CHECK_FALSE(isSentToFirstTarget(Fixture));
+  SECTION("its registration says that it serves") {
+    Fixture.apply(TargetRegistered{Entry});
+    CHECK_FALSE(isSentToFirstTarget(Fixture));
+  }
+  SECTION("its registration lapses and comes back") {
+    Fixture.apply(TargetUnregistered{Entry.Id});
+    Fixture.apply(TargetRegistered{Entry});
+    CHECK_FALSE(isSentToFirstTarget(Fixture));
+  }
+  SECTION("another run under its id serves") {
+    Entry.StartedAtMillis = 6;
+    Fixture.apply(TargetRegistered{Entry});
+    CHECK(isSentToFirstTarget(Fixture));
+  }
+}
+
+TEST_CASE("Promises: neither queued nor retried requests are sent to a target "
+          "that is leaving by its answer") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  SECTION("queued") {
+    queueTurn(Fixture);
+    REQUIRE(Fixture.State.QueuedCalls.size() == 1);
+    announceLeaving(Fixture);
+    Fixture.State.Options.StartingLoadPerSlot = 1;
+    Fixture.passTime(Milliseconds(25));
+  }
+  SECTION("retried") {
+    Fixture.apply(TargetUnregistered{TargetId("t2")});
+    Fixture.addTarget("t3");
+    Fixture.ask("/plain/x", "retried");
+    const SendAttempt Sent = Fixture.all<SendAttempt>().back();
+    const TargetId Other(Sent.Target.Id == TargetId("t1") ? "t3" : "t1");
+    const TargetRun Run = Fixture.State.Targets.at(Other).Entry.run();
+    Fixture.State.LeavingRuns[Run] = Fixture.State.Now;
+    Fixture.Effects.clear();
+    Fixture.apply(AttemptEnded{Sent.Attempt, AttemptEnded::Kind::Broken});
+  }
+  CHECK(Fixture.all<SendAttempt>().empty());
+  // It was refused at once.
+  CHECK(Fixture.State.Calls.empty());
+}
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -338,8 +338,10 @@
 
 bool WorkerStandin::handle(const BlockingServer::Request &Call,
                            BlockingServer::Socket &Caller) {
-  const std::string Head = "Request-Id: " + std::string(Call["Request-Id"]) +
-                           "\r\nResponse-Signature: s\r\n";
+  std::string Head = "Request-Id: " + std::string(Call["Request-Id"]) +
+                     "\r\nResponse-Signature: s\r\n";
+  if (this->IsLeaving)
+    Head += "Server-Leaving: 1\r\n";
   if (std::string(Call["Expect-Instance"]) != this->Id) {
     sendAnswer(Caller, 421, "Instance-Id: " + this->Id + "\r\n", "");
     return true;
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -149,6 +149,9 @@
   /// its beginning; 0 means never.
   void setCutAfter(int Events) { this->CutAfter = Events; }
 
+  /// States in all responses from now on that the worker is leaving.
+  void announceLeaving() { this->IsLeaving = true; }
+
   const std::string &id() const { return this->Id; }
   /// Ends the worker as a crash of its process does.
   void crash();
@@ -165,6 +168,7 @@
   std::vector<Run> Runs;
   std::atomic<std::chrono::milliseconds> Delay{std::chrono::milliseconds(0)};
   std::atomic<int> CutAfter{0};
+  std::atomic<bool> IsLeaving{false};
   std::unique_ptr<BlockingServer> Server;
 };
 
--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -133,3 +133,32 @@
   CHECK(Pending.get().Status == 200);
   CHECK(Site.Relays[0].awaitExit(std::chrono::seconds(10)) == 0);
 }
+
+TEST_CASE("Platform path: no request reaches a target that said in an answer "
+          "that it is leaving") {
+  PlatformSite Site(2);
+  for (WorkerStandin *Leaving : {&Site.FirstWorker, &Site.SecondWorker})
+    Leaving->announceLeaving();
+  WorkerStandin Staying("i-3");
+  Site.Store.put("servers/i-3", Staying.registration("app"));
+  const auto sendUntilBothAreKnown = [&Site](std::size_t Relay) {
+    for (int Number = 0; Number < 40; ++Number)
+      Site.sendCall("/plain/x",
+                    "a" + std::to_string(Relay) + "-" + std::to_string(Number),
+                    "", Relay);
+  };
+  sendUntilBothAreKnown(0);
+  sendUntilBothAreKnown(1);
+  const std::size_t First = Site.FirstWorker.runs().size();
+  const std::size_t Second = Site.SecondWorker.runs().size();
+  // The registration still says that it serves.
+  Site.Store.put("servers/i-1", Site.FirstWorker.registration("app"));
+  for (int Number = 0; Number < 40; ++Number) {
+    const std::string Id = "b" + std::to_string(Number);
+    CHECK(Site.sendCall("/plain/x", Id, "", Number % 2).Status == 200);
+    CHECK(Site.sendTurn(TurnRequest{"t" + Id, "p" + Id, "", "in;"}, Number % 2)
+              .Status == 200);
+  }
+  CHECK(Site.FirstWorker.runs().size() == First);
+  CHECK(Site.SecondWorker.runs().size() == Second);
+}
