Bound what a target that pours bytes can cost

A head without end was bounded already.

Cause: each buffer between a target and a caller had no limit: the parser's input, the answer that waits for a decision, the event that waits for its end, the output kept for the history, the queue to the caller.

Now: 1 MiB before the head of an answer (interim and foreign answers), 64 KiB for a part that is parsed whole, 256 KiB for an answer that may not be passed on and for an event, 1 MiB of output that is kept. Beyond it the connection is closed and the attempt ends with its cause, as not run only if the target had said so in a whole head. An answer that is passed on has no limit: while over 256 KiB wait for the caller, the relay does not read from the target.

--- a/packages/decision/include/tanagerlanding/decision/relay/EventSplitter.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/EventSplitter.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_RELAY_EVENTSPLITTER_H
 #define TANAGERLANDING_DECISION_RELAY_EVENTSPLITTER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
 
   /// Returns whether bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !this->Partial.empty(); }
+  std::size_t partialBytes() const { return this->Partial.size(); }
 
 private:
   std::string Partial;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -108,6 +108,10 @@
   /// Size up to which an answer is buffered so that the request can still be
   /// retried. Larger answers are forwarded as they are received.
   std::size_t MaxBufferedAnswerBytes = 256 * 1024;
+  /// Maximum size of one event of a stream, which is forwarded as a whole.
+  std::size_t MaxEventBytes = 256 * 1024;
+  /// Maximum size of the output of a turn that is kept for its history.
+  std::size_t MaxTurnOutputBytes = 1024 * 1024;
   /// If fewer than this many claims of the turn's size remain of the budget,
   /// the claims are read a second time, as concurrent claims may have been
   /// missed.
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -192,6 +192,17 @@
   handleUnknownOutcome(Context, Call, Cause);
 }
 
+/// Ends an attempt whose target sends more than an answer may have.
+void endOversizedAttempt(RelayContext &Context, RelayCall &Call,
+                         const char *Cause) {
+  const bool IsNotRun = Call.Head->IsNotRun || Call.Head->IsMisdirected;
+  cancelAttempt(Context, Call);
+  if (IsNotRun)
+    handleNotRun(Context, Call, Cause);
+  else
+    handleUnknownOutcome(Context, Call, Cause);
+}
+
 void handleCompleteAnswer(RelayContext &Context, RelayCall &Call) {
   if (!Call.Head) {
     handleUnknownOutcome(Context, Call, "no_head");
@@ -219,6 +230,19 @@
     completeStream(Context, Call);
 }
 
+/// Sends whole events to the caller, after the head of the answer.
+void sendEvents(RelayContext &Context, RelayCall &Call, std::string Events) {
+  recordStreamStart(Context, Call);
+  if (!Call.HasBegunAnswer) {
+    Call.HasBegunAnswer = true;
+    Context.logCall("stream_started", Call,
+                    {{"target", Call.Target.Value},
+                     {"version", Call.Origin->Version.Value}});
+    Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
+  }
+  Context.add(ContinueAnswer{Call.Request, std::move(Events)});
+}
+
 void forwardEvents(RelayContext &Context, RelayCall &Call,
                    const std::string &Bytes) {
   std::string Whole;
@@ -232,17 +256,13 @@
     if (Call.Route.KeepsHistory)
       Call.Output += Each.Data + '\n';
   }
-  if (Whole.empty())
-    return;
-  recordStreamStart(Context, Call);
-  if (!Call.HasBegunAnswer) {
-    Call.HasBegunAnswer = true;
-    Context.logCall("stream_started", Call,
-                    {{"target", Call.Target.Value},
-                     {"version", Call.Origin->Version.Value}});
-    Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
-  }
-  Context.add(ContinueAnswer{Call.Request, std::move(Whole)});
+  if (!Whole.empty())
+    sendEvents(Context, Call, std::move(Whole));
+  const RelayOptions &Options = Context.State.Options;
+  if (Options.MaxEventBytes < Call.Splitter.partialBytes())
+    endOversizedAttempt(Context, Call, "event_too_large");
+  else if (Options.MaxTurnOutputBytes < Call.Output.size())
+    endOversizedAttempt(Context, Call, "output_too_large");
 }
 
 void bufferBytes(RelayContext &Context, RelayCall &Call,
@@ -250,9 +270,12 @@
   Call.BufferedBody += Bytes;
   const bool MayForward = !Call.Head->IsNotRun && !Call.Head->IsMisdirected &&
                           isForwardable(*Call.Head);
-  if (Call.BufferedBody.size() < Context.State.Options.MaxBufferedAnswerBytes ||
-      !MayForward)
+  if (Call.BufferedBody.size() < Context.State.Options.MaxBufferedAnswerBytes)
+    return;
+  if (!MayForward) {
+    endOversizedAttempt(Context, Call, "answer_too_large");
     return;
+  }
   if (!Call.HasBegunAnswer)
     Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
   Call.HasBegunAnswer = true;
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -18,7 +18,9 @@
 ///
 /// Each request is sent at most once and is never retried here, so that what
 /// may be retried remains the reducer's decision. A response that carries
-/// another attempt's id is discarded. Must be used on the event loop's thread.
+/// another attempt's id is discarded. What a target sends before a response to
+/// the attempt, and between the parts of its body, is limited. Must be used on
+/// the event loop's thread.
 class AttemptClient {
 public:
   /// Receives the progress of attempts. Not called for an attempt after its
@@ -60,6 +62,10 @@
   /// Closes an attempt's connection, which makes the target stop its work.
   void cancel(RelayAttemptId Attempt);
 
+  /// Stops or continues reading the response to an attempt, so that a target is
+  /// slowed to the speed at which its response is passed on.
+  void setPaused(RelayAttemptId Attempt, bool ShouldPause);
+
   /// Opens a connection to a target, closes it again, and reports whether the
   /// target accepted it.
   void probe(const ProbeTargetConnection &Probe);
--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/relay/include/tanagerlanding/relay/CallerServer.h
@@ -29,6 +29,8 @@
     /// Called when a caller closes its connection before its response is
     /// complete.
     virtual void onCallerDisconnected(RequestId Id) = 0;
+    /// Called when all bytes of a response that sendBody() queued are sent.
+    virtual void onCallerWritable(RequestId Id) = 0;
   };
 
   CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
@@ -51,6 +53,8 @@
   void beginResponse(RequestId Request, const TargetAnswerHead &Head,
                      std::optional<std::size_t> BodyBytes);
   void sendBody(RequestId Request, const std::string &Bytes);
+  /// Returns the number of bytes of a response that are not sent yet.
+  std::size_t queuedBytes(RequestId Request) const;
   void finishResponse(RequestId Request);
   /// Closes the connection in the middle of a response.
   void abort(RequestId Request);
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -67,6 +67,7 @@
   // Callers and targets.
   void onCallerRequest(RequestId Id, CallerRequest Request) override;
   void onCallerDisconnected(RequestId Id) override;
+  void onCallerWritable(RequestId Id) override;
   void onAttemptHead(RelayAttemptId Attempt,
                      const TargetAnswerHead &Head) override;
   void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) override;
@@ -89,6 +90,9 @@
   void handleLedgerViewChange(const KeyChange &Change);
 
   void apply(const RelayEvent &Event);
+  /// Stops or continues reading from the target whose response is sent to a
+  /// caller.
+  void setTargetPaused(RequestId Request, bool ShouldPause);
   void publishMetrics();
   void stopWhenFlushed();
 
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -31,6 +31,12 @@
 /// time-out, so that no request races with the target's close.
 constexpr Milliseconds IdleMargin{700};
 constexpr std::size_t ReadBytes = 16 * 1024;
+/// Maximum number of bytes that a target may send before the head of the
+/// response: interim responses and late responses to other attempts.
+constexpr std::size_t MaxBytesBeforeHead = 1024 * 1024;
+/// Maximum size of a part that is parsed as a whole: a head, the head of a
+/// chunk, or the trailer.
+constexpr std::size_t MaxPartBytes = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
 
 /// Returns the "timeout=N" parameter, in seconds, of a Keep-Alive header.
@@ -68,6 +74,9 @@
   bool IsOpen = false;
   bool IsWriting = false;
   bool HasHead = false;
+  std::size_t BytesBeforeHead = 0;
+  bool IsReading = false;
+  bool IsPaused = false;
   /// Whether the response being read belongs to another request.
   bool IsDiscarding = false;
   Milliseconds KeepAlive = DefaultKeepAlive;
@@ -157,6 +166,7 @@
       writeRequestHead(Target->Current.Method, Target->Current.Target,
                        Target->Current.Headers, Body);
   Target->HasHead = false;
+  Target->BytesBeforeHead = 0;
   Target->IsDiscarding = false;
   Target->IsWriting = true;
   const std::array<boost::asio::const_buffer, 2> Parts = {
@@ -173,11 +183,17 @@
 }
 
 void AttemptClient::read(const ConnectionPtr &Target) {
+  if (Target->IsReading || Target->IsPaused)
+    return;
+  Target->IsReading = true;
   Target->Socket.async_read_some(
       Target->Input.prepare(ReadBytes),
       [this, Target](const boost::system::error_code &Error,
                      std::size_t Count) {
+        Target->IsReading = false;
         Target->Input.commit(Count);
+        if (!Target->HasHead)
+          Target->BytesBeforeHead += Count;
         this->handleRead(Target, Error);
       });
 }
@@ -196,6 +212,11 @@
     return;
   }
   this->parse(Target);
+  const bool IsTooLong =
+      MaxPartBytes < Target->Input.size() ||
+      (!Target->HasHead && MaxBytesBeforeHead < Target->BytesBeforeHead);
+  if (IsTooLong)
+    this->fail(Target, AttemptEnded::Kind::Broken);
   if (Target->IsOpen)
     this->read(Target);
 }
@@ -297,6 +318,7 @@
   this->Active.erase(Attempt);
   Target->Parser.reset();
   Target->Current = Request();
+  Target->IsPaused = false;
   std::list<ConnectionPtr> &IdleConnections = this->Idle[Target->Remote];
   if (IsReusable && IdleConnections.size() < IdleLimit) {
     Target->UnusedSince = this->Loop.now();
@@ -325,6 +347,16 @@
   this->drop(Target);
 }
 
+void AttemptClient::setPaused(RelayAttemptId Attempt, bool ShouldPause) {
+  const auto Found = this->Active.find(Attempt);
+  if (Found == this->Active.end())
+    return;
+  const ConnectionPtr Target = Found->second;
+  Target->IsPaused = ShouldPause;
+  if (Target->IsOpen)
+    this->read(Target);
+}
+
 void AttemptClient::probe(const ProbeTargetConnection &Probe) {
   const TargetRun Run = Probe.Run;
   const auto Report = [this, Run](TargetConnectionProbed::Outcome Result) {
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -330,6 +330,14 @@
   this->flush(Caller);
 }
 
+std::size_t CallerServer::queuedBytes(RequestId Request) const {
+  const ConnectionPtr Caller = this->findConnection(Request);
+  if (!Caller)
+    return 0;
+  return Caller->Queued.size() +
+         (Caller->IsWriting ? Caller->Writing.size() : 0);
+}
+
 void CallerServer::flush(const ConnectionPtr &Caller) {
   if (Caller->IsWriting)
     return;
@@ -337,17 +345,20 @@
     Caller->IsWriting = true;
     Caller->Writing.swap(Caller->Queued);
     Caller->Queued.clear();
-    boost::asio::async_write(Caller->Socket,
-                             boost::asio::buffer(Caller->Writing),
-                             [this, Caller](const auto &Error, std::size_t) {
-                               Caller->IsWriting = false;
-                               if (this->Connections.count(Caller->Id) == 0)
-                                 return;
-                               if (Error)
-                                 this->close(Caller);
-                               else
-                                 this->flush(Caller);
-                             });
+    boost::asio::async_write(
+        Caller->Socket, boost::asio::buffer(Caller->Writing),
+        [this, Caller](const auto &Error, std::size_t) {
+          Caller->IsWriting = false;
+          if (this->Connections.count(Caller->Id) == 0)
+            return;
+          if (Error) {
+            this->close(Caller);
+            return;
+          }
+          this->flush(Caller);
+          if (!Caller->IsWriting && Caller->Current.Value != 0)
+            this->Callbacks.onCallerWritable(Caller->Current);
+        });
     return;
   }
   if (!Caller->ShouldCloseWhenWritten || Caller->IsLingering)
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -17,6 +17,8 @@
 /// be in force.
 constexpr Milliseconds WatchDelay{1000};
 constexpr Milliseconds FlushPollInterval{5};
+/// Bytes queued for a caller at which reading from its target is paused.
+constexpr std::size_t MaxQueuedResponseBytes = 256 * 1024;
 /// Part of the grace period that is reserved for the shutdown itself.
 constexpr Milliseconds StopMargin{700};
 
@@ -36,6 +38,9 @@
   }
   void operator()(const ContinueAnswer &Effect) {
     this->Owner.Callers.sendBody(Effect.Request, Effect.Bytes);
+    if (MaxQueuedResponseBytes <
+        this->Owner.Callers.queuedBytes(Effect.Request))
+      this->Owner.setTargetPaused(Effect.Request, true);
   }
   void operator()(const FinishAnswer &Effect) {
     this->Owner.Callers.finishResponse(Effect.Request);
@@ -168,6 +173,16 @@
   this->apply(RelayCallerDisconnected{Id});
 }
 
+void RelayProcess::onCallerWritable(RequestId Id) {
+  this->setTargetPaused(Id, false);
+}
+
+void RelayProcess::setTargetPaused(RequestId Request, bool ShouldPause) {
+  const auto Call = this->State.Calls.find(Request);
+  if (Call != this->State.Calls.end())
+    this->Targets.setPaused(Call->second.Attempt, ShouldPause);
+}
+
 void RelayProcess::onAttemptHead(RelayAttemptId Attempt,
                                  const TargetAnswerHead &Head) {
   this->apply(AttemptHeadReceived{Attempt, Head});
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -248,3 +248,26 @@
   REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
   CHECK(Fixture.Ends.empty());
 }
+
+TEST_CASE("Attempts: a paused response is read on only when it is continued") {
+  constexpr std::size_t BodyBytes = 32 * 1024 * 1024;
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("a");
+  const RelayAttemptId Attempt(Fixture.LastAttempt);
+  Fixture.Client.setPaused(Attempt, true);
+  Target.Socket.non_blocking(true);
+  const std::string Answer = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " +
+                             std::to_string(BodyBytes) + "\r\n\r\n" +
+                             std::string(BodyBytes, 'x');
+  boost::asio::async_write(Target.Socket, boost::asio::buffer(Answer),
+                           [](const auto &, std::size_t) {});
+  CHECK_FALSE(runUntil(
+      Fixture.Loop, [&] { return Fixture.Body.size() == BodyBytes; },
+      Milliseconds(300)));
+  const std::size_t Paused = Fixture.Body.size();
+  CHECK(Paused < 1024 * 1024);
+  Fixture.Client.setPaused(Attempt, false);
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == AttemptEnded::Kind::Complete);
+  CHECK(Fixture.Body.size() == BodyBytes);
+}
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -21,6 +21,7 @@
     this->Ids.push_back(Id);
     this->Requests.push_back(std::move(Request));
   }
+  void onCallerWritable(RequestId) override { ++this->WritableCount; }
   void onCallerDisconnected(RequestId Id) override {
     this->Disconnected.push_back(Id);
   }
@@ -46,6 +47,7 @@
   std::vector<RequestId> Ids;
   std::vector<CallerRequest> Requests;
   std::vector<RequestId> Disconnected;
+  unsigned WritableCount = 0;
 };
 
 const std::string Plain = "GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n";
@@ -223,3 +225,27 @@
   CHECK(Caller.has("second"));
   CHECK(Caller.has("Connection: close"));
 }
+
+TEST_CASE("Callers: bytes that a caller does not read are counted until they "
+          "are sent") {
+  constexpr std::size_t BodyBytes = 32 * 1024 * 1024;
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.Socket.connect(boost::asio::ip::tcp::endpoint(
+      boost::asio::ip::address_v4::loopback(), Fixture.Port));
+  Caller.send(Plain);
+  REQUIRE(Fixture.awaitRequests(1));
+  const RequestId Id = Fixture.Ids[0];
+  TargetAnswerHead Head;
+  Head.Status = 200;
+  Fixture.Server.beginResponse(Id, Head, BodyBytes);
+  Fixture.Server.sendBody(Id, std::string(BodyBytes, 'x'));
+  CHECK(Fixture.Server.queuedBytes(Id) >= BodyBytes);
+  CHECK_FALSE(runUntil(
+      Fixture.Loop, [&] { return Fixture.Server.queuedBytes(Id) == 0; },
+      Milliseconds(200)));
+  Caller.read();
+  CHECK(runUntil(Fixture.Loop,
+                 [&] { return Fixture.Server.queuedBytes(Id) == 0; }));
+  CHECK(Fixture.WritableCount > 0);
+}
