--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -1,5 +1,7 @@
 #include "LedgerRecords.h"
 
+#include "StartedStreams.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -149,38 +151,13 @@
   return Claims;
 }
 
-void recordStartedStream(LedgerContext &Context, const StreamStarted &Started) {
-  LedgerState &State = Context.State;
-  const Fingerprint Attempt = fingerprintOf(Started.Attempt);
-  const bool IsFull =
-      State.Options.StartedStreamLimit <= State.StartedStreams.size();
-  if (IsFull && State.StartedStreams.count(Attempt) == 0) {
-    Context.count("ledger_stream_origins_dropped_total", "limit");
-    return;
-  }
-  State.StartedStreams[Attempt] =
-      StartedStream{Started.Origin, State.Now + Started.Retention};
-}
-
-std::optional<StreamOrigin> originOf(const LedgerState &State,
-                                     const CallerAttemptId &Attempt) {
-  const auto Found = State.StartedStreams.find(fingerprintOf(Attempt));
-  if (Found == State.StartedStreams.end())
-    return std::nullopt;
-  return Found->second.Origin;
-}
-
 void sweepRecords(LedgerContext &Context) {
   LedgerState &State = Context.State;
   if (State.Now - State.SweptAt < State.Options.SweepInterval)
     return;
   State.SweptAt = State.Now;
   expireEvidence(State.Suspects, State.Now);
-  for (auto Each = State.StartedStreams.begin();
-       Each != State.StartedStreams.end();)
-    Each = State.Now < Each->second.ExpiresAt
-               ? std::next(Each)
-               : State.StartedStreams.erase(Each);
+  expireStartedStreams(State);
   for (auto Turn = State.Turns.begin(); Turn != State.Turns.end();) {
     if (State.Now < Turn->second.ExpiresAt) {
       ++Turn;
--- a/packages/decision/src/ledger/LedgerRecords.h
+++ b/packages/decision/src/ledger/LedgerRecords.h
@@ -22,13 +22,6 @@
 std::vector<TokenClaim> claimsOf(const LedgerState &State,
                                  const ProgramId &Program);
 
-/// Records the origin of a stream, unless too many are kept already.
-void recordStartedStream(LedgerContext &Context, const StreamStarted &Started);
-
-/// Returns the origin of the stream that an attempt began, if it is known.
-std::optional<StreamOrigin> originOf(const LedgerState &State,
-                                     const CallerAttemptId &Attempt);
-
 /// Removes expired records from the index, and drops segments without live
 /// records.
 void sweepRecords(LedgerContext &Context);
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -3,6 +3,7 @@
 #include "LedgerContext.h"
 #include "LedgerMembership.h"
 #include "LedgerRecords.h"
+#include "StartedStreams.h"
 #include "SuspectReplication.h"
 
 #include <algorithm>
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -48,7 +48,8 @@
   const bool IsRestarted =
       !IsNew && Found->second.Entry.StartedAtMillis != Entry.StartedAtMillis;
   detectReplacedRun(Context, Entry);
-  invalidateOrigins(Context, Entry);
+  if (IsRestarted)
+    invalidateOrigins(Context, Entry);
   if (!IsNew) {
     removeFromServiceIndex(State, Found->second);
     recordFormerVersion(State, Found->second.Entry);
--- a/packages/decision/src/relay/StreamOrigins.h
+++ b/packages/decision/src/relay/StreamOrigins.h
@@ -25,6 +25,7 @@
 /// Remembers the version of a target that is no longer registered.
 void recordFormerVersion(RelayState &State, const RegisteredTarget &Entry);
 
+/// Logs that a caller continues a stream whose origin is known.
 void logContinuation(RelayContext &Context, const RelayCall &Call);
 
 /// Records where a stream begins, at the relay and, if its caller may continue
