--- a/packages/decision/src/relay/CrashDetection.cpp
+++ b/packages/decision/src/relay/CrashDetection.cpp
@@ -22,11 +22,9 @@
   return HasOutput ? CrashExposure::AfterOutput : CrashExposure::BeforeOutput;
 }
 
-void sendToReplicas(RelayContext &Context, Fingerprint Content) {
-  const SuspectNotice Notice =
-      noticeOf(Context.State.Quarantine, Content, Context.now());
-  for (const HolderId &Each : Context.State.ConnectedReplicas)
-    Context.send(Each, Notice);
+void reportEvidence(RelayContext &Context, Fingerprint Content) {
+  Context.sendToReplicas(
+      noticeOf(Context.State.Quarantine, Content, Context.now()));
 }
 
 void logStatus(RelayContext &Context, const char *Event, Fingerprint Content,
@@ -74,7 +72,7 @@
                {"target", Run.Target.Value},
                {"started_at_ms", std::to_string(Crashed.StartedAtMillis)},
                {"exposure", toString(Each.Exposure)}});
-    sendToReplicas(Context, Each.Content);
+    reportEvidence(Context, Each.Content);
   }
   Losses.Attempts.clear();
 }
@@ -219,7 +217,7 @@
   logStatus(Context, "content_cleared", Call.Content,
             {{"request", Call.InboundRequest.Id.Value},
              {"target", Call.Target.Value}});
-  sendToReplicas(Context, Call.Content);
+  reportEvidence(Context, Call.Content);
 }
 
 void handleSuspectNotice(RelayContext &Context, const SuspectNotice &Notice) {
--- a/packages/decision/src/relay/RelayContext.h
+++ b/packages/decision/src/relay/RelayContext.h
@@ -23,6 +23,12 @@
     this->Effects.push_back(SendToReplica{Holder, std::move(Body)});
   }
 
+  /// Sends a message to all connected replicas.
+  void sendToReplicas(const Message &Body) {
+    for (const HolderId &Each : this->State.ConnectedReplicas)
+      this->send(Each, Body);
+  }
+
   void log(const char *Event, Fields Values) {
     this->Effects.push_back(LogLine{Event, std::move(Values)});
   }
--- a/packages/decision/src/relay/StreamOrigins.cpp
+++ b/packages/decision/src/relay/StreamOrigins.cpp
@@ -23,15 +23,14 @@
   return SoftwareVersion();
 }
 
-void sendToReplicas(RelayContext &Context, const RelayCall &Call) {
+void reportOrigin(RelayContext &Context, const RelayCall &Call) {
   StreamStarted Started;
   Started.Attempt = Call.InboundRequest.Id;
   Started.Origin = *Call.Origin;
   Started.Retention =
       Call.InboundRequest.TimeLeft.value_or(Call.Route.Timeout) +
       Context.State.Options.StreamOriginMargin;
-  for (const HolderId &Each : Context.State.ConnectedReplicas)
-    Context.send(Each, Started);
+  Context.sendToReplicas(Started);
 }
 
 } // namespace
@@ -94,7 +93,7 @@
   Call.Origin =
       StreamOrigin{Call.SentTo.Service, versionOfAttempt(Context.State, Call)};
   if (Call.Route.IsResumable)
-    sendToReplicas(Context, Call);
+    reportOrigin(Context, Call);
 }
 
 void mergeResumedOrigin(RelayState &State, RelayCall &Call,
@@ -146,7 +145,7 @@
     Context.logCall("stream_origin_unknown", Call,
                     {{"target", Entry.Id.Value}});
     if (Call.Route.IsResumable)
-      sendToReplicas(Context, Call);
+      reportOrigin(Context, Call);
   }
 }
 
