--- a/packages/decision/src/CrashEvidence.cpp
+++ b/packages/decision/src/CrashEvidence.cpp
@@ -27,6 +27,14 @@
                                        : countedCrashes(Table, Found->second);
 }
 
+/// Returns the time of the last crash; nothing if there are none.
+std::optional<Instant> lastCrashOf(const CountedCrashes &Crashes) {
+  std::optional<Instant> Last;
+  for (const auto &[Run, Crash] : Crashes)
+    Last = std::max(Last, std::optional<Instant>(Crash.At));
+  return Last;
+}
+
 /// Returns whether another content was in flight in all but one of these
 /// crashes, so that it may be the cause: the content may have lost one more
 /// target by chance.
@@ -50,9 +58,7 @@
 /// crashes within the window before its last one.
 bool isInMostCrashes(const QuarantineTable &Table,
                      const CountedCrashes &Crashes, Milliseconds Window) {
-  Instant Last = Crashes.begin()->second.At;
-  for (const auto &[Run, Crash] : Crashes)
-    Last = std::max(Last, Crash.At);
+  const Instant Last = *lastCrashOf(Crashes);
   const auto Others = std::count_if(
       Table.AllCrashes.begin(), Table.AllCrashes.end(), [&](const auto &Each) {
         return Crashes.count(Each.first) == 0 &&
@@ -101,11 +107,7 @@
 
 /// Returns the time of the newest evidence on a content, which must have some.
 Instant newestOf(const ContentEvidence &Evidence) {
-  Instant Newest = Evidence.ClearedAt ? *Evidence.ClearedAt
-                                      : Evidence.Crashes.begin()->second.At;
-  for (const auto &[Run, Crash] : Evidence.Crashes)
-    Newest = std::max(Newest, Crash.At);
-  return Newest;
+  return *std::max(Evidence.ClearedAt, lastCrashOf(Evidence.Crashes));
 }
 
 /// Drops the crashes of a content that a later complete run voids. Returns
@@ -215,10 +217,9 @@
 
 Milliseconds quarantineTimeLeft(const QuarantineTable &Table,
                                 Fingerprint Content, Instant Now) {
-  Instant Last = Now - Table.Retention;
-  for (const auto &[Run, Crash] : countedCrashes(Table, Content))
-    Last = std::max(Last, Crash.At);
-  return Last + Table.Retention - Now;
+  const auto Last = lastCrashOf(countedCrashes(Table, Content));
+  return Last ? std::max(Milliseconds(0), *Last + Table.Retention - Now)
+              : Milliseconds(0);
 }
 
 bool recordCrash(QuarantineTable &Table, Fingerprint Content,
