--- a/packages/decision/tests/RelayCrashRandomTest.cpp
+++ b/packages/decision/tests/RelayCrashRandomTest.cpp
@@ -491,7 +491,10 @@
 }
 
 TEST_CASE("RelayCrashRandom: ordinary crashes without a crashing content") {
-  checkRuns(Faults{0, Milliseconds(500), Milliseconds(0)}, firstSeeds(40));
+  Faults Injected;
+  Injected.CrashingCallers = 0;
+  Injected.TargetCrashInterval = Milliseconds(500);
+  checkRuns(Injected, firstSeeds(40));
 }
 
 TEST_CASE("RelayCrashRandom: a crashing content, other crashes, restarts and "
@@ -499,7 +502,10 @@
   std::vector<unsigned> Seeds = firstSeeds(40);
   // A content beside the crashing one three times that lost a fourth target.
   Seeds.insert(Seeds.end(), {60, 104});
-  checkRuns(Faults{1, Milliseconds(2000), Milliseconds(1000)}, Seeds);
+  Faults Injected;
+  Injected.TargetCrashInterval = Milliseconds(2000);
+  Injected.ProcessFaultInterval = Milliseconds(1000);
+  checkRuns(Injected, Seeds);
 }
 
 TEST_CASE("RelayCrashRandom: a crashing content that several callers send at "
