Count crashes by path where requests have only that in common

Cause: the key of the quarantine covers the whole body. Ruled out: complete runs that clear the content; a key of caller or program, as both differ too.

Change: crashes count against the path if the route's requests have many paths and none with this one was answered; a relay that knows the path to be answered voids such evidence. A content that is found to be quarantined is convicted: its crashes say nothing about the contents beside it, before or after. Crashes within 100 ms may be one event. Suspect contents go to the same target from every relay, different ones apart. Attempts without output are cancelled by a verdict, with an unknown outcome.

Tried and given up: verdicts at two and three crashes.

--- a/packages/decision/include/tanagerlanding/decision/CrashEvidence.h
+++ b/packages/decision/include/tanagerlanding/decision/CrashEvidence.h
@@ -61,6 +61,9 @@
   /// When the content last ran to completion, which voids all crashes until
   /// then.
   std::optional<Instant> ClearedAt;
+  /// When the content was first found to be quarantined. Its crashes then say
+  /// nothing about the contents beside it.
+  std::optional<Instant> ConvictedAt;
 };
 
 /// The evidence on one content in a form that other processes can use: ages
@@ -92,16 +95,20 @@
   std::uint32_t RequiredCrashes = 2;
 };
 
-/// For targets where other requests always run beside a suspect one.
+/// For targets where other requests always run beside a suspect one. Crashes
+/// that a convicted content explains do not count against others.
 struct SharedRunPolicy {
   /// Crashes without output after which a content is quarantined, unless there
-  /// is another explanation: a content that was in flight in all but one of
-  /// them, or targets that crash without the content.
+  /// is another explanation: a content that was in flight in the same ones, or
+  /// targets that crash without the content.
   std::uint32_t RequiredCrashes = 4;
   /// Crashes after which a content is quarantined in any case.
   std::uint32_t MaxCrashes = 5;
   /// How far back other crashes are taken into account.
   Milliseconds OtherCrashWindow{30000};
+  /// Crashes within this time may have one event as their cause, such as a rack
+  /// that fails, and with it all copies of a popular content.
+  Milliseconds MaxEventDuration{100};
 };
 
 using QuarantinePolicy = std::variant<IsolatedRunPolicy, SharedRunPolicy>;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -129,6 +129,10 @@
   /// How long after a crash was detected further attempts are lost by it. All
   /// connections of a process end together.
   Milliseconds CrashSettleTime{1000};
+  /// Number of paths that are remembered for a route, and the number of
+  /// distinct ones from which paths tell its requests apart.
+  std::size_t MaxPathsPerRoute = 2000;
+  std::size_t MinDistinctPaths = 10;
   /// The time after which a crashed target is no longer registered: three
   /// heartbeats of 1.2 s, and as much again for a slow key-value service.
   Milliseconds RegistrationLapse{8000};
@@ -251,6 +255,8 @@
   /// Identifies the content, which keeps it when a caller sends it again under
   /// a new id.
   Fingerprint Content;
+  /// Identifies the path, for requests that have only that in common.
+  Fingerprint PathContent;
   RelayRoute Route;
   ServiceName Service;
   ConfigVersion Version;
@@ -313,6 +319,14 @@
   Instant Since;
 };
 
+/// The paths of a route's last requests, and whether a request with them was
+/// answered. There are two generations; the older one is dropped once the newer
+/// one is full.
+struct RoutePaths {
+  std::map<Fingerprint, bool> Newer;
+  std::map<Fingerprint, bool> Older;
+};
+
 /// The state of a relay.
 struct RelayState {
   RelayOptions Options;
@@ -358,7 +372,10 @@
   /// Attempts lost within LostAttemptRetention, by the run that they were sent
   /// to.
   std::map<TargetRun, TargetLosses> Losses;
+  std::map<RouteName, RoutePaths> PathsByRoute;
   Instant CrashEvidenceReviewedAt;
+  /// Whether running calls have to be checked against new evidence.
+  bool HasNewCrashEvidence = false;
   /// When this relay lost the ledger's quorum; nothing while it has one. Starts
   /// far in the past, as a relay starts without a quorum.
   std::optional<Instant> LedgerLostSince = Instant{Milliseconds::min() / 2};
--- a/packages/decision/src/CrashEvidence.cpp
+++ b/packages/decision/src/CrashEvidence.cpp
@@ -35,37 +35,72 @@
   return Last;
 }
 
-/// Returns whether another content was in flight in all but one of these
-/// crashes, so that it may be the cause: the content may have lost one more
-/// target by chance.
-bool hasCompanion(const QuarantineTable &Table, Fingerprint Content,
-                  const CountedCrashes &Crashes) {
-  for (const auto &[Other, Evidence] : Table.Contents) {
-    if (Other == Content)
-      continue;
-    const auto Shared =
-        std::count_if(Crashes.begin(), Crashes.end(),
-                      [&Evidence = Evidence](const auto &Each) {
-                        return Evidence.Crashes.count(Each.first) > 0;
-                      });
-    if (Crashes.size() <= static_cast<std::size_t>(Shared) + 1)
-      return true;
+/// Crashes without output of which two contents must have as many in common to
+/// be told apart by the next one only.
+constexpr std::size_t SharedCrashes = 2;
+
+CountedCrashes crashesBeforeOutput(const CountedCrashes &Crashes) {
+  CountedCrashes Early;
+  for (const auto &[Run, Crash] : Crashes) {
+    if (Crash.Exposure != CrashExposure::AfterOutput)
+      Early.emplace(Run, Crash);
   }
-  return false;
+  return Early;
 }
 
-/// Returns whether a content was in flight in more than two thirds of the
-/// crashes within the window before its last one.
-bool isInMostCrashes(const QuarantineTable &Table,
-                     const CountedCrashes &Crashes, Milliseconds Window) {
-  const Instant Last = *lastCrashOf(Crashes);
-  const auto Others = std::count_if(
-      Table.AllCrashes.begin(), Table.AllCrashes.end(), [&](const auto &Each) {
-        return Crashes.count(Each.first) == 0 &&
-               Table.RefutedRuns.count(Each.first) == 0 &&
-               Each.second <= Last && Last - Each.second < Window;
-      });
-  return 2 * static_cast<std::size_t>(Others) < Crashes.size();
+/// The crashes of the contents other than the judged one.
+class OtherContents {
+public:
+  OtherContents(const QuarantineTable &Table, Fingerprint Judged) {
+    for (const auto &[Content, Evidence] : Table.Contents) {
+      if (Content == Judged || Evidence.Crashes.size() < SharedCrashes)
+        continue;
+      CountedCrashes Early =
+          crashesBeforeOutput(countedCrashes(Table, Evidence));
+      if (Evidence.ConvictedAt)
+        this->Convicted.push_back(std::move(Early));
+      else if (SharedCrashes <= Early.size())
+        this->Repeated.push_back(std::move(Early));
+    }
+  }
+
+  /// Returns whether a convicted content was in flight in a crash.
+  bool explain(const TargetRun &Run) const {
+    return std::any_of(
+        this->Convicted.begin(), this->Convicted.end(),
+        [&Run](const CountedCrashes &Each) { return Each.count(Run) > 0; });
+  }
+
+  /// Returns whether one content was in flight in all but one of these crashes,
+  /// so that it may be the cause: the judged content may have lost one more
+  /// target by chance.
+  bool haveCompanionIn(const CountedCrashes &Crashes) const {
+    return std::any_of(
+        this->Repeated.begin(), this->Repeated.end(),
+        [&](const CountedCrashes &Each) {
+          const auto Shared = static_cast<std::size_t>(std::count_if(
+              Crashes.begin(), Crashes.end(), [&Each](const auto &Crash) {
+                return Each.count(Crash.first) > 0;
+              }));
+          return SharedCrashes <= Shared && Crashes.size() <= Shared + 1;
+        });
+  }
+
+private:
+  std::vector<CountedCrashes> Convicted;
+  std::vector<CountedCrashes> Repeated;
+};
+
+/// Returns whether crashes are too far apart to have one event as their cause.
+bool haveSeveralEvents(const CountedCrashes &Crashes,
+                       Milliseconds MaxDuration) {
+  const auto IsEarlier = [](const auto &Left, const auto &Right) {
+    return Left.second.At < Right.second.At;
+  };
+  const auto [First, Last] =
+      std::minmax_element(Crashes.begin(), Crashes.end(), IsEarlier);
+  return First != Crashes.end() &&
+         MaxDuration <= Last->second.At - First->second.At;
 }
 
 /// Decides whether a content with the given crashes is quarantined, one
@@ -77,27 +112,57 @@
       : Table(Table), Content(Content), Crashes(Crashes) {}
 
   bool operator()(const IsolatedRunPolicy &Policy) const {
-    const std::uint32_t Alone = this->count(
-        [](CrashExposure Each) { return Each == CrashExposure::Alone; });
+    const auto Alone = static_cast<std::uint32_t>(std::count_if(
+        this->Crashes.begin(), this->Crashes.end(), [](const auto &Each) {
+          return Each.second.Exposure == CrashExposure::Alone;
+        }));
     const bool HasOther = Alone < this->Crashes.size();
     return Policy.RequiredCrashes <= Alone + (HasOther ? 1 : 0);
   }
 
   bool operator()(const SharedRunPolicy &Policy) const {
-    if (Policy.MaxCrashes <= this->Crashes.size())
+    if (this->Crashes.size() < Policy.RequiredCrashes)
+      return false;
+    const OtherContents Others(this->Table, this->Content);
+    const CountedCrashes Own = this->unexplained(Others);
+    if (!haveSeveralEvents(Own, Policy.MaxEventDuration))
+      return false;
+    if (Policy.MaxCrashes <= Own.size())
       return true;
-    const std::uint32_t WithoutOutput = this->count(
-        [](CrashExposure Each) { return Each != CrashExposure::AfterOutput; });
-    return Policy.RequiredCrashes <= WithoutOutput &&
-           !hasCompanion(this->Table, this->Content, this->Crashes) &&
-           isInMostCrashes(this->Table, this->Crashes, Policy.OtherCrashWindow);
+    const CountedCrashes Early = crashesBeforeOutput(Own);
+    return Policy.RequiredCrashes <= Early.size() &&
+           haveSeveralEvents(Early, Policy.MaxEventDuration) &&
+           !Others.haveCompanionIn(Early) &&
+           this->isInMostCrashes(Own, Others, Policy.OtherCrashWindow);
   }
 
 private:
-  template <typename Predicate> std::uint32_t count(Predicate IsCounted) const {
-    return static_cast<std::uint32_t>(std::count_if(
-        this->Crashes.begin(), this->Crashes.end(),
-        [&](const auto &Each) { return IsCounted(Each.second.Exposure); }));
+  /// Returns the crashes that no convicted content explains.
+  CountedCrashes unexplained(const OtherContents &Others) const {
+    CountedCrashes Own;
+    for (const auto &[Run, Crash] : this->Crashes) {
+      if (!Others.explain(Run))
+        Own.emplace(Run, Crash);
+    }
+    return Own;
+  }
+
+  /// Returns whether a content was in flight in more than two thirds of the
+  /// crashes within the window before its last one. Crashes that a convicted
+  /// content explains are left out.
+  bool isInMostCrashes(const CountedCrashes &Own, const OtherContents &Others,
+                       Milliseconds Window) const {
+    const Instant Last = *lastCrashOf(Own);
+    const auto Unrelated =
+        std::count_if(this->Table.AllCrashes.begin(),
+                      this->Table.AllCrashes.end(), [&](const auto &Each) {
+                        return this->Crashes.count(Each.first) == 0 &&
+                               this->Table.RefutedRuns.count(Each.first) == 0 &&
+                               Each.second <= Last &&
+                               Last - Each.second < Window &&
+                               !Others.explain(Each.first);
+                      });
+    return 2 * static_cast<std::size_t>(Unrelated) < Own.size();
   }
 
   const QuarantineTable &Table;
@@ -105,6 +170,16 @@
   const CountedCrashes &Crashes;
 };
 
+/// Returns whether there are as many crashes as a conviction needs at least.
+bool hasRequiredCrashes(const QuarantinePolicy &Policy,
+                        const CountedCrashes &Crashes) {
+  return std::visit(
+      [&Crashes](const auto &Each) {
+        return Each.RequiredCrashes <= Crashes.size();
+      },
+      Policy);
+}
+
 /// Returns the time of the newest evidence on a content, which must have some.
 Instant newestOf(const ContentEvidence &Evidence) {
   return *std::max(Evidence.ClearedAt, lastCrashOf(Evidence.Crashes));
@@ -210,7 +285,10 @@
   const CountedCrashes Crashes = countedCrashes(Table, Content);
   if (Crashes.empty())
     return ContentStatus::Trusted;
-  return std::visit(QuarantineDecision(Table, Content, Crashes), Table.Policy)
+  const bool IsConvicted = Table.Contents.at(Content).ConvictedAt &&
+                           hasRequiredCrashes(Table.Policy, Crashes);
+  return IsConvicted || std::visit(QuarantineDecision(Table, Content, Crashes),
+                                   Table.Policy)
              ? ContentStatus::Quarantined
              : ContentStatus::Suspect;
 }
@@ -228,7 +306,12 @@
   ContentEvidence &Evidence = Table.Contents[Content];
   if (Evidence.ClearedAt && Crash.At <= *Evidence.ClearedAt)
     return false;
-  return Evidence.Crashes.emplace(Run, Crash).second;
+  if (!Evidence.Crashes.emplace(Run, Crash).second)
+    return false;
+  if (!Evidence.ConvictedAt &&
+      statusOf(Table, Content) == ContentStatus::Quarantined)
+    Evidence.ConvictedAt = Crash.At;
+  return true;
 }
 
 bool clearContent(QuarantineTable &Table, Fingerprint Content, Instant Now) {
@@ -236,6 +319,7 @@
   if (Found == Table.Contents.end() || Found->second.Crashes.empty())
     return false;
   Found->second.ClearedAt = Now;
+  Found->second.ConvictedAt.reset();
   return dropVoidCrashes(Found->second);
 }
 
@@ -256,8 +340,14 @@
 
 std::vector<SuspectNotice> allNotices(const QuarantineTable &Table,
                                       Instant Now) {
-  std::vector<SuspectNotice> Notices;
+  // Who receives them convicts the same contents if they come in the order in
+  // which these were convicted.
+  std::vector<std::pair<Instant, Fingerprint>> Order;
   for (const auto &[Content, Evidence] : Table.Contents)
+    Order.emplace_back(Evidence.ConvictedAt.value_or(Now), Content);
+  std::sort(Order.begin(), Order.end());
+  std::vector<SuspectNotice> Notices;
+  for (const auto &[ConvictedAt, Content] : Order)
     Notices.push_back(noticeOf(Table, Content, Now));
   return Notices;
 }
@@ -274,6 +364,8 @@
     Evidence.ClearedAt =
         std::max(ClearedAt, Evidence.ClearedAt.value_or(ClearedAt));
     HasChanged = dropVoidCrashes(Evidence) || HasChanged;
+    if (Evidence.Crashes.empty())
+      Evidence.ConvictedAt.reset();
   }
   for (const SuspectNotice::Crash &Each : Crashes)
     HasChanged = recordCrash(Table, Notice.Content, Each.Run,
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "CrashDetection.h"
+#include "RequestContent.h"
 #include "StreamOrigins.h"
 #include "Turns.h"
 
@@ -11,10 +12,6 @@
 
 namespace {
 
-std::string pathOf(const std::string &Target) {
-  return Target.substr(0, Target.find('?'));
-}
-
 /// Returns the host name of an authority, which may end with a port.
 std::string hostOf(const std::string &Authority) {
   return Authority.substr(0, Authority.find(':'));
@@ -91,6 +88,7 @@
   Call.Route = *Route;
   Call.Service = pickService(*Route, Inbound);
   Call.Content = contentOf(Inbound);
+  Call.PathContent = pathContentOf(Inbound);
   Call.Version = State.Configuration->Version;
   const auto Service = State.Configuration->Services.find(Call.Service);
   if (Service != State.Configuration->Services.end())
@@ -100,6 +98,7 @@
                                      Inbound.TimeLeft.value_or(Route->Timeout));
   Call.InboundRequest = std::move(Inbound);
   RelayCall &Admitted = State.Calls[Request] = std::move(Call);
+  recordRequestedPath(State, Admitted);
   if (!hasTimeLeft(Context, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
   else if (isQuarantined(State, Admitted))
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -385,11 +385,9 @@
   }
   cancelAttempt(Context, Call);
   closeTurn(Context, Call, false);
-  const Milliseconds RetryAfter =
-      Reason == RelayRefusalReason::Quarantined
-          ? quarantineTimeLeft(Context.State.Quarantine, Call.Content,
-                               Context.now())
-          : retryAfterFor(Context.State, Reason);
+  const Milliseconds RetryAfter = Reason == RelayRefusalReason::Quarantined
+                                      ? quarantineTimeLeft(Context.State, Call)
+                                      : retryAfterFor(Context.State, Reason);
   const RelayRefusal Refusal{Reason, executionOf(Call), RetryAfter};
   Context.logCall(
       "request_refused", Call,
@@ -397,6 +395,7 @@
        {"execution", toString(Refusal.ExecutionStatus)},
        {"version", Call.Origin ? Call.Origin->Version.Value : std::string()},
        {"content", std::to_string(Call.Content.Value)},
+       {"path_content", std::to_string(Call.PathContent.Value)},
        {"retry_after_ms", RelayContext::millis(Refusal.RetryAfter)},
        {"target", Call.Target.Value}});
   Context.count("relay_refusals_total", toString(Reason));
--- a/packages/decision/src/relay/CrashDetection.cpp
+++ b/packages/decision/src/relay/CrashDetection.cpp
@@ -1,8 +1,8 @@
 #include "CrashDetection.h"
 
+#include "Attempts.h"
 #include "Directory.h"
-
-#include <algorithm>
+#include "RequestContent.h"
 
 namespace tanagerlanding {
 
@@ -16,10 +16,15 @@
   return Found != State.Targets.end() && !isLeaving(State, Found->second.Entry);
 }
 
+/// Returns whether a call's current attempt has produced output.
+bool hasOutput(const RelayCall &Call) {
+  return Call.EventsBeforeAttempt < Call.EventsSent ||
+         !Call.BufferedBody.empty();
+}
+
 CrashExposure exposureOf(const RelayCall &Call) {
-  const bool HasOutput =
-      Call.EventsBeforeAttempt < Call.EventsSent || !Call.BufferedBody.empty();
-  return HasOutput ? CrashExposure::AfterOutput : CrashExposure::BeforeOutput;
+  return hasOutput(Call) ? CrashExposure::AfterOutput
+                         : CrashExposure::BeforeOutput;
 }
 
 void reportEvidence(RelayContext &Context, Fingerprint Content) {
@@ -38,6 +43,15 @@
   Context.log(Event, std::move(All));
 }
 
+/// Voids the crashes of a content everywhere, if there are any.
+void clearEvidence(RelayContext &Context, Fingerprint Content,
+                   RelayContext::Fields Inputs) {
+  if (!clearContent(Context.State.Quarantine, Content, Context.now()))
+    return;
+  logStatus(Context, "content_cleared", Content, std::move(Inputs));
+  reportEvidence(Context, Content);
+}
+
 /// Returns the run whose crash ended an attempt. Runs of a target that does not
 /// report its start are told apart by time: a crash well before the attempt was
 /// sent was of an earlier run.
@@ -67,6 +81,7 @@
     if (!recordCrash(Context.State.Quarantine, Each.Content, Crashed,
                      {Each.Exposure, Each.EndedAt}))
       continue;
+    Context.State.HasNewCrashEvidence = true;
     logStatus(Context, "content_suspect", Each.Content,
               {{"request", Each.Request.Value},
                {"target", Run.Target.Value},
@@ -142,13 +157,23 @@
 
 } // namespace
 
-Fingerprint contentOf(const CallerRequest &Inbound) {
-  return fingerprintOfContent(
-      {Inbound.Method, Inbound.Host, Inbound.RequestTarget, Inbound.Body});
+bool isQuarantined(const RelayState &State, const RelayCall &Call) {
+  const auto Quarantined = ContentStatus::Quarantined;
+  return statusOf(State.Quarantine, Call.Content) == Quarantined ||
+         statusOf(State.Quarantine, Call.PathContent) == Quarantined;
 }
 
-bool isQuarantined(const RelayState &State, const RelayCall &Call) {
-  return statusOf(State.Quarantine, Call.Content) == ContentStatus::Quarantined;
+bool isSuspect(const RelayState &State, const RelayCall &Call) {
+  const auto Trusted = ContentStatus::Trusted;
+  return statusOf(State.Quarantine, Call.Content) != Trusted ||
+         statusOf(State.Quarantine, Call.PathContent) != Trusted;
+}
+
+Milliseconds quarantineTimeLeft(const RelayState &State,
+                                const RelayCall &Call) {
+  return std::max(
+      quarantineTimeLeft(State.Quarantine, Call.Content, State.Now),
+      quarantineTimeLeft(State.Quarantine, Call.PathContent, State.Now));
 }
 
 void recordLostAttempt(RelayContext &Context, const RelayCall &Call,
@@ -163,9 +188,9 @@
   Losses.Port = Call.SentTo.Port;
   Losses.UpdatedAt = State.Now;
   if (Losses.Attempts.size() < State.Options.MaxLostAttemptsPerTarget)
-    Losses.Attempts.push_back(LostAttempt{Call.InboundRequest.Id, Call.Content,
-                                          exposureOf(Call), Call.SentAt,
-                                          State.Now});
+    Losses.Attempts.push_back(
+        LostAttempt{Call.InboundRequest.Id, accusedContentOf(State, Call),
+                    exposureOf(Call), Call.SentAt, State.Now});
   const bool HasCrashed = Losses.CrashedAt && State.Now - *Losses.CrashedAt <
                                                   State.Options.CrashSettleTime;
   if (HasCrashed) {
@@ -212,17 +237,20 @@
 }
 
 void clearCallContent(RelayContext &Context, const RelayCall &Call) {
-  if (!clearContent(Context.State.Quarantine, Call.Content, Context.now()))
-    return;
-  logStatus(Context, "content_cleared", Call.Content,
-            {{"request", Call.InboundRequest.Id.Value},
-             {"target", Call.Target.Value}});
-  reportEvidence(Context, Call.Content);
+  recordAnsweredPath(Context.State, Call);
+  for (const Fingerprint Content : {Call.Content, Call.PathContent})
+    clearEvidence(Context, Content,
+                  {{"request", Call.InboundRequest.Id.Value},
+                   {"target", Call.Target.Value}});
 }
 
 void handleSuspectNotice(RelayContext &Context, const SuspectNotice &Notice) {
-  if (mergeNotice(Context.State.Quarantine, Notice, Context.now()))
-    logStatus(Context, "content_evidence_received", Notice.Content, {});
+  if (!mergeNotice(Context.State.Quarantine, Notice, Context.now()))
+    return;
+  logStatus(Context, "content_evidence_received", Notice.Content, {});
+  Context.State.HasNewCrashEvidence = true;
+  if (isAnsweredPath(Context.State, Notice.Content))
+    clearEvidence(Context, Notice.Content, {{"request", "earlier"}});
 }
 
 void sendEvidenceTo(RelayContext &Context, const HolderId &Holder) {
@@ -239,6 +267,25 @@
   refuteCrashes(Context);
   expireEvidence(State.Quarantine, State.Now);
   dropOldLosses(State);
+  dropPathsOfRemovedRoutes(State);
+}
+
+void stopQuarantinedCalls(RelayContext &Context) {
+  RelayState &State = Context.State;
+  if (!State.HasNewCrashEvidence)
+    return;
+  State.HasNewCrashEvidence = false;
+  std::vector<RequestId> Stopped;
+  for (const auto &[Request, Call] : State.Calls) {
+    const bool IsRunning = Call.Attempt.Value != 0 && !hasOutput(Call);
+    if (IsRunning && isQuarantined(State, Call))
+      Stopped.push_back(Request);
+  }
+  for (const RequestId Request : Stopped) {
+    RelayCall &Call = State.Calls.at(Request);
+    ++Call.UncertainSends;
+    refuseCall(Context, Call, RelayRefusalReason::Quarantined);
+  }
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/CrashDetection.h
+++ b/packages/decision/src/relay/CrashDetection.h
@@ -13,13 +13,16 @@
 
 namespace tanagerlanding {
 
-/// Returns the fingerprint of a request without its id, which is new each time
-/// the request is sent.
-Fingerprint contentOf(const CallerRequest &Inbound);
-
 /// Returns whether a call's content is quarantined.
 bool isQuarantined(const RelayState &State, const RelayCall &Call);
 
+/// Returns whether a call's content has been in flight in a crash and not been
+/// answered since.
+bool isSuspect(const RelayState &State, const RelayCall &Call);
+
+/// Returns how long a call's content stays quarantined if no crash follows.
+Milliseconds quarantineTimeLeft(const RelayState &State, const RelayCall &Call);
+
 /// Records that a call's attempt ended without a complete answer. Probes the
 /// target if the connection was closed. A silent target is judged only by the
 /// next registration at its address.
@@ -34,10 +37,12 @@
 /// has ended.
 void detectReplacedRun(RelayContext &Context, const RegisteredTarget &Entry);
 
-/// Voids the evidence against the content of a call that ran to completion.
+/// Remembers the path of a call that ran to completion, and voids the evidence
+/// against its content.
 void clearCallContent(RelayContext &Context, const RelayCall &Call);
 
-/// Applies evidence from a replica.
+/// Applies evidence from a replica. Evidence against a path that this relay
+/// knows to be answered is voided.
 void handleSuspectNotice(RelayContext &Context, const SuspectNotice &Notice);
 
 /// Sends all evidence to a replica that has connected.
@@ -47,6 +52,10 @@
 /// old.
 void reviewCrashEvidence(RelayContext &Context);
 
+/// Cancels the attempts of quarantined calls that have produced no output, as
+/// they would crash their targets, and refuses the calls.
+void stopQuarantinedCalls(RelayContext &Context);
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -1,6 +1,7 @@
 #include "Placement.h"
 
 #include "CallQueue.h"
+#include "CrashDetection.h"
 #include "Directory.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
@@ -174,6 +175,30 @@
   return Best == Candidates.end() ? nullptr : &*Best;
 }
 
+/// Returns the candidate for a suspect content: of those with capacity, the
+/// first in an order that is the same on every relay and differs by content.
+/// All copies of a content then crash one target at a time, and contents that
+/// were lost together run apart, so that the next crash tells them apart. Null
+/// if there is none.
+const Candidate *forSuspect(const RelayState &State,
+                            const std::vector<Candidate> &Candidates,
+                            const RelayCall &Call) {
+  const std::string Key = std::to_string(Call.PathContent.Value) + '/';
+  const double Limit = loadLimitOf(State, Call);
+  const Candidate *Best = nullptr;
+  std::uint64_t BestRank = 0;
+  for (const Candidate &Each : Candidates) {
+    if (Each.IsInBackoff || Limit * slotsOf(State, *Each.Target) <= Each.Load)
+      continue;
+    const std::uint64_t Rank = hashBytes(Key + Each.Target->Entry.Id.Value);
+    if (Best && BestRank <= Rank)
+      continue;
+    Best = &Each;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
 RelayTarget *findTarget(RelayState &State, const TargetId &Id) {
   const auto Found = State.Targets.find(Id);
   return Found == State.Targets.end() ? nullptr : &Found->second;
@@ -186,7 +211,10 @@
   const std::vector<Candidate> Candidates = candidatesOf(State, Call);
   if (Candidates.empty())
     return PlacementFailure::NoTarget;
-  const Candidate *Best = cheapest(Candidates);
+  const Candidate *Best =
+      isSuspect(State, Call) ? forSuspect(State, Candidates, Call) : nullptr;
+  if (!Best)
+    Best = cheapest(Candidates);
   const double Slots = slotsOf(State, *Best->Target);
   if (Best->Load < loadLimitOf(State, Call) * Slots)
     return Best->Target->Entry.Id;
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -164,6 +164,7 @@
   std::vector<RelayEffect> Effects;
   RelayContext Context(State, Effects);
   std::visit(RelayEventHandler(Context), Event);
+  stopQuarantinedCalls(Context);
   updateQuorumState(Context);
   admitDeferredRequests(Context);
   return Effects;
--- /dev/null
+++ b/packages/decision/src/relay/RequestContent.cpp
@@ -0,0 +1,85 @@
+#include "RequestContent.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+bool isAnswered(const RoutePaths &Paths, Fingerprint PathContent) {
+  for (const auto *Generation : {&Paths.Newer, &Paths.Older}) {
+    const auto Found = Generation->find(PathContent);
+    if (Found != Generation->end())
+      return Found->second;
+  }
+  return false;
+}
+
+void recordPath(RelayState &State, const RelayCall &Call, bool IsAnswered) {
+  RoutePaths &Paths = State.PathsByRoute[Call.Route.Name];
+  const bool WasAnswered = isAnswered(Paths, Call.PathContent);
+  if (State.Options.MaxPathsPerRoute / 2 <= Paths.Newer.size()) {
+    Paths.Older = std::move(Paths.Newer);
+    Paths.Newer.clear();
+  }
+  Paths.Newer[Call.PathContent] = WasAnswered || IsAnswered;
+}
+
+} // namespace
+
+std::string pathOf(const std::string &RequestTarget) {
+  return RequestTarget.substr(0, RequestTarget.find('?'));
+}
+
+Fingerprint contentOf(const CallerRequest &Inbound) {
+  return fingerprintOfContent(
+      {Inbound.Method, Inbound.Host, Inbound.RequestTarget, Inbound.Body});
+}
+
+Fingerprint pathContentOf(const CallerRequest &Inbound) {
+  return fingerprintOfContent(
+      {Inbound.Method, Inbound.Host, pathOf(Inbound.RequestTarget)});
+}
+
+Fingerprint accusedContentOf(const RelayState &State, const RelayCall &Call) {
+  const auto Found = State.PathsByRoute.find(Call.Route.Name);
+  if (Found == State.PathsByRoute.end())
+    return Call.Content;
+  const RoutePaths &Paths = Found->second;
+  const bool ArePathsDistinct =
+      State.Options.MinDistinctPaths <= Paths.Newer.size() + Paths.Older.size();
+  return ArePathsDistinct && !isAnswered(Paths, Call.PathContent)
+             ? Call.PathContent
+             : Call.Content;
+}
+
+void recordRequestedPath(RelayState &State, const RelayCall &Call) {
+  recordPath(State, Call, /*IsAnswered=*/false);
+}
+
+void recordAnsweredPath(RelayState &State, const RelayCall &Call) {
+  recordPath(State, Call, /*IsAnswered=*/true);
+}
+
+bool isAnsweredPath(const RelayState &State, Fingerprint PathContent) {
+  return std::any_of(State.PathsByRoute.begin(), State.PathsByRoute.end(),
+                     [PathContent](const auto &Each) {
+                       return isAnswered(Each.second, PathContent);
+                     });
+}
+
+void dropPathsOfRemovedRoutes(RelayState &State) {
+  if (!State.Configuration)
+    return;
+  const std::vector<RelayRoute> &Routes = State.Configuration->Routes;
+  for (auto Each = State.PathsByRoute.begin();
+       Each != State.PathsByRoute.end();) {
+    const bool IsConfigured =
+        std::any_of(Routes.begin(), Routes.end(), [&](const RelayRoute &Route) {
+          return Route.Name == Each->first;
+        });
+    Each = IsConfigured ? std::next(Each) : State.PathsByRoute.erase(Each);
+  }
+}
+
+} // namespace tanagerlanding
--- a/packages/decision/tests/CrashEvidenceTest.cpp
+++ b/packages/decision/tests/CrashEvidenceTest.cpp
@@ -44,6 +44,54 @@
         Table.Retention - Milliseconds(500));
 }
 
+TEST_CASE("CrashEvidence: targets that crash at the same time count once") {
+  QuarantineTable Table = sharedTable();
+  for (int Number = 1; Number <= 9; ++Number)
+    recordCrash(
+        Table, Guilty, runOf(Number),
+        {CrashExposure::BeforeOutput, Start + Milliseconds(11 * Number)});
+  CHECK(statusOf(Table, Guilty) == ContentStatus::Suspect);
+  crash(Table, Guilty, 10);
+  CHECK(statusOf(Table, Guilty) == ContentStatus::Quarantined);
+}
+
+TEST_CASE("CrashEvidence: a content that lost four targets by chance is not "
+          "quarantined") {
+  QuarantineTable Table = sharedTable();
+  SECTION("another content was in flight in three of them") {
+    for (int Number = 1; Number <= 3; ++Number)
+      crash(Table, Guilty, Number);
+    for (int Number = 1; Number <= 4; ++Number)
+      crash(Table, Beside, Number);
+  }
+  SECTION("two more crashed without it") {
+    crash(Table, Fingerprint(3), 1);
+    crash(Table, Fingerprint(3), 2);
+    for (int Number = 3; Number <= 6; ++Number)
+      crash(Table, Beside, Number);
+  }
+  SECTION("they belong to a convicted content") {
+    for (int Number = 1; Number <= 4; ++Number)
+      crash(Table, Guilty, Number);
+    REQUIRE(statusOf(Table, Guilty) == ContentStatus::Quarantined);
+    for (int Number = 1; Number <= 4; ++Number)
+      crash(Table, Beside, Number);
+    crash(Table, Beside, 5);
+  }
+  CHECK(statusOf(Table, Beside) == ContentStatus::Suspect);
+}
+
+TEST_CASE("CrashEvidence: crashes of one crashing content are no explanation "
+          "for those of another") {
+  QuarantineTable Table = sharedTable();
+  for (int Number = 1; Number <= 4; ++Number)
+    crash(Table, Beside, Number);
+  for (int Number = 5; Number <= 8; ++Number)
+    crash(Table, Guilty, Number);
+  CHECK(statusOf(Table, Beside) == ContentStatus::Quarantined);
+  CHECK(statusOf(Table, Guilty) == ContentStatus::Quarantined);
+}
+
 TEST_CASE("CrashEvidence: a crash that several processes report counts once") {
   QuarantineTable Table = sharedTable();
   for (int Report = 0; Report < 5; ++Report)
@@ -200,6 +248,7 @@
   QuarantineTable Table = sharedTable();
   for (int Number = 1; Number <= 4; ++Number)
     crash(Table, Guilty, Number);
+  REQUIRE(statusOf(Table, Guilty) == ContentStatus::Quarantined);
   Table.RefutedRuns.insert(runOf(2));
   CHECK(statusOf(Table, Guilty) == ContentStatus::Suspect);
 }
