Let answers that have begun go on after a verdict

A verdict cancelled attempts without body bytes; a target that has sent the head of its answer runs the request and does not crash by it. Found by reading; RelayCrashTest, 'a verdict stops attempts without an answer', checks it.

--- a/packages/decision/include/tanagerlanding/decision/CrashEvidence.h
+++ b/packages/decision/include/tanagerlanding/decision/CrashEvidence.h
@@ -99,8 +99,8 @@
 /// that a convicted content explains do not count against others.
 struct SharedRunPolicy {
   /// Crashes without output after which a content is quarantined, unless there
-  /// is another explanation: a content that was in flight in the same ones, or
-  /// targets that crash without the content.
+  /// is another explanation: a content that was in flight in all but one of
+  /// them, or targets that crash without the content.
   std::uint32_t RequiredCrashes = 4;
   /// Crashes after which a content is quarantined in any case.
   std::uint32_t MaxCrashes = 5;
--- a/packages/decision/src/CrashEvidence.cpp
+++ b/packages/decision/src/CrashEvidence.cpp
@@ -35,8 +35,8 @@
   return Last;
 }
 
-/// Crashes without output of which two contents must have as many in common to
-/// be told apart by the next one only.
+/// Crashes without output that a content must share with the judged one to be
+/// considered as their cause.
 constexpr std::size_t SharedCrashes = 2;
 
 CountedCrashes crashesBeforeOutput(const CountedCrashes &Crashes) {
--- a/packages/decision/src/relay/CrashDetection.cpp
+++ b/packages/decision/src/relay/CrashDetection.cpp
@@ -4,6 +4,8 @@
 #include "Directory.h"
 #include "RequestContent.h"
 
+#include <algorithm>
+
 namespace tanagerlanding {
 
 namespace {
@@ -277,7 +279,7 @@
   State.HasNewCrashEvidence = false;
   std::vector<RequestId> Stopped;
   for (const auto &[Request, Call] : State.Calls) {
-    const bool IsRunning = Call.Attempt.Value != 0 && !hasOutput(Call);
+    const bool IsRunning = Call.Attempt.Value != 0 && !Call.Head;
     if (IsRunning && isQuarantined(State, Call))
       Stopped.push_back(Request);
   }
--- a/packages/decision/src/relay/CrashDetection.h
+++ b/packages/decision/src/relay/CrashDetection.h
@@ -52,8 +52,8 @@
 /// old.
 void reviewCrashEvidence(RelayContext &Context);
 
-/// Cancels the attempts of quarantined calls that have produced no output, as
-/// they would crash their targets, and refuses the calls.
+/// Cancels the attempts of quarantined calls whose targets have not begun to
+/// answer, as they would crash them, and refuses the calls.
 void stopQuarantinedCalls(RelayContext &Context);
 
 } // namespace tanagerlanding
--- a/packages/decision/tests/RelayCrashTest.cpp
+++ b/packages/decision/tests/RelayCrashTest.cpp
@@ -405,8 +405,12 @@
   CHECK(Targets != OtherTargets);
 }
 
-TEST_CASE("RelayCrash: a verdict stops attempts without output, as unknown") {
+TEST_CASE("RelayCrash: a verdict stops attempts without an answer, as "
+          "unknown") {
   CrashFixture Fixture;
+  Fixture.ask("/once/x", "answered");
+  Fixture.apply(AttemptHeadReceived{Fixture.lastAttempt().Attempt,
+                                    RelayFixture::head(200)});
   Fixture.ask("/once/x", "running");
   const SendAttempt Running = Fixture.lastAttempt();
   Fixture.ask("/once/y", "other");
@@ -419,6 +423,8 @@
                               CrashExposure::BeforeOutput,
                               Milliseconds(1000 * Number)});
   Fixture.apply(ReplicaMessageReceived{HolderId("a"), Notice});
+  // What has begun to be answered goes on.
+  CHECK(Fixture.State.Calls.size() == 2);
   REQUIRE(Fixture.all<CancelTargetAttempt>().size() == 1);
   CHECK(Fixture.all<CancelTargetAttempt>()[0].Attempt == Running.Attempt);
   REQUIRE(Fixture.all<RefuseCaller>().size() == 1);
