Wait in PouringTargets until the relay knows the pouring target only

Cause of the red test: it removed the site's two workers and waited 1,500 ms, while a relay goes on using a target without a registration for MissingTargetGrace, 2,000 ms, after the key-value service was regained. The request to be poured on then reached a worker that answers (200 in place of 502), nothing poured, and the REQUIRE threw past a joinable thread, which aborted the test. The checks are as before.

--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -151,6 +151,15 @@
   });
 }
 
+void PlatformSite::awaitTargets(std::size_t Relay, std::size_t Count) {
+  Request Call;
+  Call.Url = "http://" + loopback(this->StatusPorts[Relay]) + "/metrics";
+  const std::string Expected = "relay_targets " + std::to_string(Count) + "\n";
+  if (!waitFor(
+          [&] { return send(Call).Body.find(Expected) != std::string::npos; }))
+    throw std::runtime_error("relay does not know the expected targets");
+}
+
 Response PlatformSite::sendPlain(const std::string &Id) {
   return this->sendCall("/plain/x", Id, "", 0);
 }
--- a/tests/harness/PlatformSite.h
+++ b/tests/harness/PlatformSite.h
@@ -49,6 +49,9 @@
   void startLedger(std::size_t Number);
   void startRelay(std::size_t Number);
   bool awaitReady(std::size_t Relay = 0);
+  /// Waits until a relay knows exactly this number of targets. Throws
+  /// std::runtime_error if it does not.
+  void awaitTargets(std::size_t Relay, std::size_t Count);
   /// Returns the data folder of a ledger replica.
   std::filesystem::path ledgerFolder(std::size_t Number) const;
 
--- a/tests/integration/CrashingRequests.cpp
+++ b/tests/integration/CrashingRequests.cpp
@@ -10,7 +10,6 @@
 #include <atomic>
 #include <functional>
 #include <optional>
-#include <stdexcept>
 #include <thread>
 
 using namespace tanagerlanding::test;
@@ -73,21 +72,7 @@
     this->Site.Store.remove("servers/i-1");
     this->Site.Store.remove("servers/i-2");
     for (std::size_t Relay = 0; Relay < RelayCount; ++Relay)
-      this->awaitTargets(Relay, FleetOptions.Count);
-  }
-
-  /// Waits until a relay knows this number of targets.
-  void awaitTargets(std::size_t Relay, std::size_t Count) {
-    Request Call;
-    Call.Url =
-        "http://127.0.0.1:" + std::to_string(this->Site.StatusPorts[Relay]) +
-        "/metrics";
-    const std::string Expected =
-        "relay_targets " + std::to_string(Count) + "\n";
-    if (!waitFor([&] {
-          return send(Call).Body.find(Expected) != std::string::npos;
-        }))
-      throw std::runtime_error("a relay does not know the fleet's workers");
+      this->Site.awaitTargets(Relay, FleetOptions.Count);
   }
 
   PlatformSite Site;
--- a/tests/integration/PouringTargets.cpp
+++ b/tests/integration/PouringTargets.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <fstream>
+#include <future>
 #include <thread>
 
 using namespace tanagerlanding::test;
@@ -111,8 +112,8 @@
   PouringSite() : Target(this->Site.Store) {
     this->Site.Store.remove("servers/i-1");
     this->Site.Store.remove("servers/i-2");
-    REQUIRE(waitFor([&] { return this->isOtherServed(); }));
-    std::this_thread::sleep_for(milliseconds(1500));
+    this->Site.awaitTargets(0, 1);
+    REQUIRE(this->isOtherServed());
     this->PeakBefore = this->peakKilobytes();
   }
 
@@ -157,12 +158,12 @@
 /// of others.
 Response checkPouring(const std::string &Path) {
   PouringSite Deployment;
-  Response Result;
-  std::thread Caller([&] { Result = Deployment.ask(Path); });
+  auto Caller =
+      std::async(std::launch::async, [&] { return Deployment.ask(Path); });
   REQUIRE(waitFor([&] { return Deployment.Target.Poured > 0; }));
   CHECK(Deployment.isOtherServed());
   CHECK(Deployment.Target.awaitClosed(CallerTime + CloseMargin));
-  Caller.join();
+  Response Result = Caller.get();
   CHECK(Deployment.isOtherServed());
   CHECK(Deployment.growthKilobytes() < MaxGrowthKilobytes);
   return Result;
