Wait in PlatformPath until both relays know the target that stays

Cause of one way in which PlatformPath was red: the case of leaving targets registers a third worker and sends at once; the 80 calls that make the first two known as leaving can be over before a relay has read the registration, and the following calls are then refused with 503, rightly, as no target is left. Ruled out: a lost ledger (plain calls, which need none, were refused too). Change: the test waits for the relays' own count of targets. The checks are as before.

--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -147,6 +147,8 @@
     Leaving->announceLeaving();
   WorkerStandin Staying("i-3");
   Site.Store.put("servers/i-3", Staying.registration("app"));
+  for (std::size_t Relay = 0; Relay < 2; ++Relay)
+    Site.awaitTargets(Relay, 3);
   // Both relays get answers of both targets.
   for (int Number = 0; Number < 80; ++Number)
     Site.sendCall("/plain/x", "a" + std::to_string(Number), "", Number % 2);
