Log the request limits that targets name, and the kind of each send

Relays now decode the limit (a typed error where it is no usable rate, logged once for a run and value), keep it by run of the target, and log when it is named, changed or ended, with its age; each send has the limit known then and its kind. An answer is newer than another only if its request was sent after the other was received; of overlapping ones the lower limit holds. Nothing is decided by it yet.

--- a/packages/basics/include/tanagerlanding/basics/Units.h
+++ b/packages/basics/include/tanagerlanding/basics/Units.h
@@ -46,6 +46,18 @@
   bool operator==(TokenCount Other) const { return this->Value == Other.Value; }
 };
 
+/// A number of requests per second.
+struct RequestRate {
+  double PerSecond = 0;
+
+  bool operator<(RequestRate Other) const {
+    return this->PerSecond < Other.PerSecond;
+  }
+  bool operator==(RequestRate Other) const {
+    return this->PerSecond == Other.PerSecond;
+  }
+};
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace tanagerlanding {
@@ -55,6 +56,16 @@
   std::optional<std::string> AffinityKey;
 };
 
+/// A limit in an answer that is not a usable rate, as the target sent it.
+struct InvalidRequestRate {
+  std::string Text;
+};
+
+/// What an answer states about the rate of requests that its target takes from
+/// all relays together.
+using StatedRequestLimit =
+    std::variant<std::monostate, RequestRate, InvalidRequestRate>;
+
 /// Status and headers of a target's answer.
 struct TargetAnswerHead {
   std::uint16_t Status = 0;
@@ -72,6 +83,7 @@
   bool IsEventStream = false;
   /// Requests running and waiting at the target, if it reports them.
   std::optional<std::uint32_t> Load;
+  StatedRequestLimit RequestLimit;
 };
 
 /// Why the system answered a request itself instead of forwarding a target's
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -4,6 +4,7 @@
 #define TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
 
 #include "tanagerlanding/decision/CrashEvidence.h"
+#include "tanagerlanding/decision/TargetLimits.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 #include "tanagerlanding/decision/relay/CallerRequest.h"
 #include "tanagerlanding/decision/relay/EventSplitter.h"
@@ -340,6 +341,10 @@
   /// Runs of targets that stated in an answer that they are leaving, and when
   /// they last did. A run that leaves does not come back.
   std::map<TargetRun, Instant> LeavingRuns;
+  /// The request limits that targets state in their answers.
+  LimitTable Limits;
+  /// Invalid limits that have been logged.
+  std::set<std::pair<TargetRun, std::string>> ReportedInvalidLimits;
   /// Versions of targets that are no longer registered, and when they last
   /// were.
   std::map<ServiceName, std::map<SoftwareVersion, Instant>> FormerVersions;
@@ -366,7 +371,7 @@
   std::map<LedgerOperationId, PendingClose> PendingCloses;
   /// Prompt cache locations by program and agent; see promptCacheKeysOf().
   std::map<std::string, PromptCacheLocation> PromptCacheLocations;
-  Instant PromptCachesExpiredAt;
+  Instant HintsExpiredAt;
   /// Evidence against contents that crash their targets.
   QuarantineTable Quarantine{SharedRunPolicy{}, SharedContentLimit};
   /// Attempts lost within LostAttemptRetention, by the run that they were sent
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -4,6 +4,7 @@
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
+#include "LimitObservations.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
 #include "TurnCloses.h"
@@ -293,6 +294,15 @@
   return RelayRefusalReason::NoTarget;
 }
 
+/// Returns the kind of a call's next send, for logs.
+const char *kindOfNextSend(const RelayCall &Call) {
+  if (Call.EventsSent > 0)
+    return "resumed";
+  if (Call.UncertainSends + Call.RefusedSends > 0)
+    return "retry";
+  return Call.Phase == RelayPhase::Queued ? "queued" : "first";
+}
+
 /// Returns whether any attempt so far may have run at a target.
 Execution executionOf(const RelayCall &Call) {
   return Call.UncertainSends > 0 ? Execution::Unknown : Execution::NotRun;
@@ -346,6 +356,7 @@
     return;
   }
   const RelayTarget &Target = State.Targets.at(Chosen.value());
+  const char *Kind = kindOfNextSend(Call);
   Call.Phase = RelayPhase::Running;
   Call.Attempt = RelayAttemptId(State.NextAttempt++);
   Call.Target = Chosen.value();
@@ -364,14 +375,17 @@
   Send.History = Call.Ledger.History;
   if (Call.EventsSent > 0)
     Send.ResumeAfter = Call.LastEventId;
-  Context.logCall("attempt_sent", Call,
-                  {{"target", Call.Target.Value},
-                   {"service", Call.Service.Value},
-                   {"version", Call.SentTo.Version.Value},
-                   {"content", std::to_string(Call.Content.Value)},
-                   {"outstanding", std::to_string(Target.Outstanding)},
-                   {"others", std::to_string(Target.ExternalLoad)},
-                   {"left_ms", RelayContext::millis(Send.TimeLeft)}});
+  Context.logCall(
+      "attempt_sent", Call,
+      {{"target", Call.Target.Value},
+       {"service", Call.Service.Value},
+       {"version", Call.SentTo.Version.Value},
+       {"content", std::to_string(Call.Content.Value)},
+       {"outstanding", std::to_string(Target.Outstanding)},
+       {"others", std::to_string(Target.ExternalLoad)},
+       {"limit_per_second", RelayContext::rate(limitOf(State, Target.Entry))},
+       {"kind", Kind},
+       {"left_ms", RelayContext::millis(Send.TimeLeft)}});
   addOutstanding(State, Call.Target);
   recordPromptCacheLocation(State, Call);
   Context.add(std::move(Send));
@@ -422,6 +436,7 @@
     recordLeavingRun(Context, Call->SentTo.run());
   if (Event.Head.Status < FirstServerError)
     recordAnswerStart(Context.State, *Call);
+  recordStatedLimit(Context, *Call, Event.Head);
   if (Event.Head.Load)
     recordLoadReport(Context.State, Call->Target, *Event.Head.Load);
 }
--- a/packages/decision/src/relay/RelayContext.h
+++ b/packages/decision/src/relay/RelayContext.h
@@ -58,6 +58,11 @@
     return std::to_string(Value.count());
   }
 
+  /// Returns a rate as text; empty if there is none.
+  static std::string rate(const std::optional<RequestRate> &Value) {
+    return Value ? std::to_string(Value->PerSecond) : std::string();
+  }
+
   RelayState &State;
   std::vector<RelayEffect> &Effects;
 };
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -5,6 +5,7 @@
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
+#include "LimitObservations.h"
 #include "Placement.h"
 #include "RelayContext.h"
 #include "Turns.h"
@@ -40,14 +41,15 @@
   Context.add(ExitRelay{});
 }
 
-/// How often prompt cache locations are checked for eviction.
-constexpr Milliseconds PromptCacheExpiryInterval{1000};
+/// How often hints about targets are checked for eviction.
+constexpr Milliseconds HintExpiryInterval{1000};
 
-void expirePromptCacheLocations(RelayState &State) {
-  if (State.Now - State.PromptCachesExpiredAt < PromptCacheExpiryInterval)
+void expireHints(RelayState &State) {
+  if (State.Now - State.HintsExpiredAt < HintExpiryInterval)
     return;
-  State.PromptCachesExpiredAt = State.Now;
+  State.HintsExpiredAt = State.Now;
   evictPromptCacheLocations(State);
+  expireLimitObservations(State);
 }
 
 /// Dispatches an event to the handlers of its type.
@@ -66,7 +68,7 @@
     handleFirstByteTimeouts(this->Context);
     enforceLedgerTimeouts(this->Context);
     removeMissingTargets(this->Context);
-    expirePromptCacheLocations(this->State);
+    expireHints(this->State);
     reviewCrashEvidence(this->Context);
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -326,6 +326,10 @@
                            static_cast<double>(this->State.Calls.size()));
   this->ProcessMetrics.set("relay_targets",
                            static_cast<double>(this->State.Targets.size()));
+  this->ProcessMetrics.set(
+      "relay_limited_targets",
+      static_cast<double>(
+          allNotices(this->State.Limits, this->State.Now).size()));
   this->ProcessMetrics.set("platform_calls",
                            static_cast<double>(this->Service.callCount()));
   this->ProcessMetrics.set("control_sent_bytes",
