Send to a target that names a limit only by permits of the replicas

What callers and targets saw: targets that named 5.6 to 8.8 requests a second got 15 to 20 (52 to 79 in 4 s; allowed 39 to 51), from every relay. Cause: nothing decided by the limit, and what a relay knows it knows alone; an own share of each relay would be exceeded by their number. Change: relays tell each other limits by way of the replicas, and ask for them when they connect. A target that names one gets a request only for a permit. Each member of the view issues an equal part of the limit, evenly, without saving up; so none has to agree with another, and a lost one can only lower what the target gets. A permit is valid for 1.5 s on the clock of the relay that asked. sendCall, the only function that sends, takes it. Without one a call goes elsewhere, is queued by urgency, or is refused at once as not run with a Retry-After that spreads callers. A service without capacity does not hold up queued calls of others. A target with a limit replaces no prompt cache location without one.

--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -6,6 +6,7 @@
 #include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/Inventory.h"
 #include "tanagerlanding/decision/Records.h"
+#include "tanagerlanding/decision/TargetLimits.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 
 #include <optional>
@@ -209,16 +210,16 @@
   ConfigVersion Version;
 };
 
-using Message =
-    std::variant<Hello, Heartbeat, ConfigOffer, LeavingNotice, ForwardCall,
-                 ForwardCancelled, ForwardChunk, ForwardAnswered, AppendRecords,
-                 RecordsPersisted, AppendRejected, SealLog, LogSealed,
-                 ReleaseLog, SuspectNotice, DispatchAttempt, AttemptRefused,
-                 AttemptChunk, AttemptFinished, QueryAttempt, AttemptRunning,
-                 ForgetAttempt, CancelAttempt, KeepPrefixes, ReleasePrefixes,
-                 LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
-                 TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
-                 DirectoryChanges, SuspectList, StreamStarted>;
+using Message = std::variant<
+    Hello, Heartbeat, ConfigOffer, LeavingNotice, ForwardCall, ForwardCancelled,
+    ForwardChunk, ForwardAnswered, AppendRecords, RecordsPersisted,
+    AppendRejected, SealLog, LogSealed, ReleaseLog, SuspectNotice,
+    DispatchAttempt, AttemptRefused, AttemptChunk, AttemptFinished,
+    QueryAttempt, AttemptRunning, ForgetAttempt, CancelAttempt, KeepPrefixes,
+    ReleasePrefixes, LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
+    TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
+    DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
+    TargetLimitQuery, PermitRequest, PermitGrant>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/TargetLimits.h
+++ b/packages/decision/include/tanagerlanding/decision/TargetLimits.h
@@ -30,6 +30,30 @@
   Milliseconds AnswerAge{0};
 };
 
+/// Asks a replica for all limits that it knows of.
+struct TargetLimitQuery {};
+
+/// Asks a replica for permits to send requests to targets with a limit. A later
+/// message about a target replaces an earlier one of the same sender.
+struct PermitRequest {
+  struct Row {
+    /// The limit as the sender knows it.
+    TargetLimitNotice Stated;
+    std::uint32_t Wanted = 0;
+  };
+  /// The time on the sender's clock, which the permits return.
+  Instant AskedAt;
+  std::vector<Row> Rows;
+};
+
+/// Permits a number of requests to a target. They are valid for a time from
+/// AskedAt, so that a delay on the way cannot add up permits.
+struct PermitGrant {
+  TargetRun Run;
+  std::uint32_t Count = 0;
+  Instant AskedAt;
+};
+
 /// How an observation changed what is known of a target.
 enum class LimitChange : std::uint8_t { None, Named, Changed, Ended };
 
@@ -42,6 +66,17 @@
   std::map<TargetRun, LimitObservation> Observations;
 };
 
+/// Issues permits evenly at a rate. Apart from a small burst, what is not taken
+/// is lost, so that idle time does not allow a burst later.
+struct PermitBucket {
+  double Available = 0;
+  Instant AccruedAt;
+
+  void accrue(RequestRate Rate, Instant Now);
+  /// Takes one permit. Returns false if there is none.
+  bool take();
+};
+
 /// Returns the limit in force for a run; absent if it has none.
 std::optional<RequestRate> limitOf(const LimitTable &Table,
                                    const TargetRun &Run);
@@ -56,6 +91,10 @@
 LimitChange mergeNotice(LimitTable &Table, const TargetLimitNotice &Notice,
                         Instant Now);
 
+/// Returns what a run last stated; absent if it has never named a limit.
+std::optional<TargetLimitNotice> noticeOf(const LimitTable &Table,
+                                          const TargetRun &Run, Instant Now);
+
 /// Returns notices of all limits in force.
 std::vector<TargetLimitNotice> allNotices(const LimitTable &Table, Instant Now);
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -5,6 +5,7 @@
 
 #include "tanagerlanding/decision/Messages.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,6 +43,10 @@
   /// Bytes of records in one page of a pull; small compared with the window of
   /// a connection.
   std::uint32_t PageBytes = 64 * 1024;
+  /// How long a relay waits here for a permit. It then asks another replica.
+  Milliseconds PermitRequestTimeout{1000};
+  /// Longer than a target lives without an answer to any relay.
+  Milliseconds LimitRetention{600000};
   /// Number of streams whose origin is kept. A stream above it can't be
   /// continued by its caller.
   std::size_t StartedStreamLimit = 100000;
@@ -89,6 +94,22 @@
   Instant ExpiresAt;
 };
 
+/// A relay that waits for permits of one target.
+struct WaitingRelay {
+  HostId Relay;
+  std::uint32_t Wanted = 0;
+  /// The time on the relay's clock, and on this replica's.
+  Instant AskedAt;
+  Instant ReceivedAt;
+};
+
+/// Issues this replica's share of the permits of one target.
+struct PermitIssuer {
+  PermitBucket Bucket;
+  /// In the order in which they get the next permits.
+  std::deque<WaitingRelay> Waiting;
+};
+
 /// A batch that has been submitted to the data folder and is not durable yet.
 struct PendingBatch {
   /// Host that gets the reply; absent for pulled batches.
@@ -163,6 +184,9 @@
   std::map<std::uint64_t, PendingBatch> PendingBatches;
   std::uint64_t NextTicket = 1;
   Instant SweptAt;
+  /// Limits that targets have named, and the permits that this replica issues.
+  LimitTable Limits;
+  std::map<TargetRun, PermitIssuer> PermitIssuers;
   /// Evidence against contents that crash their targets, for the relays.
   QuarantineTable Suspects{SharedRunPolicy{}, SharedContentLimit};
 };
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -109,6 +109,9 @@
   UnknownStream,
   /// No target of the software version that began the stream is left.
   NoTargetOfVersion,
+  /// The targets with room take no more requests a second, and the call would
+  /// wait too long for its turn.
+  TargetLimit,
 };
 
 /// Returns the stable name of a reason, for logs and metrics.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -10,6 +10,7 @@
 #include "tanagerlanding/decision/relay/EventSplitter.h"
 #include "tanagerlanding/decision/relay/RelayConfiguration.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -140,6 +141,31 @@
   /// Added to the longest time of a caller, to get the time for which the
   /// origin of its stream is kept. Covers processes that are suspended.
   Milliseconds StreamOriginMargin{5000};
+  /// How long a permit is valid from the time when it was asked for, and how
+  /// long a replica may take to grant it.
+  Milliseconds PermitLifetime{1500};
+  Milliseconds PermitRequestTimeout{1000};
+  /// The time whose requests a relay holds or awaits permits for, beyond a
+  /// single one.
+  Milliseconds PermitHorizon{500};
+  /// Number of targets of a service for which a relay asks for permits, unless
+  /// it needs as many permits. Relays ask for different ones.
+  std::size_t MinPermitTargets = 16;
+  /// Half-life of the counts from which rates of requests are estimated, and
+  /// the rate below which a relay holds no permits in advance.
+  Milliseconds RateHalfLife{2000};
+  double MinRequestsPerSecond = 0.2;
+};
+
+/// A number of events, with exponential decay.
+struct DecayingCount {
+  double Value = 0;
+  Instant CountedAt;
+
+  void add(double Count, Instant Now, Milliseconds HalfLife);
+  double valueAt(Instant Now, Milliseconds HalfLife) const;
+  /// Returns the average number of events per second of the recent past.
+  double ratePerSecond(Instant Now, Milliseconds HalfLife) const;
 };
 
 /// A target as registered in the key-value service.
@@ -267,6 +293,8 @@
   RelayPhase Phase = RelayPhase::Running;
   /// When it was queued to wait for capacity.
   Instant QueuedAt;
+  /// Whether it is queued because targets that have room name a limit.
+  bool IsAwaitingPermit = false;
   TurnLedger Ledger;
 
   /// The current attempt; 0 if none.
@@ -320,6 +348,26 @@
   Instant Since;
 };
 
+/// The last request of a relay for permits of one target from one replica.
+struct PermitInquiry {
+  Instant AskedAt;
+  /// Permits that are still awaited.
+  std::uint32_t Awaited = 0;
+};
+
+/// The permits of one target that a relay holds.
+struct PermitStock {
+  /// Until when each permit is valid, the first to end first.
+  std::deque<Instant> ValidUntil;
+  /// The last request to each replica.
+  std::map<HolderId, PermitInquiry> Inquiries;
+  /// Permits granted recently, and their rate at the last one. Without replicas
+  /// the relay goes on at this rate.
+  DecayingCount Granted;
+  RequestRate LastShare;
+  PermitBucket OwnShare;
+};
+
 /// The paths of a route's last requests, and whether a request with them was
 /// answered. There are two generations; the older one is dropped once the newer
 /// one is full.
@@ -343,6 +391,11 @@
   std::map<TargetRun, Instant> LeavingRuns;
   /// The request limits that targets state in their answers.
   LimitTable Limits;
+  /// Permits to send requests to runs that name a limit.
+  std::map<TargetRun, PermitStock> Permits;
+  /// Requests for each service that were to be sent, and that were sent.
+  std::map<ServiceName, DecayingCount> RequestRates;
+  std::map<ServiceName, DecayingCount> SendRates;
   /// Invalid limits that have been logged.
   std::set<std::pair<TargetRun, std::string>> ReportedInvalidLimits;
   /// Versions of targets that are no longer registered, and when they last
--- a/packages/decision/src/TargetLimits.cpp
+++ b/packages/decision/src/TargetLimits.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// The time whose permits a bucket may hold, beyond a single permit. Covers the
+/// interval at which replicas issue permits.
+constexpr double BurstSeconds = 0.1;
+
 bool isLower(const std::optional<RequestRate> &Left,
              const std::optional<RequestRate> &Right) {
   return Left && (!Right || *Left < *Right);
@@ -22,6 +26,22 @@
 
 } // namespace
 
+void PermitBucket::accrue(RequestRate Rate, Instant Now) {
+  const double Seconds =
+      std::chrono::duration<double>(Now - this->AccruedAt).count();
+  const double Capacity = 1 + Rate.PerSecond * BurstSeconds;
+  this->Available =
+      std::min(Capacity, this->Available + Rate.PerSecond * Seconds);
+  this->AccruedAt = Now;
+}
+
+bool PermitBucket::take() {
+  if (this->Available < 1)
+    return false;
+  --this->Available;
+  return true;
+}
+
 const char *toString(LimitChange Change) {
   switch (Change) {
   case LimitChange::None:
@@ -70,13 +90,22 @@
                                            Now - Notice.AnswerAge});
 }
 
+std::optional<TargetLimitNotice> noticeOf(const LimitTable &Table,
+                                          const TargetRun &Run, Instant Now) {
+  const auto Found = Table.Observations.find(Run);
+  if (Found == Table.Observations.end())
+    return std::nullopt;
+  const LimitObservation &Known = Found->second;
+  return TargetLimitNotice{Run, Known.Limit, Now - Known.SentAt,
+                           Now - Known.AnsweredAt};
+}
+
 std::vector<TargetLimitNotice> allNotices(const LimitTable &Table,
                                           Instant Now) {
   std::vector<TargetLimitNotice> Notices;
   for (const auto &[Run, Known] : Table.Observations) {
     if (Known.Limit)
-      Notices.push_back(TargetLimitNotice{Run, Known.Limit, Now - Known.SentAt,
-                                          Now - Known.AnsweredAt});
+      Notices.push_back(*noticeOf(Table, Run, Now));
   }
   return Notices;
 }
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -3,6 +3,7 @@
 #include "LedgerContext.h"
 #include "LedgerMembership.h"
 #include "LedgerRecords.h"
+#include "PermitIssuing.h"
 #include "StartedStreams.h"
 #include "SuspectReplication.h"
 
@@ -110,6 +111,15 @@
   void operator()(const SuspectNotice &Notice) {
     handleSuspectNotice(this->Context, Notice);
   }
+  void operator()(const TargetLimitNotice &Notice) {
+    handleLimitNotice(this->Context, this->Peer, Notice);
+  }
+  void operator()(const TargetLimitQuery &) {
+    sendLimitsTo(this->Context, this->Peer);
+  }
+  void operator()(const PermitRequest &Request) {
+    handlePermitRequest(this->Context, this->Peer, Request);
+  }
   void operator()(const PullRecords &Request) {
     handlePull(this->Context, this->Peer, Request);
   }
@@ -163,6 +173,7 @@
     this->State.Now = Event.Now;
     sweepRecords(this->Context);
     retryPull(this->Context);
+    issueWaitingPermits(this->Context);
     reconcileMembership(this->Context);
   }
 
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -5,6 +5,7 @@
 #include "DeferredRequests.h"
 #include "Directory.h"
 #include "LimitObservations.h"
+#include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
 #include "TurnCloses.h"
@@ -303,6 +304,44 @@
   return Call.Phase == RelayPhase::Queued ? "queued" : "first";
 }
 
+/// Queues a call until this relay has a permit for one of its targets, or
+/// refuses it if that would take too long.
+void awaitPermit(RelayContext &Context, RelayCall &Call) {
+  if (!mayAwaitPermit(Context.State, Call)) {
+    refuseCall(Context, Call, RelayRefusalReason::TargetLimit);
+    return;
+  }
+  Context.count("relay_limited_calls_total", "queued");
+  Call.IsAwaitingPermit = true;
+  enqueueCall(Context, Call);
+}
+
+/// Returns how long a caller should wait that was refused for the limits of
+/// targets: the time in which the calls before it are sent, drawn from an
+/// interval, so that callers do not return at the same time.
+Milliseconds limitRetryAfter(RelayState &State, const RelayCall &Call) {
+  const Milliseconds Wait =
+      std::max(State.Options.RetryAfter,
+               expectedQueueTime(State, Call).value_or(Milliseconds(0)));
+  std::uniform_real_distribution<double> Spread(1, 2);
+  return Milliseconds(static_cast<std::int64_t>(
+      Spread(State.Random) * static_cast<double>(Wait.count())));
+}
+
+/// Returns how long the caller of a refused call should wait before it retries;
+/// 0 if there is nothing to wait for.
+Milliseconds retryAfterOf(RelayState &State, const RelayCall &Call,
+                          RelayRefusalReason Reason) {
+  switch (Reason) {
+  case RelayRefusalReason::Quarantined:
+    return quarantineTimeLeft(State, Call);
+  case RelayRefusalReason::TargetLimit:
+    return limitRetryAfter(State, Call);
+  default:
+    return retryAfterFor(State, Reason);
+  }
+}
+
 /// Returns whether any attempt so far may have run at a target.
 Execution executionOf(const RelayCall &Call) {
   return Call.UncertainSends > 0 ? Execution::Unknown : Execution::NotRun;
@@ -328,17 +367,24 @@
 
 void dispatchCall(RelayContext &Context, RelayCall &Call) {
   // A call must not overtake queued calls unless it is in the most urgent
-  // class.
-  const bool MustQueue =
+  // class, or more urgent than those that wait for a permit.
+  const bool IsLessUrgent =
       !Context.State.QueuedCalls.empty() &&
       schedulingClassOf(Context.State, Call) != SchedulingClass::InProgress;
-  if (MustQueue) {
+  recordRequest(Context.State, Call.Service);
+  if (IsLessUrgent) {
     enqueueCall(Context, Call);
     return;
   }
+  if (isBehindAwaitingCall(Context.State, Call)) {
+    awaitPermit(Context, Call);
+    return;
+  }
   const auto Chosen = chooseTarget(Context.State, Call);
   if (!Chosen && Chosen.error() == PlacementFailure::Busy)
     enqueueCall(Context, Call);
+  else if (!Chosen && Chosen.error() == PlacementFailure::AwaitingPermit)
+    awaitPermit(Context, Call);
   else
     sendCall(Context, Call, Chosen);
 }
@@ -356,6 +402,13 @@
     return;
   }
   const RelayTarget &Target = State.Targets.at(Chosen.value());
+  if (!takePermit(State, Target.Entry)) {
+    awaitPermit(Context, Call);
+    return;
+  }
+  const std::size_t WithoutPermit = targetsWithoutPermit(State, Call);
+  if (WithoutPermit > 0)
+    Context.count("relay_limited_calls_total", "passed_over");
   const char *Kind = kindOfNextSend(Call);
   Call.Phase = RelayPhase::Running;
   Call.Attempt = RelayAttemptId(State.NextAttempt++);
@@ -384,9 +437,12 @@
        {"outstanding", std::to_string(Target.Outstanding)},
        {"others", std::to_string(Target.ExternalLoad)},
        {"limit_per_second", RelayContext::rate(limitOf(State, Target.Entry))},
+       {"permits_left", std::to_string(heldPermits(State, Target.Entry))},
+       {"without_permit", std::to_string(WithoutPermit)},
        {"kind", Kind},
        {"left_ms", RelayContext::millis(Send.TimeLeft)}});
   addOutstanding(State, Call.Target);
+  State.SendRates[Call.Service].add(1, State.Now, State.Options.RateHalfLife);
   recordPromptCacheLocation(State, Call);
   Context.add(std::move(Send));
 }
@@ -399,9 +455,7 @@
   }
   cancelAttempt(Context, Call);
   closeTurn(Context, Call, false);
-  const Milliseconds RetryAfter = Reason == RelayRefusalReason::Quarantined
-                                      ? quarantineTimeLeft(Context.State, Call)
-                                      : retryAfterFor(Context.State, Reason);
+  const Milliseconds RetryAfter = retryAfterOf(Context.State, Call, Reason);
   const RelayRefusal Refusal{Reason, executionOf(Call), RetryAfter};
   Context.logCall(
       "request_refused", Call,
@@ -410,6 +464,9 @@
        {"version", Call.Origin ? Call.Origin->Version.Value : std::string()},
        {"content", std::to_string(Call.Content.Value)},
        {"path_content", std::to_string(Call.PathContent.Value)},
+       {"without_permit",
+        std::to_string(targetsWithoutPermit(Context.State, Call))},
+       {"queued", std::to_string(Context.State.QueuedCalls.size())},
        {"retry_after_ms", RelayContext::millis(Refusal.RetryAfter)},
        {"target", Call.Target.Value}});
   Context.count("relay_refusals_total", toString(Reason));
--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -4,6 +4,7 @@
 #include "Placement.h"
 #include "Turns.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace tanagerlanding {
@@ -17,21 +18,28 @@
          !hasPromptCacheLocation(State, Call);
 }
 
+using QueueOrder = std::tuple<SchedulingClass, Instant, RequestId>;
+
 /// Returns the sort key of a queued call: its scheduling class, then the
-/// deadline of its program, then its request id.
-std::tuple<SchedulingClass, Instant, RequestId>
-queueOrderOf(const RelayState &State, const RelayCall &Call) {
-  const Milliseconds Left =
-      Call.InboundRequest.Program->TimeLeft.value_or(Milliseconds(0));
-  return {schedulingClassOf(State, Call), Call.Arrived + Left, Call.Request};
+/// deadline of its program or, without one, its own, then its request id.
+QueueOrder queueOrderOf(const RelayState &State, const RelayCall &Call) {
+  const auto &Program = Call.InboundRequest.Program;
+  const Instant Deadline = Program && Program->TimeLeft
+                               ? Call.Arrived + *Program->TimeLeft
+                               : Call.Deadline;
+  return {schedulingClassOf(State, Call), Deadline, Call.Request};
 }
 
-/// Returns the first call in queue order, or null if the queue is empty.
-RelayCall *nextQueuedCall(RelayState &State) {
+/// Returns the first call in queue order of a service that is not blocked, or
+/// null if there is none.
+RelayCall *nextQueuedCall(RelayState &State,
+                          const std::set<ServiceName> &Blocked) {
   RelayCall *Next = nullptr;
-  std::tuple<SchedulingClass, Instant, RequestId> First;
+  QueueOrder First;
   for (const RequestId Request : State.QueuedCalls) {
     RelayCall &Each = State.Calls.at(Request);
+    if (Blocked.count(Each.Service) > 0)
+      continue;
     const auto Order = queueOrderOf(State, Each);
     if (Next && !(Order < First))
       continue;
@@ -86,6 +94,58 @@
   return Options.MaxLoadPerSlot;
 }
 
+bool isBehindAwaitingCall(const RelayState &State, const RelayCall &Call) {
+  const QueueOrder Own = queueOrderOf(State, Call);
+  return std::any_of(State.QueuedCalls.begin(), State.QueuedCalls.end(),
+                     [&](RequestId Request) {
+                       const RelayCall &Each = State.Calls.at(Request);
+                       return Each.IsAwaitingPermit &&
+                              Each.Service == Call.Service &&
+                              queueOrderOf(State, Each) < Own;
+                     });
+}
+
+std::optional<Milliseconds> expectedQueueTime(const RelayState &State,
+                                              const RelayCall &Call) {
+  const auto Sent = State.SendRates.find(Call.Service);
+  const double Rate =
+      Sent == State.SendRates.end()
+          ? 0
+          : Sent->second.ratePerSecond(State.Now, State.Options.RateHalfLife);
+  if (Rate < State.Options.MinRequestsPerSecond)
+    return std::nullopt;
+  const QueueOrder Own = queueOrderOf(State, Call);
+  double Ahead = 0;
+  for (const RequestId Request : State.QueuedCalls) {
+    const RelayCall &Each = State.Calls.at(Request);
+    Ahead += Each.Service == Call.Service && queueOrderOf(State, Each) < Own;
+  }
+  return Milliseconds(static_cast<std::int64_t>(1000 * Ahead / Rate));
+}
+
+bool mayAwaitPermit(const RelayState &State, const RelayCall &Call) {
+  const Milliseconds Limit =
+      fractionOf(Call.Deadline - State.Now, State.Options.MaxQueueTimeFraction);
+  const auto Expected = expectedQueueTime(State, Call);
+  return Milliseconds(0) < Limit && (!Expected || *Expected < Limit);
+}
+
+void refuseStarvedCalls(RelayContext &Context) {
+  RelayState &State = Context.State;
+  std::vector<RequestId> Starved;
+  for (const RequestId Request : State.QueuedCalls) {
+    const RelayCall &Each = State.Calls.at(Request);
+    if (!hasReachedQueueTimeLimit(State, Each))
+      continue;
+    const auto Chosen = chooseTarget(State, Each);
+    if (!Chosen && Chosen.error() == PlacementFailure::AwaitingPermit)
+      Starved.push_back(Request);
+  }
+  for (const RequestId Request : Starved)
+    refuseCall(Context, State.Calls.at(Request),
+               RelayRefusalReason::TargetLimit);
+}
+
 void enqueueCall(RelayContext &Context, RelayCall &Call) {
   RelayState &State = Context.State;
   const RequestId Request = Call.Request;
@@ -94,21 +154,31 @@
   State.QueuedCalls.insert(Request);
   dispatchQueuedCalls(Context, 1);
   if (State.QueuedCalls.count(Request) > 0)
-    Context.logCall("call_waits", State.Calls.at(Request),
-                    {{"waiting", std::to_string(State.QueuedCalls.size())}});
+    Context.logCall(
+        "call_waits", State.Calls.at(Request),
+        {{"waiting", std::to_string(State.QueuedCalls.size())},
+         {"for_permit",
+          State.Calls.at(Request).IsAwaitingPermit ? "yes" : "no"}});
 }
 
 void dispatchQueuedCalls(RelayContext &Context, std::uint32_t Most) {
   RelayState &State = Context.State;
-  for (std::uint32_t Sent = 0; Sent < Most; ++Sent) {
-    RelayCall *Next = nextQueuedCall(State);
+  std::set<ServiceName> Blocked;
+  for (std::uint32_t Sent = 0; Sent < Most;) {
+    RelayCall *Next = nextQueuedCall(State, Blocked);
     if (!Next)
       return;
     const auto Chosen = chooseTarget(State, *Next);
-    if (!Chosen && Chosen.error() == PlacementFailure::Busy)
-      return;
+    Next->IsAwaitingPermit =
+        !Chosen && Chosen.error() == PlacementFailure::AwaitingPermit;
+    if (Next->IsAwaitingPermit ||
+        (!Chosen && Chosen.error() == PlacementFailure::Busy)) {
+      Blocked.insert(Next->Service);
+      continue;
+    }
     State.QueuedCalls.erase(Next->Request);
     sendCall(Context, *Next, Chosen);
+    ++Sent;
   }
 }
 
--- a/packages/decision/src/relay/CallQueue.h
+++ b/packages/decision/src/relay/CallQueue.h
@@ -36,12 +36,29 @@
 /// this call.
 double loadLimitOf(const RelayState &State, const RelayCall &Call);
 
+/// Returns whether a queued call of the same service waits for a permit and is
+/// more urgent than this call.
+bool isBehindAwaitingCall(const RelayState &State, const RelayCall &Call);
+
+/// Returns how long a call would be queued behind the more urgent ones of its
+/// service at the rate at which they have been sent recently; absent if too few
+/// were to tell.
+std::optional<Milliseconds> expectedQueueTime(const RelayState &State,
+                                              const RelayCall &Call);
+
+/// Returns whether a call may be queued for a permit: it is expected to get one
+/// within the longest time allowed in the queue.
+bool mayAwaitPermit(const RelayState &State, const RelayCall &Call);
+
+/// Refuses queued calls that got no permit in the longest time allowed.
+void refuseStarvedCalls(RelayContext &Context);
+
 /// Queues a call, then dispatches the most urgent queued call if a target has
 /// capacity. May destroy the call.
 void enqueueCall(RelayContext &Context, RelayCall &Call);
 
-/// Dispatches up to Most queued calls in order of urgency, until no target has
-/// capacity for the next one.
+/// Dispatches up to Most queued calls in order of urgency. A service whose
+/// targets have no capacity does not hold up the calls of others.
 void dispatchQueuedCalls(RelayContext &Context, std::uint32_t Most);
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/LimitObservations.cpp
+++ b/packages/decision/src/relay/LimitObservations.cpp
@@ -58,8 +58,11 @@
                                     this->Context.now()};
     const LimitChange Change =
         mergeObservation(this->Context.State.Limits, Run, Observed);
-    if (Change != LimitChange::None)
-      logChange(this->Context, Run, Change, Observed, "answer");
+    if (Change == LimitChange::None)
+      return;
+    logChange(this->Context, Run, Change, Observed, "answer");
+    this->Context.sendToReplicas(
+        *noticeOf(this->Context.State.Limits, Run, this->Context.now()));
   }
 
   RelayContext &Context;
@@ -76,6 +79,23 @@
   std::visit(StatedLimitRecorder(Context, Call), Head.RequestLimit);
 }
 
+void handleLimitNotice(RelayContext &Context, const HolderId &Holder,
+                       const TargetLimitNotice &Notice) {
+  const LimitChange Change =
+      mergeNotice(Context.State.Limits, Notice, Context.now());
+  if (Change == LimitChange::None)
+    return;
+  logChange(Context, Notice.Run, Change,
+            Context.State.Limits.Observations.at(Notice.Run), Holder.Value);
+}
+
+void exchangeLimits(RelayContext &Context, const HolderId &Holder) {
+  for (TargetLimitNotice &Each :
+       allNotices(Context.State.Limits, Context.now()))
+    Context.send(Holder, std::move(Each));
+  Context.send(Holder, TargetLimitQuery{});
+}
+
 std::optional<RequestRate> limitOf(const RelayState &State,
                                    const RegisteredTarget &Target) {
   return limitOf(State.Limits, Target.run());
--- a/packages/decision/src/relay/LimitObservations.h
+++ b/packages/decision/src/relay/LimitObservations.h
@@ -16,6 +16,14 @@
 std::optional<RequestRate> limitOf(const RelayState &State,
                                    const RegisteredTarget &Target);
 
+/// Merges a limit that a replica knows of.
+void handleLimitNotice(RelayContext &Context, const HolderId &Holder,
+                       const TargetLimitNotice &Notice);
+
+/// Tells a replica that has connected the limits in force, and asks for those
+/// that it knows.
+void exchangeLimits(RelayContext &Context, const HolderId &Holder);
+
 /// Removes what is known of runs that have not been heard of for long.
 void expireLimitObservations(RelayState &State);
 
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -3,6 +3,8 @@
 #include "CallQueue.h"
 #include "CrashDetection.h"
 #include "Directory.h"
+#include "LimitObservations.h"
+#include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
 
@@ -130,10 +132,11 @@
   std::uint64_t Rank = 0;
 };
 
-/// Returns the usable targets of the call's service with their costs, in
-/// milliseconds. Equal costs are ranked by a hash of affinity key and target,
-/// which is the same on every relay, so that all relays send an uncached prompt
-/// to the same target; without a key, they are ranked at random.
+/// Returns the usable targets of the call's service for which this relay needs
+/// no permit or has one, with their costs in milliseconds. Equal costs are
+/// ranked by a hash of affinity key and target, which is the same on every
+/// relay, so that all relays send an uncached prompt to the same target;
+/// without a key, they are ranked at random.
 std::vector<Candidate> candidatesOf(RelayState &State, const RelayCall &Call) {
   std::vector<Candidate> Found;
   const auto Registered = State.TargetsByService.find(Call.Service);
@@ -144,7 +147,7 @@
   const double TypicalOthers = averageExternalLoad(State, Call.Service);
   for (const TargetId &Id : Registered->second) {
     const RelayTarget &Target = State.Targets.at(Id);
-    if (!isUsable(State, Target, Call))
+    if (!isUsable(State, Target, Call) || !hasPermit(State, Target.Entry))
       continue;
     Candidate Each;
     Each.Target = &Target;
@@ -199,6 +202,12 @@
   return Best;
 }
 
+bool isKnownWithoutLimit(const RelayState &State, const TargetId &Id) {
+  const auto Found = State.Targets.find(Id);
+  return Found != State.Targets.end() && !limitOf(State, Found->second.Entry) &&
+         !isLeaving(State, Found->second.Entry);
+}
+
 RelayTarget *findTarget(RelayState &State, const TargetId &Id) {
   const auto Found = State.Targets.find(Id);
   return Found == State.Targets.end() ? nullptr : &Found->second;
@@ -209,8 +218,10 @@
 Result<TargetId, PlacementFailure> chooseTarget(RelayState &State,
                                                 const RelayCall &Call) {
   const std::vector<Candidate> Candidates = candidatesOf(State, Call);
+  const bool HasLimitedTargets = targetsWithoutPermit(State, Call) > 0;
   if (Candidates.empty())
-    return PlacementFailure::NoTarget;
+    return HasLimitedTargets ? PlacementFailure::AwaitingPermit
+                             : PlacementFailure::NoTarget;
   const Candidate *Best =
       isSuspect(State, Call) ? forSuspect(State, Candidates, Call) : nullptr;
   if (!Best)
@@ -223,8 +234,23 @@
                         !hasReachedQueueTimeLimit(State, Call);
   const bool MayWait =
       IsQueued || schedulingClassOf(State, Call) != SchedulingClass::InProgress;
-  return IsFull && !MayWait ? PlacementFailure::Overloaded
-                            : PlacementFailure::Busy;
+  if (!IsFull || MayWait)
+    return PlacementFailure::Busy;
+  return HasLimitedTargets ? PlacementFailure::AwaitingPermit
+                           : PlacementFailure::Overloaded;
+}
+
+std::size_t targetsWithoutPermit(const RelayState &State,
+                                 const RelayCall &Call) {
+  const auto Registered = State.TargetsByService.find(Call.Service);
+  if (Registered == State.TargetsByService.end())
+    return 0;
+  return static_cast<std::size_t>(std::count_if(
+      Registered->second.begin(), Registered->second.end(),
+      [&](const TargetId &Id) {
+        const RelayTarget &Target = State.Targets.at(Id);
+        return !hasPermit(State, Target.Entry) && isUsable(State, Target, Call);
+      }));
 }
 
 bool hasPromptCacheLocation(const RelayState &State, const RelayCall &Call) {
@@ -234,9 +260,15 @@
 void recordPromptCacheLocation(RelayState &State, const RelayCall &Call) {
   if (!Call.Route.IsStreaming)
     return;
-  for (const std::string &Key : promptCacheKeysOf(Call))
-    State.PromptCacheLocations[Key] =
-        PromptCacheLocation{Call.Target, State.Now};
+  const bool IsLimited = limitOf(State, Call.SentTo).has_value();
+  for (const std::string &Key : promptCacheKeysOf(Call)) {
+    PromptCacheLocation &Known = State.PromptCacheLocations[Key];
+    Known.UsedAt = State.Now;
+    // A target with a limit may not take the program's next turn, so it does
+    // not replace one that will.
+    if (!IsLimited || !isKnownWithoutLimit(State, Known.Target))
+      Known.Target = Call.Target;
+  }
 }
 
 void evictPromptCacheLocations(RelayState &State) {
--- a/packages/decision/src/relay/Placement.h
+++ b/packages/decision/src/relay/Placement.h
@@ -16,6 +16,8 @@
   Overloaded,
   /// The best target has no capacity now; the call can be queued.
   Busy,
+  /// Further targets name a limit, and this relay has no permit for them now.
+  AwaitingPermit,
 };
 
 /// Returns the target with the lowest cost for the next attempt of a call, if
@@ -23,6 +25,11 @@
 Result<TargetId, PlacementFailure> chooseTarget(RelayState &State,
                                                 const RelayCall &Call);
 
+/// Returns the number of targets that the call could go to if this relay had
+/// permits for them.
+std::size_t targetsWithoutPermit(const RelayState &State,
+                                 const RelayCall &Call);
+
 /// Returns whether it is known which target caches the prompt of the call's
 /// program.
 bool hasPromptCacheLocation(const RelayState &State, const RelayCall &Call);
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -8,6 +8,7 @@
 #include "LimitObservations.h"
 #include "Placement.h"
 #include "RelayContext.h"
+#include "RequestPermits.h"
 #include "Turns.h"
 
 namespace tanagerlanding {
@@ -70,6 +71,8 @@
     removeMissingTargets(this->Context);
     expireHints(this->State);
     reviewCrashEvidence(this->Context);
+    maintainPermits(this->Context);
+    refuseStarvedCalls(this->Context);
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
     advanceDraining(this->Context);
@@ -144,6 +147,8 @@
 
   void operator()(const ReplicaMessageReceived &Event) {
     handleReplicaMessage(this->Context, Event.Holder, Event.Body);
+    if (const auto *Grant = std::get_if<PermitGrant>(&Event.Body))
+      dispatchQueuedCalls(this->Context, Grant->Count);
   }
 
   void operator()(const RelayShutdownRequested &) {
--- a/packages/decision/src/relay/RelayRefusal.cpp
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -36,6 +36,8 @@
     return "unknown_stream";
   case RelayRefusalReason::NoTargetOfVersion:
     return "no_target_of_version";
+  case RelayRefusalReason::TargetLimit:
+    return "target_limit";
   }
   return "unknown";
 }
--- /dev/null
+++ b/packages/decision/src/relay/RequestPermits.h
@@ -0,0 +1,36 @@
+/// \file
+/// Permits to send requests to targets that name a limit for all relays
+/// together. Replicas issue them, each an equal part of the limit, so that no
+/// two processes have to agree on who issues what.
+#ifndef TANAGERLANDING_DECISION_RELAY_REQUESTPERMITS_H
+#define TANAGERLANDING_DECISION_RELAY_REQUESTPERMITS_H
+
+#include "RelayContext.h"
+
+namespace tanagerlanding {
+
+/// Returns whether a request may be sent to a target now: it names no limit, or
+/// this relay holds a permit.
+bool hasPermit(const RelayState &State, const RegisteredTarget &Target);
+
+/// Takes the permit for one request to a target. Returns false if one is needed
+/// and there is none.
+bool takePermit(RelayState &State, const RegisteredTarget &Target);
+
+/// Returns the permits that this relay holds for a target.
+std::size_t heldPermits(const RelayState &State,
+                        const RegisteredTarget &Target);
+
+/// Counts a request that is to be sent to a service.
+void recordRequest(RelayState &State, const ServiceName &Service);
+
+/// Drops permits that have ended and asks replicas for those that the present
+/// rate of requests will need.
+void maintainPermits(RelayContext &Context);
+
+void handlePermitGrant(RelayContext &Context, const HolderId &Holder,
+                       const PermitGrant &Grant);
+
+} // namespace tanagerlanding
+
+#endif
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -2,6 +2,8 @@
 
 #include "Attempts.h"
 #include "CrashDetection.h"
+#include "LimitObservations.h"
+#include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TurnCloses.h"
 
@@ -11,18 +13,6 @@
 
 namespace {
 
-/// Returns the connected replicas that have sent something within the heartbeat
-/// timeout.
-std::set<HolderId> liveReplicas(const RelayState &State) {
-  std::set<HolderId> Live;
-  for (const HolderId &Each : State.ConnectedReplicas) {
-    if (State.Now - State.LastMessageAt.at(Each) <
-        State.Options.ReplicaHeartbeatTimeout)
-      Live.insert(Each);
-  }
-  return Live;
-}
-
 bool hasBudget(const RelayCall &Call) {
   return Call.InboundRequest.Program && Call.InboundRequest.Program->Budget;
 }
@@ -325,6 +315,12 @@
   void operator()(const SuspectNotice &Notice) {
     handleSuspectNotice(this->Context, Notice);
   }
+  void operator()(const TargetLimitNotice &Notice) {
+    handleLimitNotice(this->Context, this->Holder, Notice);
+  }
+  void operator()(const PermitGrant &Grant) {
+    handlePermitGrant(this->Context, this->Holder, Grant);
+  }
   void operator()(const ViewOffer &Offer) {
     adoptLedgerView(this->Context, Offer.View);
   }
@@ -346,6 +342,16 @@
 
 } // namespace
 
+std::set<HolderId> liveReplicas(const RelayState &State) {
+  std::set<HolderId> Live;
+  for (const HolderId &Each : State.ConnectedReplicas) {
+    if (State.Now - State.LastMessageAt.at(Each) <
+        State.Options.ReplicaHeartbeatTimeout)
+      Live.insert(Each);
+  }
+  return Live;
+}
+
 std::optional<TurnId> previousOf(const RelayCall &Call) {
   return Call.Route.KeepsHistory ? Call.InboundRequest.PreviousTurn
                                  : std::nullopt;
@@ -392,6 +398,7 @@
   Context.log("replica_connected", {{"holder", Holder.Value}});
   resendClosesTo(Context, Holder);
   sendEvidenceTo(Context, Holder);
+  exchangeLimits(Context, Holder);
 }
 
 void recordReplicaReachability(RelayContext &Context, const HolderId &Holder,
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -8,6 +8,10 @@
 
 namespace tanagerlanding {
 
+/// Returns the connected replicas that have sent something within the heartbeat
+/// timeout.
+std::set<HolderId> liveReplicas(const RelayState &State);
+
 /// Returns whether a call must be opened at the ledger before it may run.
 bool needsLedger(const RelayCall &Call);
 
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -330,6 +330,11 @@
       "relay_limited_targets",
       static_cast<double>(
           allNotices(this->State.Limits, this->State.Now).size()));
+  std::size_t HeldPermits = 0;
+  for (const auto &[Run, Stock] : this->State.Permits)
+    HeldPermits += Stock.ValidUntil.size();
+  this->ProcessMetrics.set("relay_permits_held",
+                           static_cast<double>(HeldPermits));
   this->ProcessMetrics.set("platform_calls",
                            static_cast<double>(this->Service.callCount()));
   this->ProcessMetrics.set("control_sent_bytes",
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "Conversions.h"
 #include "LedgerConversions.h"
+#include "LimitConversions.h"
 
 namespace tanagerlanding {
 
@@ -512,6 +513,14 @@
     return fromTable(*Body.AsSuspectList());
   case wire::Body::StreamStarted:
     return fromTable(*Body.AsStreamStarted());
+  case wire::Body::TargetLimitNotice:
+    return fromTable(*Body.AsTargetLimitNotice());
+  case wire::Body::TargetLimitQuery:
+    return fromTable(*Body.AsTargetLimitQuery());
+  case wire::Body::PermitRequest:
+    return fromTable(*Body.AsPermitRequest());
+  case wire::Body::PermitGrant:
+    return fromTable(*Body.AsPermitGrant());
   }
   return std::nullopt;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
 #include <random>
 
 using namespace tanagerlanding;
@@ -84,6 +85,11 @@
   return Reply;
 }
 
+TargetLimitNotice sampleLimitNotice() {
+  return TargetLimitNotice{TargetRun{TargetId("t"), 7}, RequestRate{6.5},
+                           Milliseconds(9), Milliseconds(3)};
+}
+
 std::vector<Message> sampleMessages() {
   DispatchAttempt Work;
   Work.Attempt = sampleAttempt();
@@ -139,7 +145,11 @@
                        true},
       StreamStarted{CallerAttemptId("t"),
                     {ServiceName("s"), SoftwareVersion("v1")},
-                    Milliseconds(9)}};
+                    Milliseconds(9)},
+      sampleLimitNotice(),
+      TargetLimitQuery{},
+      PermitRequest{Instant{Milliseconds(5)}, {{sampleLimitNotice(), 2}}},
+      PermitGrant{TargetRun{TargetId("t"), 7}, 2, Instant{Milliseconds(5)}}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
@@ -157,6 +167,18 @@
 
 } // namespace
 
+TEST_CASE("Codec: a limit that is no usable rate is not decoded") {
+  TargetLimitNotice Notice = sampleLimitNotice();
+  for (const double PerSecond : {0.0, -1.0, std::nan(""), HUGE_VAL}) {
+    Notice.Limit = RequestRate{PerSecond};
+    CHECK_FALSE(decodeMessage(encodeMessage(Notice)));
+    const auto Request = decodeMessage(encodeMessage(
+        PermitRequest{Instant(), {{Notice, 1}, {sampleLimitNotice(), 2}}}));
+    REQUIRE(Request);
+    CHECK(std::get<PermitRequest>(Request.value()).Rows.size() == 1);
+  }
+}
+
 TEST_CASE("Codec: round-trips every message and record") {
   const auto Messages = sampleMessages();
   CHECK(Messages.size() == std::variant_size_v<Message>);
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -331,6 +331,16 @@
   return Bodies;
 }
 
+void WorkerStandin::nameLimit(const std::string &PerSecond) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->Limit = PerSecond;
+}
+
+std::string WorkerStandin::namedLimit() {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  return this->Limit;
+}
+
 void WorkerStandin::crash() {
   this->HasCrashed = true;
   this->Server->crash();
@@ -340,6 +350,8 @@
                            BlockingServer::Socket &Caller) {
   std::string Head = "Request-Id: " + std::string(Call["Request-Id"]) +
                      "\r\nResponse-Signature: s\r\n";
+  if (const std::string Named = this->namedLimit(); !Named.empty())
+    Head += "Server-Limit: " + Named + "\r\n";
   if (this->IsLeaving)
     Head += "Server-Leaving: 1\r\n";
   if (std::string(Call["Expect-Instance"]) != this->Id) {
@@ -349,7 +361,8 @@
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
     this->Runs.push_back(Run{std::string(Call["Request-Id"]),
-                             std::string(Call.target()), Call.body()});
+                             std::string(Call.target()), Call.body(),
+                             std::chrono::steady_clock::now()});
   }
   const bool IsCrashing =
       Call.body() == this->CrashMark || Call.target() == this->CrashMark;
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -136,6 +137,7 @@
     std::string RequestId;
     std::string Path;
     std::string Body;
+    std::chrono::steady_clock::time_point At;
   };
   /// Returns the requests that the worker ran, in order.
   std::vector<Run> runs();
@@ -152,6 +154,10 @@
   /// States in all responses from now on that the worker is leaving.
   void announceLeaving() { this->IsLeaving = true; }
 
+  /// Names in all responses from now on a limit of requests a second; none if
+  /// the text is empty.
+  void nameLimit(const std::string &PerSecond);
+
   const std::string &id() const { return this->Id; }
   /// Ends the worker as a crash of its process does.
   void crash();
@@ -160,12 +166,14 @@
 private:
   bool handle(const BlockingServer::Request &Call,
               BlockingServer::Socket &Caller);
+  std::string namedLimit();
 
   const std::string Id;
   const std::string CrashMark;
   std::atomic<bool> HasCrashed{false};
   std::mutex Lock;
   std::vector<Run> Runs;
+  std::string Limit;
   std::atomic<std::chrono::milliseconds> Delay{std::chrono::milliseconds(0)};
   std::atomic<int> CutAfter{0};
   std::atomic<bool> IsLeaving{false};
