--- a/packages/decision/src/ledger/PermitIssuing.cpp
+++ b/packages/decision/src/ledger/PermitIssuing.cpp
@@ -133,7 +133,11 @@
 void issueWaitingPermits(LedgerContext &Context) {
   LedgerState &State = Context.State;
   expireLimits(State.Limits, State.Options.LimitRetention, State.Now);
-  const std::size_t MemberCount = State.View.allMembers().size();
+  const std::vector<LedgerMember> Members = State.View.allMembers();
+  if (!containsHolder(Members, State.Self.Holder)) {
+    State.PermitIssuers.clear();
+    return;
+  }
   for (auto Each = State.PermitIssuers.begin();
        Each != State.PermitIssuers.end();) {
     const auto Limit = limitOf(State.Limits, Each->first);
@@ -142,7 +146,7 @@
       continue;
     }
     issuePermits(Context, Each->first, Each->second,
-                 shareOf(*Limit, MemberCount));
+                 shareOf(*Limit, Members.size()));
     ++Each;
   }
 }
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "CrashDetection.h"
+#include "Refusals.h"
 #include "RequestContent.h"
 #include "StreamOrigins.h"
 #include "Turns.h"
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -5,6 +5,7 @@
 #include "DeferredRequests.h"
 #include "Directory.h"
 #include "LimitObservations.h"
+#include "Refusals.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
@@ -285,16 +286,6 @@
   Call.BufferedBody.clear();
 }
 
-/// Returns the refusal of a call for which no target could be chosen.
-RelayRefusalReason refusalFor(const RelayState &State, const RelayCall &Call,
-                              PlacementFailure Failure) {
-  if (Failure == PlacementFailure::Overloaded)
-    return RelayRefusalReason::Overloaded;
-  if (Call.Origin && !hasTargetOfOrigin(State, Call))
-    return RelayRefusalReason::NoTargetOfVersion;
-  return RelayRefusalReason::NoTarget;
-}
-
 /// Returns the kind of a call's next send, for logs.
 const char *kindOfNextSend(const RelayCall &Call) {
   if (Call.EventsSent > 0)
@@ -316,55 +307,12 @@
   enqueueCall(Context, Call);
 }
 
-/// Returns how long a caller should wait that was refused for the limits of
-/// targets: the time in which the calls before it are sent, drawn from an
-/// interval, so that callers do not return at the same time.
-Milliseconds limitRetryAfter(RelayState &State, const RelayCall &Call) {
-  const Milliseconds Wait =
-      std::max(State.Options.RetryAfter,
-               expectedQueueTime(State, Call).value_or(Milliseconds(0)));
-  std::uniform_real_distribution<double> Spread(1, 2);
-  return Milliseconds(static_cast<std::int64_t>(
-      Spread(State.Random) * static_cast<double>(Wait.count())));
-}
-
-/// Returns how long the caller of a refused call should wait before it retries;
-/// 0 if there is nothing to wait for.
-Milliseconds retryAfterOf(RelayState &State, const RelayCall &Call,
-                          RelayRefusalReason Reason) {
-  switch (Reason) {
-  case RelayRefusalReason::Quarantined:
-    return quarantineTimeLeft(State, Call);
-  case RelayRefusalReason::TargetLimit:
-    return limitRetryAfter(State, Call);
-  default:
-    return retryAfterFor(State, Reason);
-  }
-}
-
-/// Returns whether any attempt so far may have run at a target.
-Execution executionOf(const RelayCall &Call) {
-  return Call.UncertainSends > 0 ? Execution::Unknown : Execution::NotRun;
-}
-
 } // namespace
 
 bool hasTimeLeft(const RelayContext &Context, const RelayCall &Call) {
   return Context.now() < Call.Deadline;
 }
 
-Milliseconds retryAfterFor(const RelayState &State, RelayRefusalReason Reason) {
-  switch (Reason) {
-  case RelayRefusalReason::NotConfigured:
-  case RelayRefusalReason::LedgerUnavailable:
-  case RelayRefusalReason::NoTarget:
-  case RelayRefusalReason::Overloaded:
-    return State.Options.RetryAfter;
-  default:
-    return Milliseconds(0);
-  }
-}
-
 void dispatchCall(RelayContext &Context, RelayCall &Call) {
   // A call must not overtake queued calls unless it is in the most urgent
   // class, or more urgent than those that wait for a permit.
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -12,10 +12,6 @@
 /// Returns whether the call's deadline has not passed.
 bool hasTimeLeft(const RelayContext &Context, const RelayCall &Call);
 
-/// Returns how long a refused caller should wait before it retries; 0 if there
-/// is nothing to wait for.
-Milliseconds retryAfterFor(const RelayState &State, RelayRefusalReason Reason);
-
 /// Sends the next attempt of a call to a target, queues the call, or refuses
 /// it. May destroy the call.
 void dispatchCall(RelayContext &Context, RelayCall &Call);
--- /dev/null
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -0,0 +1,64 @@
+#include "Refusals.h"
+
+#include "CallQueue.h"
+#include "CrashDetection.h"
+#include "StreamOrigins.h"
+
+#include <algorithm>
+
+namespace tanagerlanding {
+
+namespace {
+
+/// Returns how long a caller should wait that was refused for the limits of
+/// targets: the time in which the calls before it are sent, drawn from an
+/// interval, so that callers do not return at the same time.
+Milliseconds limitRetryAfter(RelayState &State, const RelayCall &Call) {
+  const Milliseconds Wait =
+      std::max(State.Options.RetryAfter,
+               expectedQueueTime(State, Call).value_or(Milliseconds(0)));
+  std::uniform_real_distribution<double> Spread(1, 2);
+  return Milliseconds(static_cast<std::int64_t>(
+      Spread(State.Random) * static_cast<double>(Wait.count())));
+}
+
+} // namespace
+
+RelayRefusalReason refusalFor(const RelayState &State, const RelayCall &Call,
+                              PlacementFailure Failure) {
+  if (Failure == PlacementFailure::Overloaded)
+    return RelayRefusalReason::Overloaded;
+  if (Call.Origin && !hasTargetOfOrigin(State, Call))
+    return RelayRefusalReason::NoTargetOfVersion;
+  return RelayRefusalReason::NoTarget;
+}
+
+Execution executionOf(const RelayCall &Call) {
+  return Call.UncertainSends > 0 ? Execution::Unknown : Execution::NotRun;
+}
+
+Milliseconds retryAfterFor(const RelayState &State, RelayRefusalReason Reason) {
+  switch (Reason) {
+  case RelayRefusalReason::NotConfigured:
+  case RelayRefusalReason::LedgerUnavailable:
+  case RelayRefusalReason::NoTarget:
+  case RelayRefusalReason::Overloaded:
+    return State.Options.RetryAfter;
+  default:
+    return Milliseconds(0);
+  }
+}
+
+Milliseconds retryAfterOf(RelayState &State, const RelayCall &Call,
+                          RelayRefusalReason Reason) {
+  switch (Reason) {
+  case RelayRefusalReason::Quarantined:
+    return quarantineTimeLeft(State, Call);
+  case RelayRefusalReason::TargetLimit:
+    return limitRetryAfter(State, Call);
+  default:
+    return retryAfterFor(State, Reason);
+  }
+}
+
+} // namespace tanagerlanding
--- a/packages/decision/src/relay/RequestPermits.cpp
+++ b/packages/decision/src/relay/RequestPermits.cpp
@@ -221,6 +221,8 @@
 void maintainPermits(RelayContext &Context) {
   RelayState &State = Context.State;
   dropEndedPermits(State);
+  if (State.Limits.Observations.empty())
+    return;
   const std::vector<LimitedService> Services = limitedServices(State);
   if (Services.empty())
     return;
