Add types for teams, keys and quotas of callers

Cause: the relay's path has no notion of a team. Several parts of this work need the same types, so they are added first; nothing uses them yet.

--- a/packages/basics/include/tanagerlanding/basics/Ids.h
+++ b/packages/basics/include/tanagerlanding/basics/Ids.h
@@ -87,6 +87,8 @@
 using LedgerOperationId = StrongId<struct LedgerOperationTag, std::uint64_t>;
 /// The version of the ledger's membership; monotonically increasing.
 using ViewVersion = StrongId<struct ViewVersionTag, std::uint64_t>;
+/// The keyed hash of a caller's key; comparable only within one process.
+using KeyDigest = StrongId<struct KeyDigestTag, std::string>;
 /// The hash of a request's content; independent of its sender.
 using Fingerprint = StrongId<struct FingerprintTag, std::uint64_t>;
 
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -28,6 +28,14 @@
   std::optional<TokenCount> Budget;
 };
 
+/// An Authorization header that holds no single key of acceptable form.
+struct InvalidCredential {};
+
+/// What a request presents to name its team: nothing, a key, or an invalid
+/// header.
+using CallerCredential =
+    std::variant<std::monostate, KeyDigest, InvalidCredential>;
+
 /// One attempt of a caller, completely received and validated in form.
 struct CallerRequest {
   CallerAttemptId Id;
@@ -38,6 +46,7 @@
   /// All headers as the caller sent them.
   HeaderFields Headers;
   std::string Body;
+  CallerCredential Credential;
   /// The remaining time that the caller waits for an answer.
   std::optional<Milliseconds> TimeLeft;
   std::optional<ProgramContext> Program;
@@ -112,6 +121,14 @@
   /// The targets with room take no more requests a second, and the call would
   /// wait too long for its turn.
   TargetLimit,
+  /// The request has no key of a team.
+  UnknownKey,
+  InvalidCredential,
+  /// The team's quota over all relays is used up.
+  QuotaExceeded,
+  /// The relay cannot prove that its configuration is recent enough to accept
+  /// keys.
+  ConfigurationStale,
 };
 
 /// Returns the stable name of a reason, for logs and metrics.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayConfiguration.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayConfiguration.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace tanagerlanding {
@@ -43,6 +44,8 @@
   Milliseconds LatencyObjective{0};
   /// 0 is the most urgent.
   std::uint32_t Priority = 0;
+  /// Whether callers need no key.
+  bool IsPublic = false;
   /// Maximum number of targets at which one caller's attempt may run.
   std::uint32_t MaxAttempts = 1;
 
@@ -59,6 +62,26 @@
   TokenCount TokensPerEvent;
 };
 
+/// The requests that a team may send through all relays together: a rate, and a
+/// number of requests that may exceed it at once.
+struct RequestQuota {
+  RequestRate Rate;
+  double Burst = 0;
+
+  bool operator==(const RequestQuota &Other) const {
+    return this->Rate == Other.Rate && this->Burst == Other.Burst;
+  }
+};
+
+/// A team that sends requests with its keys.
+struct TeamSettings {
+  TeamId Team;
+  /// Takes the place of the priority of routes; 0 is the most urgent.
+  std::uint32_t Priority = 0;
+  /// Absent if the team has no limit.
+  std::optional<RequestQuota> Quota;
+};
+
 /// Limits on callers' connections and requests.
 struct CallerLimits {
   std::size_t HeaderBytes = 16 * 1024;
@@ -75,6 +98,12 @@
   std::vector<RelayRoute> Routes;
   std::map<ServiceName, RelayService> Services;
   CallerLimits Limits;
+  /// Empty if requests need no keys.
+  std::map<TeamId, TeamSettings> Teams;
+  /// The teams by the value of their keys' KeyDigest.
+  std::unordered_map<std::string, TeamId> TeamByKey;
+
+  bool needsKeys() const { return !this->Teams.empty(); }
 };
 
 /// Returns the route of a host with the longest matching path prefix, or null.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -286,6 +286,10 @@
   Fingerprint PathContent;
   RelayRoute Route;
   ServiceName Service;
+  /// The team whose key the request carries; absent if it carries none.
+  std::optional<TeamId> Team;
+  /// The team's priority or, without a team, the route's; 0 is the most urgent.
+  std::uint32_t Priority = 0;
   ConfigVersion Version;
   TokenCount TokensPerEvent;
   Instant Arrived;
--- a/packages/decision/src/relay/RelayRefusal.cpp
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -38,6 +38,14 @@
     return "no_target_of_version";
   case RelayRefusalReason::TargetLimit:
     return "target_limit";
+  case RelayRefusalReason::UnknownKey:
+    return "unknown_key";
+  case RelayRefusalReason::InvalidCredential:
+    return "invalid_credential";
+  case RelayRefusalReason::QuotaExceeded:
+    return "quota_exceeded";
+  case RelayRefusalReason::ConfigurationStale:
+    return "configuration_stale";
   }
   return "unknown";
 }
