Report numbers out of range in JSON as faults

Cause: nlohmann::json throws out_of_range, not parse_error, for a number that no double holds, such as 1e999. parseDocument caught only the latter, so such a number in the operators' configuration or in a target's registration ended the process.

Ruled out: catching every exception of the library, which would also hide errors in the use of parsed documents.

Change: parseDocument reports the number as a fault.

--- a/packages/settings/src/DocumentReader.cpp
+++ b/packages/settings/src/DocumentReader.cpp
@@ -14,6 +14,9 @@
   } catch (const nlohmann::json::parse_error &Error) {
     Faults.add("byte " + std::to_string(Error.byte), "well-formed JSON");
     return std::nullopt;
+  } catch (const nlohmann::json::out_of_range &) {
+    Faults.add("", "numbers in the range of double");
+    return std::nullopt;
   }
 }
 
