Accept requests by the keys of teams and keep teams apart

Cause: relays forward requests of anyone, and everything that relays and ledger replicas keep is keyed by ids that callers choose, so one caller can continue another one's turns and use up its budgets.

Ruled out: a field for the team in messages and records of the ledger, as every index of a replica would have to use it; comparing keys themselves, as look-up times would depend on them; a password hash, as it costs milliseconds for each request; passing on the configuration with its keys, as replicas store it and send it to relays.

Change: the configuration's teams and keys are decoded, and keys are compared as keyed BLAKE2b digests (libsodium). Admission resolves the team after the route and refuses with 401 before anything is claimed, queued or sent; sendCall looks the key up again. With teams, targets get neither Authorization nor the caller's Tenant, but the team's name. Ids of turns, programs and streams at the ledger, fingerprints of contents and keys of prompt cache locations are qualified by the team; without one they are as before. Distinct paths of a route are counted per team. Replicas store and pass on hashes in place of keys. Log lines of calls have the field team.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -143,6 +143,11 @@
   /// Idle connections that this relay may keep to the target.
   std::uint32_t IdleLimit = 0;
   Milliseconds TimeLeft{0};
+  /// The team that the request is sent for, if any.
+  std::optional<TeamId> Team;
+  /// Whether the target gets neither the caller's key nor the team that the
+  /// caller's headers name.
+  bool IsCredentialWithheld = false;
   /// History of the previous turns, sent before the caller's body.
   std::string History;
   /// Id of the last event that the caller has received, if a stream is resumed.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -372,12 +372,19 @@
   PermitBucket OwnShare;
 };
 
-/// The paths of a route's last requests, and whether a request with them was
-/// answered. There are two generations; the older one is dropped once the newer
-/// one is full.
+/// Paths of a route's requests.
+struct PathGeneration {
+  /// Whether a request with the path was answered.
+  std::map<Fingerprint, bool> IsAnswered;
+  /// Number of paths of each team; the empty team stands for none.
+  std::map<TeamId, std::size_t> PathsOfTeam;
+};
+
+/// The paths of a route's last requests. There are two generations; the older
+/// one is dropped once the newer one is full.
 struct RoutePaths {
-  std::map<Fingerprint, bool> Newer;
-  std::map<Fingerprint, bool> Older;
+  PathGeneration Newer;
+  PathGeneration Older;
 };
 
 /// The state of a relay.
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -5,6 +5,7 @@
 #include "Refusals.h"
 #include "RequestContent.h"
 #include "StreamOrigins.h"
+#include "Teams.h"
 #include "Turns.h"
 
 #include <algorithm>
@@ -84,12 +85,20 @@
     refuseUnadmitted(Context, Request, Inbound, RelayRefusalReason::NoRoute);
     return;
   }
+  const auto Team =
+      resolveTeam(*State.Configuration, *Route, Inbound.Credential);
+  if (!Team) {
+    refuseUnadmitted(Context, Request, Inbound, Team.error());
+    return;
+  }
   RelayCall Call;
   Call.Request = Request;
   Call.Route = *Route;
+  Call.Team = Team.value();
+  Call.Priority = priorityOf(*State.Configuration, *Route, Call.Team);
   Call.Service = pickService(*Route, Inbound);
-  Call.Content = contentOf(Inbound);
-  Call.PathContent = pathContentOf(Inbound);
+  Call.Content = contentOf(Inbound, Call.Team);
+  Call.PathContent = pathContentOf(Inbound, Call.Team);
   Call.Version = State.Configuration->Version;
   const auto Service = State.Configuration->Services.find(Call.Service);
   if (Service != State.Configuration->Services.end())
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -9,6 +9,7 @@
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
+#include "Teams.h"
 #include "TurnCloses.h"
 
 #include <algorithm>
@@ -344,6 +345,13 @@
     refuseCall(Context, Call, refusalFor(State, Call, Chosen.error()));
     return;
   }
+  // The key may have been removed since the call was admitted. An answer that
+  // has begun is completed nevertheless.
+  const auto Fault = credentialFaultOf(State, Call);
+  if (Fault && !Call.HasBegunAnswer) {
+    refuseCall(Context, Call, *Fault);
+    return;
+  }
   // The content may have been quarantined since the call was admitted.
   if (isQuarantined(State, Call)) {
     refuseCall(Context, Call, RelayRefusalReason::Quarantined);
@@ -373,6 +381,9 @@
   Send.Target = Target.Entry;
   Send.IdleLimit = idleConnectionLimitOf(State, Call.Service);
   Send.TimeLeft = Call.Deadline - State.Now;
+  Send.Team = Call.Team;
+  Send.IsCredentialWithheld =
+      Call.Team.has_value() || State.Configuration->needsKeys();
   Send.History = Call.Ledger.History;
   if (Call.EventsSent > 0)
     Send.ResumeAfter = Call.LastEventId;
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -7,6 +7,7 @@
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
+#include "Turns.h"
 
 #include <algorithm>
 
@@ -89,9 +90,8 @@
 std::vector<std::string> promptCacheKeysOf(const RelayCall &Call) {
   if (!Call.Route.IsStreaming || !Call.InboundRequest.Program)
     return {};
-  const ProgramContext &Program = *Call.InboundRequest.Program;
-  return {Program.Program.Value + '/' + Program.Agent.Value,
-          Program.Program.Value};
+  const std::string Program = programOf(Call).Value;
+  return {Program + '/' + Call.InboundRequest.Program->Agent.Value, Program};
 }
 
 /// Returns the affinity key that sends related requests to one target: turns of
@@ -99,7 +99,7 @@
 /// target has already read of it.
 std::string affinityOf(const RelayCall &Call) {
   if (Call.Route.IsStreaming && Call.InboundRequest.Program)
-    return Call.InboundRequest.Program->Program.Value;
+    return programOf(Call).Value;
   return Call.InboundRequest.AffinityKey.value_or(std::string());
 }
 
--- a/packages/decision/src/relay/RelayContext.h
+++ b/packages/decision/src/relay/RelayContext.h
@@ -33,11 +33,12 @@
     this->Effects.push_back(LogLine{Event, std::move(Values)});
   }
 
-  /// Logs an event of one call, with the call's request, route, configuration
-  /// version and age in milliseconds.
+  /// Logs an event of one call, with the call's request, route, team,
+  /// configuration version and age in milliseconds.
   void logCall(const char *Event, const RelayCall &Call, Fields Values) {
     Fields All = {{"request", Call.InboundRequest.Id.Value},
                   {"route", Call.Route.Name.Value},
+                  {"team", Call.Team.value_or(TeamId()).Value},
                   {"config", std::to_string(Call.Version.Value)},
                   {"age_ms", millis(this->State.Now - Call.Arrived)}};
     All.insert(All.end(), Values.begin(), Values.end());
--- a/packages/decision/src/relay/RequestContent.cpp
+++ b/packages/decision/src/relay/RequestContent.cpp
@@ -1,5 +1,7 @@
 #include "RequestContent.h"
 
+#include "Teams.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -8,21 +10,29 @@
 
 bool isAnswered(const RoutePaths &Paths, Fingerprint PathContent) {
   for (const auto *Generation : {&Paths.Newer, &Paths.Older}) {
-    const auto Found = Generation->find(PathContent);
-    if (Found != Generation->end())
+    const auto Found = Generation->IsAnswered.find(PathContent);
+    if (Found != Generation->IsAnswered.end())
       return Found->second;
   }
   return false;
 }
 
+std::size_t pathsOf(const PathGeneration &Generation, const TeamId &Team) {
+  const auto Found = Generation.PathsOfTeam.find(Team);
+  return Found == Generation.PathsOfTeam.end() ? 0 : Found->second;
+}
+
 void recordPath(RelayState &State, const RelayCall &Call, bool IsAnswered) {
   RoutePaths &Paths = State.PathsByRoute[Call.Route.Name];
   const bool WasAnswered = isAnswered(Paths, Call.PathContent);
-  if (State.Options.MaxPathsPerRoute / 2 <= Paths.Newer.size()) {
+  if (State.Options.MaxPathsPerRoute / 2 <= Paths.Newer.IsAnswered.size()) {
     Paths.Older = std::move(Paths.Newer);
-    Paths.Newer.clear();
+    Paths.Newer = PathGeneration();
   }
-  Paths.Newer[Call.PathContent] = WasAnswered || IsAnswered;
+  const auto Entry = Paths.Newer.IsAnswered.emplace(Call.PathContent, false);
+  Entry.first->second = WasAnswered || IsAnswered;
+  if (Entry.second)
+    ++Paths.Newer.PathsOfTeam[Call.Team.value_or(TeamId())];
 }
 
 } // namespace
@@ -31,14 +41,16 @@
   return RequestTarget.substr(0, RequestTarget.find('?'));
 }
 
-Fingerprint contentOf(const CallerRequest &Inbound) {
-  return fingerprintOfContent(
-      {Inbound.Method, Inbound.Host, Inbound.RequestTarget, Inbound.Body});
+Fingerprint contentOf(const CallerRequest &Inbound,
+                      const std::optional<TeamId> &Team) {
+  return fingerprintOfContent({qualifiedId(Team, Inbound.Method), Inbound.Host,
+                               Inbound.RequestTarget, Inbound.Body});
 }
 
-Fingerprint pathContentOf(const CallerRequest &Inbound) {
-  return fingerprintOfContent(
-      {Inbound.Method, Inbound.Host, pathOf(Inbound.RequestTarget)});
+Fingerprint pathContentOf(const CallerRequest &Inbound,
+                          const std::optional<TeamId> &Team) {
+  return fingerprintOfContent({qualifiedId(Team, Inbound.Method), Inbound.Host,
+                               pathOf(Inbound.RequestTarget)});
 }
 
 Fingerprint accusedContentOf(const RelayState &State, const RelayCall &Call) {
@@ -46,8 +58,10 @@
   if (Found == State.PathsByRoute.end())
     return Call.Content;
   const RoutePaths &Paths = Found->second;
+  const TeamId Team = Call.Team.value_or(TeamId());
   const bool ArePathsDistinct =
-      State.Options.MinDistinctPaths <= Paths.Newer.size() + Paths.Older.size();
+      State.Options.MinDistinctPaths <=
+      pathsOf(Paths.Newer, Team) + pathsOf(Paths.Older, Team);
   return ArePathsDistinct && !isAnswered(Paths, Call.PathContent)
              ? Call.PathContent
              : Call.Content;
--- a/packages/decision/src/relay/RequestContent.h
+++ b/packages/decision/src/relay/RequestContent.h
@@ -2,6 +2,9 @@
 /// What identifies a request that is sent again, so that crashes can be counted
 /// against it.
 ///
+/// Contents of different teams are different, so that no team is held back for
+/// crashes that another one's requests have caused.
+///
 /// Usually that is the whole content. Some requests that crash their targets
 /// have only their path in common. A path is accused as a whole only where
 /// requests of its route have many different paths, and none with this one has
@@ -18,10 +21,12 @@
 
 /// Returns the fingerprint of a request without its id, which is new each time
 /// the request is sent.
-Fingerprint contentOf(const CallerRequest &Inbound);
+Fingerprint contentOf(const CallerRequest &Inbound,
+                      const std::optional<TeamId> &Team);
 
 /// Returns the fingerprint of a request's method, host and path.
-Fingerprint pathContentOf(const CallerRequest &Inbound);
+Fingerprint pathContentOf(const CallerRequest &Inbound,
+                          const std::optional<TeamId> &Team);
 
 /// Returns the content that crashes of a call's target count against.
 Fingerprint accusedContentOf(const RelayState &State, const RelayCall &Call);
--- a/packages/decision/src/relay/StreamOrigins.cpp
+++ b/packages/decision/src/relay/StreamOrigins.cpp
@@ -1,6 +1,7 @@
 #include "StreamOrigins.h"
 
 #include "Directory.h"
+#include "Teams.h"
 
 #include <algorithm>
 
@@ -25,7 +26,7 @@
 
 void reportOrigin(RelayContext &Context, const RelayCall &Call) {
   StreamStarted Started;
-  Started.Attempt = Call.InboundRequest.Id;
+  Started.Attempt = turnOf(Call);
   Started.Origin = *Call.Origin;
   Started.Retention =
       Call.InboundRequest.TimeLeft.value_or(Call.Route.Timeout) +
@@ -43,7 +44,8 @@
   if (!isContinuation(Call) ||
       Call.InboundRequest.ResumedAttempt->Value.empty())
     return std::nullopt;
-  return Call.InboundRequest.ResumedAttempt;
+  return CallerAttemptId(
+      qualifiedId(Call.Team, Call.InboundRequest.ResumedAttempt->Value));
 }
 
 std::optional<StreamOrigin> soleOriginOf(const RelayState &State,
--- a/packages/decision/src/relay/StreamOrigins.h
+++ b/packages/decision/src/relay/StreamOrigins.h
@@ -12,8 +12,9 @@
 /// Returns whether a caller continues a stream with this call.
 bool isContinuation(const RelayCall &Call);
 
-/// Returns the attempt that began the stream that a call continues; absent if
-/// the caller does not name it or begins a stream.
+/// Returns the attempt that began the stream that a call continues, with an id
+/// that is unique over all teams; absent if the caller does not name it or
+/// begins a stream.
 std::optional<CallerAttemptId> resumedAttemptOf(const RelayCall &Call);
 
 /// Returns the origin of a stream whose first attempt the caller does not name:
--- a/packages/decision/src/relay/TurnCloses.cpp
+++ b/packages/decision/src/relay/TurnCloses.cpp
@@ -1,6 +1,7 @@
 #include "TurnCloses.h"
 
 #include "Attempts.h"
+#include "Teams.h"
 #include "Turns.h"
 
 namespace tanagerlanding {
@@ -50,7 +51,7 @@
   Close.Since = State.Now;
   Close.Message.Operation = LedgerOperationId(State.NextOperation++);
   Close.Message.Program = programOf(Call);
-  Close.Message.Turn = Call.InboundRequest.Id;
+  Close.Message.Turn = turnOf(Call);
   Close.Message.Retention = Call.Route.Retention;
   if (HasOpenClaim)
     Close.Message.Used =
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -5,6 +5,7 @@
 #include "LimitObservations.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
+#include "Teams.h"
 #include "TurnCloses.h"
 
 #include <algorithm>
@@ -59,7 +60,7 @@
   Open.Operation = LedgerOperationId(State.NextOperation++);
   State.PendingOpens[Open.Operation] = Call.Request;
   Open.View = State.View.Version;
-  Open.Turn = Call.InboundRequest.Id;
+  Open.Turn = turnOf(Call);
   Open.Program = programOf(Call);
   Open.Previous = previousOf(Call);
   Open.Retention = Call.Route.Retention;
@@ -105,7 +106,7 @@
 
 /// Returns the tokens claimed by other turns of the program.
 TokenCount claimedByOthers(const RelayCall &Call) {
-  const Fingerprint Own = fingerprintOf(Call.InboundRequest.Id);
+  const Fingerprint Own = fingerprintOf(turnOf(Call));
   TokenCount Sum;
   for (const auto &[Turn, Claim] : Call.Ledger.Claims) {
     if (!(Turn == Own))
@@ -139,7 +140,7 @@
   OpenTurn Read;
   Read.Operation = Ledger.OpenRequest.Operation;
   Read.View = State.View.Version;
-  Read.Turn = Call.InboundRequest.Id;
+  Read.Turn = turnOf(Call);
   Read.Program = programOf(Call);
   Read.Previous = Ledger.LastMissingTurn;
   Read.Retention = Call.Route.Retention;
@@ -187,7 +188,7 @@
   }
   if (const auto Resumed = resumedAttemptOf(Call); Resumed && !Call.Origin) {
     Context.logCall("stream_unknown", Call,
-                    {{"begun_by", Resumed->Value},
+                    {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
                      {"answered", std::to_string(Ledger.AnsweredBy.size())}});
     refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
     return;
@@ -197,7 +198,7 @@
     const TokenCount Claimed = claimedByOthers(Call);
     if (!(Claimed < Budget)) {
       Context.logCall("budget_exhausted", Call,
-                      {{"program", programOf(Call).Value},
+                      {{"program", Call.InboundRequest.Program->Program.Value},
                        {"budget", std::to_string(Budget.Value)},
                        {"claimed", std::to_string(Claimed.Value)}});
       refuseCall(Context, Call, RelayRefusalReason::BudgetExhausted);
@@ -353,13 +354,16 @@
 }
 
 std::optional<TurnId> previousOf(const RelayCall &Call) {
-  return Call.Route.KeepsHistory ? Call.InboundRequest.PreviousTurn
-                                 : std::nullopt;
+  const auto &Previous = Call.InboundRequest.PreviousTurn;
+  if (!Call.Route.KeepsHistory || !Previous)
+    return std::nullopt;
+  return TurnId(qualifiedId(Call.Team, Previous->Value));
 }
 
 ProgramId programOf(const RelayCall &Call) {
-  return Call.InboundRequest.Program ? Call.InboundRequest.Program->Program
-                                     : ProgramId();
+  const auto &Program = Call.InboundRequest.Program;
+  return Program ? ProgramId(qualifiedId(Call.Team, Program->Program.Value))
+                 : ProgramId();
 }
 
 bool needsLedger(const RelayCall &Call) {
@@ -368,7 +372,7 @@
 }
 
 bool hasClaimsOfOtherTurns(const RelayCall &Call) {
-  const Fingerprint Own = fingerprintOf(Call.InboundRequest.Id);
+  const Fingerprint Own = fingerprintOf(turnOf(Call));
   const auto &Claims = Call.Ledger.Claims;
   return std::any_of(Claims.begin(), Claims.end(),
                      [&Own](const auto &Each) { return !(Each.first == Own); });
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -15,9 +15,11 @@
 /// Returns whether a call must be opened at the ledger before it may run.
 bool needsLedger(const RelayCall &Call);
 
-/// Returns the turn that a call continues from, if its route keeps history.
+/// Returns the turn that a call continues from, if its route keeps history; its
+/// id is unique over all teams.
 std::optional<TurnId> previousOf(const RelayCall &Call);
-/// Returns the program of a call, or an empty id if it has none.
+/// Returns the program of a call, or an empty id if it has none; the id is
+/// unique over all teams.
 ProgramId programOf(const RelayCall &Call);
 
 /// Returns whether other turns of the call's program have claimed tokens,
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/DirectoryProtocol.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/DirectoryProtocol.h
@@ -27,6 +27,9 @@
   std::function<Result<RelayConfiguration, std::vector<SettingsFault>>(
       const std::string &)>
       DecodeConfiguration;
+  /// Returns an encoded configuration without the keys of callers, which
+  /// decodes to the same; for files and for messages between processes.
+  std::function<std::string(const std::string &)> RedactConfiguration;
   std::function<Result<RegisteredTarget, std::vector<SettingsFault>>(
       const TargetId &, const std::string &)>
       DecodeTarget;
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -287,8 +287,10 @@
   DirectoryChanges Notice;
   Notice.IsServiceLost = this->IsServiceLost;
   for (const KeyChange &Each : Changes) {
-    const DirectoryItem Item{Each.Item.Key, Each.Item.Value,
-                             Each.Item.ModRevision, Each.IsDeleted};
+    DirectoryItem Item{Each.Item.Key, Each.Item.Value, Each.Item.ModRevision,
+                       Each.IsDeleted};
+    if (Item.Key == this->Directory.ConfigurationKey && !Item.IsDeleted)
+      Item.Value = this->Directory.RedactConfiguration(Item.Value);
     Notice.Items.push_back(Item);
     if (Each.IsDeleted)
       this->CachedDirectory.erase(Item.Key);
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -4,7 +4,7 @@
 packages=(cmake ninja-build g++ pkg-config clang-format clang-tidy python3
   libpistache-dev libflatbuffers-dev libcli11-dev libgoogle-glog-dev catch2
   libboost-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev
-  libcurl4-openssl-dev curl)
+  libcurl4-openssl-dev libsodium-dev curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
