--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -29,6 +29,9 @@
 /// Announces that the sender is live, and its configuration version.
 struct Heartbeat {
   ConfigVersion Version;
+  /// When a relay that needs proofs of its configuration sent this, in the form
+  /// that heartbeatOf() defines. Never negative.
+  std::optional<Instant> SentAt;
 };
 
 /// Offers a configuration newer than the receiver's.
@@ -219,7 +222,7 @@
     ReleasePrefixes, LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
     TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
     DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
-    TargetLimitQuery, PermitRequest, PermitGrant>;
+    TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -184,6 +184,14 @@
   bool IsServiceLost = false;
 };
 
+/// States to a relay that KeyRevision was the last change of the
+/// configuration's key when the relay sent the heartbeat with SentAt, or at a
+/// later time.
+struct ConfigurationVouch {
+  Revision KeyRevision;
+  Instant SentAt;
+};
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -80,12 +80,23 @@
 /// an outage.
 struct LedgerServiceSnapshotRead {};
 
+/// A change of the configuration's key was received.
+struct LedgerConfigurationObserved {
+  Revision KeyRevision;
+};
+/// A query of the key-value service is about to be sent.
+struct LedgerServiceQueryStarted {};
+/// The changes in the answer to that query have been applied.
+struct LedgerServiceContentConfirmed {};
+
 using LedgerEvent =
     std::variant<LedgerTick, LedgerMessageReceived, LedgerBatchStored,
                  LedgerBatchFailed, LedgerBatchRecovered, SuspectsRecovered,
                  LedgerViewObserved, ReplicaRegistered, ReplicaUnregistered,
                  ReplicaHelloReceived, ReplicaSynced, RetirementRequested,
-                 RetirementReportFailed, LedgerServiceSnapshotRead>;
+                 RetirementReportFailed, LedgerServiceSnapshotRead,
+                 LedgerConfigurationObserved, LedgerServiceQueryStarted,
+                 LedgerServiceContentConfirmed>;
 
 /// Make a batch durable and report LedgerBatchStored or LedgerBatchFailed.
 struct PersistLedgerBatch {
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -50,6 +50,11 @@
   /// Number of streams whose origin is kept. A stream above it can't be
   /// continued by its caller.
   std::size_t StartedStreamLimit = 100000;
+  /// How long the clock of a relay is kept after its last heartbeat.
+  Milliseconds RelayClockRetention{5000};
+  /// Relays get no vouch for a time that is less than this after the last one,
+  /// since the first member asks the key-value service several times a second.
+  Milliseconds MinVouchInterval{1000};
 };
 
 /// Location of a batch in the data folder.
@@ -103,6 +108,18 @@
   Instant ReceivedAt;
 };
 
+/// What a replica knows of a relay's clock.
+struct RelayClock {
+  /// The time in the relay's last heartbeat, and when it was received here.
+  Instant SentAt;
+  Instant ReceivedAt;
+  /// SentAt when the present query of the key-value service was sent; absent if
+  /// the first heartbeat came later.
+  std::optional<Instant> AtQuery;
+  /// The time in the last vouch.
+  std::optional<Instant> VouchedFor;
+};
+
 /// Issues this replica's share of the permits of one target.
 struct PermitIssuer {
   PermitBucket Bucket;
@@ -187,6 +204,10 @@
   /// Limits that targets have named, and the permits that this replica issues.
   LimitTable Limits;
   std::map<TargetRun, PermitIssuer> PermitIssuers;
+  /// Clocks of the relays that need proofs of their configuration, and the last
+  /// change of the configuration's key; revision 0 if there was none.
+  std::map<HostId, RelayClock> RelayClocks;
+  Revision ConfigurationKeyRevision;
   /// Evidence against contents that crash their targets, for the relays.
   QuarantineTable Suspects{SharedRunPolicy{}, SharedContentLimit};
 };
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -44,6 +44,8 @@
     NeverSent,
     /// The connection failed or the answer violated the protocol.
     Broken,
+    /// No byte of the request was sent before SendAttempt::SendBefore.
+    Overdue,
   };
   RelayAttemptId Attempt;
   Kind Ended = Kind::Broken;
@@ -65,6 +67,16 @@
 struct RelayConfigured {
   RelayConfiguration Configuration;
 };
+/// A change of the configuration's key was received, whether or not its value
+/// was accepted.
+struct ConfigurationKeyObserved {
+  Revision KeyRevision;
+};
+/// Everything that the key-value service had confirmed before AskedAt has been
+/// received.
+struct DirectoryConfirmed {
+  Instant AskedAt;
+};
 struct TargetRegistered {
   RegisteredTarget Entry;
 };
@@ -102,7 +114,8 @@
 using RelayEvent =
     std::variant<RelayTick, CallerRequestReceived, RelayCallerDisconnected,
                  AttemptHeadReceived, AttemptBytesReceived, AttemptEnded,
-                 TargetConnectionProbed, RelayConfigured, TargetRegistered,
+                 TargetConnectionProbed, RelayConfigured,
+                 ConfigurationKeyObserved, DirectoryConfirmed, TargetRegistered,
                  TargetUnregistered, DirectoryLost, DirectoryRegained,
                  ReplicaReachabilityReported, RelayLedgerViewObserved,
                  ReplicaConnected, ReplicaDisconnected, ReplicaMessageReceived,
@@ -152,6 +165,9 @@
   std::string History;
   /// Id of the last event that the caller has received, if a stream is resumed.
   std::optional<std::uint64_t> ResumeAfter;
+  /// From this time on the attempt must not be sent; absent if there is no such
+  /// time.
+  std::optional<Instant> SendBefore;
 };
 /// Close the connection of an attempt.
 struct CancelTargetAttempt {
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -7,6 +7,7 @@
 #include "tanagerlanding/decision/TargetLimits.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 #include "tanagerlanding/decision/relay/CallerRequest.h"
+#include "tanagerlanding/decision/relay/ConfigurationProof.h"
 #include "tanagerlanding/decision/relay/EventSplitter.h"
 #include "tanagerlanding/decision/relay/RelayConfiguration.h"
 
@@ -155,6 +156,13 @@
   /// the rate below which a relay holds no permits in advance.
   Milliseconds RateHalfLife{2000};
   double MinRequestsPerSecond = 0.2;
+  /// Whether keys of teams are accepted only with a proof that the
+  /// configuration is recent, and the age at which the proof expires.
+  bool IsRevocationStrict = false;
+  Milliseconds MaxProofAge{4750};
+  /// The retry delay sent to callers who were refused for want of a proof. The
+  /// next heartbeat or watch usually brings one.
+  Milliseconds StaleRetryAfter{400};
 };
 
 /// A number of events, with exponential decay.
@@ -395,6 +403,9 @@
   Instant Now;
   std::mt19937_64 Random;
   std::optional<RelayConfiguration> Configuration;
+  tanagerlanding::ConfigurationProof ConfigurationProof;
+  /// Added to the times in heartbeats; see heartbeatOf().
+  Milliseconds HeartbeatOffset{0};
   std::map<TargetId, RelayTarget> Targets;
   std::map<ServiceName, std::set<TargetId>> TargetsByService;
   /// Runs of targets that stated in an answer that they are leaving, and when
--- a/packages/decision/src/Membership.cpp
+++ b/packages/decision/src/Membership.cpp
@@ -113,7 +113,7 @@
   State.LastHeartbeat = State.Now;
   for (const auto &[Host, Peer] : State.Peers) {
     if (Peer.IsConnected)
-      Context.send(Host, Heartbeat{State.Accepted.Version});
+      Context.send(Host, Heartbeat{State.Accepted.Version, std::nullopt});
   }
 }
 
@@ -148,7 +148,7 @@
   Target.IsHealthy = Report.IsHealthy;
   Target.IsLeaving = Report.IsLeaving;
   Target.OwnAtReport = Target.OwnOutstanding;
-  handleHeartbeat(Context, Host, Heartbeat{Report.Version});
+  handleHeartbeat(Context, Host, Heartbeat{Report.Version, std::nullopt});
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -1,5 +1,6 @@
 #include "tanagerlanding/decision/ledger/LedgerReducer.h"
 
+#include "ConfigurationVouching.h"
 #include "LedgerContext.h"
 #include "LedgerMembership.h"
 #include "LedgerRecords.h"
@@ -105,6 +106,9 @@
   void operator()(const StreamStarted &Started) {
     recordStartedStream(this->Context, Started);
   }
+  void operator()(const Heartbeat &Beat) {
+    recordRelayClock(this->Context, this->Peer, Beat);
+  }
   void operator()(const ViewOffer &Offer) {
     adoptView(this->Context, Offer.View);
   }
@@ -283,6 +287,19 @@
     reconcileMembership(this->Context);
   }
 
+  void operator()(const LedgerConfigurationObserved &Event) {
+    this->State.ConfigurationKeyRevision =
+        std::max(this->State.ConfigurationKeyRevision, Event.KeyRevision);
+  }
+
+  void operator()(const LedgerServiceQueryStarted &) {
+    beginVouching(this->Context);
+  }
+
+  void operator()(const LedgerServiceContentConfirmed &) {
+    vouchToRelays(this->Context);
+  }
+
 private:
   void forgetRetirement(const HostId &Host) {
     this->State.RetiringHosts.erase(Host);
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -1,6 +1,7 @@
 #include "Admission.h"
 
 #include "Attempts.h"
+#include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "Refusals.h"
 #include "RequestContent.h"
@@ -111,6 +112,8 @@
   recordRequestedPath(State, Admitted);
   if (!hasTimeLeft(Context, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
+  else if (!mayUseKey(State, Admitted))
+    refuseCall(Context, Admitted, RelayRefusalReason::ConfigurationStale);
   else if (isQuarantined(State, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::Quarantined);
   else if (!findUnnamedOrigin(Context, Admitted))
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -1,6 +1,7 @@
 #include "Attempts.h"
 
 #include "CallQueue.h"
+#include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
@@ -357,6 +358,10 @@
     refuseCall(Context, Call, RelayRefusalReason::Quarantined);
     return;
   }
+  if (!mayUseKey(State, Call)) {
+    refuseCall(Context, Call, RelayRefusalReason::ConfigurationStale);
+    return;
+  }
   const RelayTarget &Target = State.Targets.at(Chosen.value());
   if (!takePermit(State, Target.Entry)) {
     awaitPermit(Context, Call);
@@ -387,6 +392,7 @@
   Send.History = Call.Ledger.History;
   if (Call.EventsSent > 0)
     Send.ResumeAfter = Call.LastEventId;
+  Send.SendBefore = sendDeadlineOf(State, Call);
   Context.logCall(
       "attempt_sent", Call,
       {{"target", Call.Target.Value},
@@ -480,6 +486,9 @@
     backOffTarget(Context.State, Call->Target);
     handleNotRun(Context, *Call, "unreachable");
     return;
+  case AttemptEnded::Kind::Overdue:
+    handleNotRun(Context, *Call, "proof_expired");
+    return;
   case AttemptEnded::Kind::Broken:
     handleBrokenAttempt(Context, *Call, "broken_connection");
     return;
--- a/packages/decision/src/relay/DeferredRequests.cpp
+++ b/packages/decision/src/relay/DeferredRequests.cpp
@@ -1,6 +1,7 @@
 #include "DeferredRequests.h"
 
 #include "Admission.h"
+#include "ConfigurationProof.h"
 
 #include <algorithm>
 
@@ -16,12 +17,17 @@
   return Inbound.PreviousTurn || (Inbound.Program && Inbound.Program->Budget);
 }
 
-/// Returns whether the relay lacks the directory, or the ledger if the request
-/// may need it.
+bool hasKey(const CallerRequest &Inbound) {
+  return std::holds_alternative<KeyDigest>(Inbound.Credential);
+}
+
+/// Returns whether the relay lacks the directory, or the ledger or the proof of
+/// its configuration if the request may need it.
 bool isMissingDependency(const RelayState &State,
                          const CallerRequest &Inbound) {
   return !hasDirectory(State) ||
-         (mayNeedLedger(Inbound) && State.LedgerLostSince);
+         (mayNeedLedger(Inbound) && State.LedgerLostSince) ||
+         (hasKey(Inbound) && !isConfigurationProven(State));
 }
 
 /// Returns until when a request may be deferred.
@@ -40,14 +46,23 @@
          State.Now < deferralDeadlineFor(State, Inbound, Arrived);
 }
 
-/// Ends start-up once directory and ledger have been available, or after its
-/// time limit. Requests are not deferred for anything that is lost later.
+/// Returns what a request that is deferred waits for, as written to the log.
+const char *missingDependency(const RelayState &State,
+                              const CallerRequest &Inbound) {
+  if (!hasDirectory(State))
+    return "directory";
+  return mayNeedLedger(Inbound) && State.LedgerLostSince ? "ledger" : "proof";
+}
+
+/// Ends start-up once directory, ledger and proof have been available, or after
+/// its time limit. Requests are not deferred for anything that is lost later.
 void updateStartupState(RelayState &State) {
   if (!State.StartedAt)
     State.StartedAt = State.Now;
   const bool IsOver =
       State.Options.StartupGracePeriod <= State.Now - *State.StartedAt;
-  if (IsOver || (hasDirectory(State) && !State.LedgerLostSince))
+  if (IsOver || (hasDirectory(State) && !State.LedgerLostSince &&
+                 isConfigurationProven(State)))
     State.HasFinishedStartup = true;
 }
 
@@ -64,7 +79,7 @@
   Context.log(
       "request_kept",
       {{"request", Inbound.Id.Value},
-       {"waits_for", hasDirectory(State) ? "ledger" : "directory"},
+       {"waits_for", missingDependency(State, Inbound)},
        {"since_start_ms", RelayContext::millis(State.Now - *State.StartedAt)}});
   State.DeferredRequests[Request] =
       DeferredRequest{std::move(Inbound), State.Now};
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -27,6 +27,13 @@
   Context.log("target_forgotten", {{"target", Id.Value}});
 }
 
+/// Forgets which prompts a target caches, as a new process starts with none.
+void forgetPromptCaches(RelayState &State, const TargetId &Id) {
+  auto &Locations = State.PromptCacheLocations;
+  for (auto Each = Locations.begin(); Each != Locations.end();)
+    Each = Each->second.Target == Id ? Locations.erase(Each) : std::next(Each);
+}
+
 } // namespace
 
 void adoptConfiguration(RelayContext &Context,
@@ -66,6 +73,7 @@
     Target.BackoffUntil = Instant();
     Target.ExternalLoad = 0;
     Target.Health = TargetHealth();
+    forgetPromptCaches(State, Entry.Id);
   }
   State.TargetsByService[Entry.Service].insert(Entry.Id);
   if (IsChanged)
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -44,6 +44,8 @@
   case RelayRefusalReason::NoTarget:
   case RelayRefusalReason::Overloaded:
     return State.Options.RetryAfter;
+  case RelayRefusalReason::ConfigurationStale:
+    return State.Options.StaleRetryAfter;
   default:
     return Milliseconds(0);
   }
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -2,6 +2,7 @@
 
 #include "Attempts.h"
 #include "CallQueue.h"
+#include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
@@ -108,6 +109,14 @@
     adoptConfiguration(this->Context, Event.Configuration);
   }
 
+  void operator()(const ConfigurationKeyObserved &Event) {
+    recordConfigurationKey(this->Context, Event.KeyRevision);
+  }
+
+  void operator()(const DirectoryConfirmed &Event) {
+    recordOwnProof(this->Context, Event.AskedAt);
+  }
+
   void operator()(const TargetRegistered &Event) {
     registerTarget(this->Context, Event.Entry);
   }
@@ -173,6 +182,7 @@
   std::visit(RelayEventHandler(Context), Event);
   stopQuarantinedCalls(Context);
   updateQuorumState(Context);
+  reviewConfigurationProof(Context);
   admitDeferredRequests(Context);
   return Effects;
 }
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -1,6 +1,7 @@
 #include "Turns.h"
 
 #include "Attempts.h"
+#include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "LimitObservations.h"
 #include "RequestPermits.h"
@@ -322,6 +323,9 @@
   void operator()(const PermitGrant &Grant) {
     handlePermitGrant(this->Context, this->Holder, Grant);
   }
+  void operator()(const ConfigurationVouch &Vouch) {
+    handleConfigurationVouch(this->Context, this->Holder, Vouch);
+  }
   void operator()(const ViewOffer &Offer) {
     adoptLedgerView(this->Context, Offer.View);
   }
--- /dev/null
+++ b/packages/decision/tests/RelayDirectoryTest.cpp
@@ -0,0 +1,37 @@
+/// Tests what a relay keeps of a target that starts again under its id.
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::test;
+
+// What was learned of the former process, which prompts it caches or that it is
+// leaving, does not hold for the new one.
+TEST_CASE("Directory: a target that starts again under its id is a new run") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  RegisteredTarget Entry = Fixture.State.Targets.at(TargetId("t1")).Entry;
+  Entry.StartedAtMillis = 5;
+  Fixture.apply(TargetRegistered{Entry});
+  auto &Locations = Fixture.State.PromptCacheLocations;
+  Locations["first"] = PromptCacheLocation{TargetId("t1"), Fixture.State.Now};
+  Locations["other"] = PromptCacheLocation{TargetId("t2"), Fixture.State.Now};
+  Fixture.State.LeavingRuns[Entry.run()] = Fixture.State.Now;
+  Fixture.State.Targets.at(TargetId("t1")).ExternalLoad = 9;
+  RelayTarget &Known = Fixture.State.Targets.at(TargetId("t1"));
+  SECTION("the same run") {
+    Fixture.apply(TargetRegistered{Entry});
+    CHECK(Locations.count("first") == 1);
+    CHECK(Fixture.State.LeavingRuns.count(Known.Entry.run()) == 1);
+    CHECK(Known.ExternalLoad == 9);
+  }
+  SECTION("another run") {
+    Entry.StartedAtMillis = 6;
+    Fixture.apply(TargetRegistered{Entry});
+    CHECK(Locations.count("first") == 0);
+    CHECK(Fixture.State.LeavingRuns.count(Known.Entry.run()) == 0);
+    CHECK(Known.ExternalLoad == 0);
+  }
+  CHECK(Locations.count("other") == 1);
+}
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
@@ -29,6 +29,13 @@
     /// Called when a call fails; the content delivered so far may be out of
     /// date.
     virtual void onServiceUnavailable() = 0;
+    /// Called just before a watch or the first page of a read is sent.
+    virtual void onQueryStarted() {}
+    /// Called once the changes in the answer to that query have been delivered:
+    /// everything that the service had confirmed before AskedAt, the time of
+    /// onQueryStarted(), has been delivered. Not called for a query that was
+    /// not answered, reports a lost history, or was answered from an old state.
+    virtual void onContentConfirmed(Instant AskedAt) { (void)AskedAt; }
   };
 
   /// Configures which keys are watched and how.
@@ -58,6 +65,10 @@
   void applyChanges(const std::vector<KeyChange> &Changes);
 
 private:
+  void startQuery();
+  /// Reports that the content is complete, unless the present query was
+  /// answered from an older state than was known when it was sent.
+  void confirmContent(Revision AnsweredAs);
   void readPage(std::string After);
   void finishReading();
   void watch();
@@ -65,6 +76,7 @@
   void handleFailure();
   void markReachable();
 
+  EventLoop &Loop;
   KeyValueClient &Service;
   const Options Settings;
   Listener &Callbacks;
@@ -84,6 +96,11 @@
   std::map<std::string, KnownKey> KnownKeys;
   std::map<std::string, KeyValue> PendingItems;
   Revision AsOf;
+  /// The newest revision known from any source.
+  Revision NewestRevision;
+  /// When the present watch or read was sent, and NewestRevision at that time.
+  Instant QueriedAt;
+  Revision KnownAtQuery;
   bool HasCompletedRead = false;
   bool IsReachable = false;
 };
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -1,5 +1,7 @@
 #include "tanagerlanding/keyvalue/KeyWatcher.h"
 
+#include <algorithm>
+
 namespace tanagerlanding {
 
 namespace {
@@ -13,14 +15,30 @@
 
 KeyWatcher::KeyWatcher(EventLoop &Loop, KeyValueClient &Service,
                        Options Settings, Listener &Callbacks)
-    : Service(Service), Settings(std::move(Settings)), Callbacks(Callbacks),
-      DelayTimer(Loop.context()) {}
+    : Loop(Loop), Service(Service), Settings(std::move(Settings)),
+      Callbacks(Callbacks), DelayTimer(Loop.context()) {}
 
 void KeyWatcher::start() {
   this->PendingItems.clear();
+  this->startQuery();
   this->readPage({});
 }
 
+void KeyWatcher::startQuery() {
+  // Taken before the call is sent, since the service may read its state at any
+  // time from then on.
+  this->QueriedAt = this->Loop.now();
+  this->KnownAtQuery = this->NewestRevision;
+  this->Callbacks.onQueryStarted();
+}
+
+void KeyWatcher::confirmContent(Revision AnsweredAs) {
+  if (AnsweredAs < this->KnownAtQuery)
+    return;
+  this->NewestRevision = std::max(this->NewestRevision, AnsweredAs);
+  this->Callbacks.onContentConfirmed(this->QueriedAt);
+}
+
 void KeyWatcher::readPage(std::string After) {
   const bool IsFirst = After.empty();
   this->Service.call(ReadRange{this->Settings.Prefix, std::move(After)},
@@ -64,10 +82,12 @@
   this->HasCompletedRead = true;
   this->evictDeleted();
   this->markReachable();
+  this->confirmContent(this->AsOf);
   this->watch();
 }
 
 void KeyWatcher::watch() {
+  this->startQuery();
   this->Service.call(WatchRange{this->Settings.Prefix, this->AsOf,
                                 this->Settings.WatchTimeout},
                      [this](auto Reply) {
@@ -85,6 +105,7 @@
                          this->AsOf = Page.AsOf;
                        this->evictDeleted();
                        this->markReachable();
+                       this->confirmContent(Page.AsOf);
                        this->scheduleWatch();
                      });
 }
@@ -114,6 +135,8 @@
 void KeyWatcher::applyChanges(const std::vector<KeyChange> &Changes) {
   std::vector<KeyChange> Fresh;
   for (const KeyChange &Each : Changes) {
+    this->NewestRevision =
+        std::max(this->NewestRevision, Each.Item.ModRevision);
     if (!this->isNewer(Each))
       continue;
     this->KnownKeys[Each.Item.Key] =
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -28,8 +28,12 @@
     Dialect.Decode =
         [this](const KeyValueOperation &,
                const HttpOutcome &) -> Result<KeyValueReply, PlatformError> {
-      if (this->Replies.empty())
+      if (this->Replies.empty()) {
+        // Unlike the callback for an unavailable service, this also ends a run
+        // in which no read was completed.
+        this->Loop.stop();
         return PlatformError{PlatformError::Kind::Unreachable};
+      }
       KeyValueReply Reply = std::move(this->Replies.front());
       this->Replies.pop_front();
       return Reply;
@@ -42,6 +46,11 @@
       this->Notifications.push_back(
           Each.Item.Key + (Each.IsDeleted ? "-" : "=") + Each.Item.Value);
   }
+  void onQueryStarted() override { this->QueryTimes.push_back(Loop.now()); }
+  void onContentConfirmed(Instant AskedAt) override {
+    this->Confirmed.push_back(AskedAt);
+    this->ConfirmedAfter.push_back(this->Notifications.size());
+  }
   void onServiceAvailable() override { ++this->AvailableCount; }
   void onServiceUnavailable() override {
     ++this->UnavailableCount;
@@ -65,6 +74,10 @@
   std::vector<KeyValueOperation> Operations;
   std::deque<KeyValueReply> Replies;
   std::vector<std::string> Notifications;
+  std::vector<Instant> QueryTimes;
+  std::vector<Instant> Confirmed;
+  /// The number of notifications before each confirmation.
+  std::vector<std::size_t> ConfirmedAfter;
   int AvailableCount = 0;
   int UnavailableCount = 0;
   KeyValueClient Service;
@@ -144,3 +157,70 @@
   CHECK(Fixture.Notifications == Texts{"a=2", "a=3", "a=4"});
   CHECK(Delay * 3 <= Fixture.Loop.now() - Start);
 }
+
+TEST_CASE("Watcher: an answer confirms the content as of when its query was "
+          "sent, after its changes") {
+  constexpr Milliseconds Delay{30};
+  WatcherFixture Fixture;
+  Fixture.Watcher.setWatchDelay(Delay);
+  Fixture.runWithReplies(
+      {RangePage{{WatcherFixture::item("a", "1", 3)}, true, Revision(9)},
+       RangePage{{WatcherFixture::item("b", "2", 4)}, false, Revision(10)},
+       WatchPage{{KeyChange{WatcherFixture::item("a", "5", 11), false}},
+                 Revision(11),
+                 false},
+       WatchPage{{}, Revision(11), false}});
+  // The pages of the read are one query. The last query is not answered.
+  REQUIRE(Fixture.QueryTimes.size() == 4);
+  REQUIRE(Fixture.Confirmed.size() == 3);
+  for (std::size_t Number = 0; Number < 3; ++Number) {
+    const Milliseconds Difference =
+        Fixture.QueryTimes[Number] - Fixture.Confirmed[Number];
+    CHECK(Milliseconds(0) <= Difference);
+    CHECK(Difference <= Milliseconds(5));
+  }
+  CHECK(Delay <= Fixture.Confirmed[2] - Fixture.Confirmed[1]);
+  CHECK(Fixture.ConfirmedAfter == std::vector<std::size_t>{2, 3, 3});
+}
+
+// An interrupted watch, or one whose history is lost, may have missed changes.
+TEST_CASE("Watcher: errors, interrupted calls and a lost history confirm "
+          "nothing") {
+  WatcherFixture Fixture;
+  SECTION("the first read is interrupted") {
+    Fixture.runWithReplies({});
+    CHECK(Fixture.Confirmed.empty());
+  }
+  SECTION("a later page is missing") {
+    Fixture.runWithReplies(
+        {RangePage{{WatcherFixture::item("a", "1", 3)}, true, Revision(9)}});
+    CHECK(Fixture.Confirmed.empty());
+  }
+  SECTION("the watch is interrupted") {
+    Fixture.runWithReplies({RangePage{{}, false, Revision(9)}});
+    CHECK(Fixture.Confirmed.size() == 1);
+  }
+  SECTION("the history is lost and the read that follows is interrupted") {
+    Fixture.runWithReplies(
+        {RangePage{{}, false, Revision(9)}, WatchPage{{}, Revision(), true}});
+    CHECK(Fixture.Confirmed.size() == 1);
+  }
+}
+
+// A lagging copy of the service may answer from before a known change.
+TEST_CASE("Watcher: an answer from an older state than is known confirms "
+          "nothing") {
+  WatcherFixture Fixture;
+  Fixture.Watcher.applyChanges(
+      {KeyChange{WatcherFixture::item("a", "2", 11), false}});
+  SECTION("a read") {
+    Fixture.runWithReplies({RangePage{{}, false, Revision(10)}});
+    CHECK(Fixture.Confirmed.empty());
+  }
+  SECTION("a watch") {
+    Fixture.runWithReplies({RangePage{{}, false, Revision(11)},
+                            WatchPage{{}, Revision(10), false},
+                            WatchPage{{}, Revision(11), false}});
+    CHECK(Fixture.Confirmed.size() == 2);
+  }
+}
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -70,6 +70,8 @@
   void onKeysChanged(const std::vector<KeyChange> &Changes) override;
   void onServiceAvailable() override;
   void onServiceUnavailable() override;
+  void onQueryStarted() override;
+  void onContentConfirmed(Instant AskedAt) override;
   /// Stores changes of the directory and forwards them to the relays.
   void publishDirectory(const std::vector<KeyChange> &Changes);
   void readDirectory();
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -269,6 +269,8 @@
   std::vector<KeyChange> DirectoryKeys;
   for (const KeyChange &Each : Changes) {
     const std::string &Key = Each.Item.Key;
+    if (Key == this->Directory.ConfigurationKey)
+      this->apply(LedgerConfigurationObserved{Each.Item.ModRevision});
     if (this->Directory.isTargetKey(Key) ||
         Key == this->Directory.ConfigurationKey)
       DirectoryKeys.push_back(Each);
@@ -369,6 +371,14 @@
   this->IsServiceLost = true;
 }
 
+void LedgerProcess::onQueryStarted() {
+  this->apply(LedgerServiceQueryStarted{});
+}
+
+void LedgerProcess::onContentConfirmed(Instant) {
+  this->apply(LedgerServiceContentConfirmed{});
+}
+
 void LedgerProcess::writeView(const WriteLedgerView &Effect) {
   const LedgerView View = Effect.View;
   this->Service.writeIfUnchanged(
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -49,6 +49,8 @@
     CallerAttemptId ExpectedId;
     /// Maximum number of idle connections kept to the target.
     std::uint32_t IdleLimit = 0;
+    /// From this time on the request must not be sent.
+    std::optional<Instant> SendBefore;
   };
 
   AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -33,6 +33,11 @@
   std::vector<ListenAddress> Seeds;
   /// Time between SIGTERM and SIGKILL.
   Milliseconds StopGracePeriod{8000};
+  /// Whether requests with a key that was removed from the configuration must
+  /// not run later than RevocationTime after the removal, also while the
+  /// key-value service can't be reached.
+  bool IsRevocationStrict = false;
+  Milliseconds RevocationTime{5000};
 };
 
 /// Translations between a deployment's wire formats and the product's types.
@@ -85,7 +90,9 @@
   void onKeysChanged(const std::vector<KeyChange> &Changes) override;
   void onServiceAvailable() override;
   void onServiceUnavailable() override;
+  void onContentConfirmed(Instant AskedAt) override;
   void handleConfigurationChange(const KeyChange &Change);
+  void adoptConfiguration(const KeyChange &Change);
   void handleTargetChange(const KeyChange &Change);
   void handleLedgerViewChange(const KeyChange &Change);
 
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -168,6 +168,18 @@
   Target->HasHead = false;
   Target->BytesBeforeHead = 0;
   Target->IsDiscarding = false;
+  // The process may have been suspended since the decision to send, for example
+  // while the connection was being established.
+  const auto &SendBefore = Target->Current.SendBefore;
+  if (SendBefore && *SendBefore <= this->Loop.now()) {
+    const RelayAttemptId Attempt = Target->Current.Attempt;
+    // Posted, as send() must not call back.
+    this->Loop.post([this, Target, Attempt] {
+      if (Target->Current.Attempt == Attempt && this->Active.count(Attempt) > 0)
+        this->fail(Target, AttemptEnded::Kind::Overdue);
+    });
+    return;
+  }
   Target->IsWriting = true;
   const std::array<boost::asio::const_buffer, 2> Parts = {
       boost::asio::buffer(Target->Head),
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -16,12 +16,28 @@
 /// to any of them, this is half of the time within which a configuration has to
 /// be in force.
 constexpr Milliseconds WatchDelay{1000};
+/// How long a watch may wait for a change.
+constexpr Milliseconds WatchTimeout{15000};
+/// The part of the time for a removed key that is left for an attempt to reach
+/// its target once it was decided on, and for the precision of the clock.
+constexpr Milliseconds RevocationMargin{250};
 constexpr Milliseconds FlushPollInterval{5};
 /// Bytes queued for a caller at which reading from its target is paused.
 constexpr std::size_t MaxQueuedResponseBytes = 256 * 1024;
 /// Part of the grace period that is reserved for the shutdown itself.
 constexpr Milliseconds StopMargin{700};
 
+Milliseconds maxProofAge(const RelaySettings &Settings) {
+  return Settings.RevocationTime - RevocationMargin;
+}
+
+WatchTiming watchTimingFor(const RelaySettings &Settings) {
+  const WatchTiming Longest{WatchTimeout, WatchDelay};
+  return Settings.IsRevocationStrict
+             ? boundWatchTiming(maxProofAge(Settings), Longest)
+             : Longest;
+}
+
 } // namespace
 
 /// Performs the effects of the relay's reducer, one overload for each.
@@ -64,6 +80,7 @@
     Request.Body = Effect.History + Original.Body;
     Request.ExpectedId = Original.Id;
     Request.IdleLimit = Effect.IdleLimit;
+    Request.SendBefore = Effect.SendBefore;
     this->Owner.Targets.send(std::move(Request));
   }
   void operator()(const CancelTargetAttempt &Effect) {
@@ -103,7 +120,7 @@
     : Settings(Settings), Protocols(std::move(Protocols)), Timers(Loop),
       Hub(Loop, *this, PeerIdleTimeout),
       Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
-      Keys(Loop, Service, {}, *this),
+      Keys(Loop, Service, {{}, watchTimingFor(Settings).Timeout}, *this),
       Callers(Loop, this->Protocols.Relay, *this),
       Targets(Loop, this->Protocols.Relay, *this),
       Status(Settings.Status.Address, Settings.Status.Port,
@@ -116,6 +133,11 @@
   // A random start keeps late answers to an earlier run of this process from
   // matching an operation of this run.
   this->State.NextOperation = makeSeed() / 2;
+  // Room for the sum with any time of this process.
+  this->State.HeartbeatOffset =
+      Milliseconds(static_cast<std::int64_t>(makeSeed() / 4));
+  this->State.Options.IsRevocationStrict = Settings.IsRevocationStrict;
+  this->State.Options.MaxProofAge = maxProofAge(Settings);
   this->State.Options.DrainTimeout = Settings.StopGracePeriod - StopMargin;
 }
 
@@ -138,14 +160,14 @@
     return Serving;
   this->Timers.subscribe(TickInterval,
                          [this](Instant Now) { this->apply(RelayTick{Now}); });
-  this->Timers.subscribe(HeartbeatInterval, [this](Instant) {
+  this->Timers.subscribe(HeartbeatInterval, [this](Instant Now) {
     for (const auto &[Holder, Connection] : this->ReplicaConnections)
-      this->Hub.send(Connection, Heartbeat{});
+      this->Hub.send(Connection, heartbeatOf(this->State, Now));
   });
   this->Timers.subscribe(MetricsInterval,
                          [this](Instant) { this->publishMetrics(); });
   this->connectReplicas(this->Settings.Seeds);
-  this->Keys.setWatchDelay(WatchDelay);
+  this->Keys.setWatchDelay(watchTimingFor(this->Settings).Delay);
   this->Keys.start();
   this->Loop.run();
   logEvent("relay_ended", {{"host", this->Settings.Host.Value}});
@@ -223,6 +245,8 @@
     this->ReplicaConnections[*HelloMessage->Holder] = Id;
     this->ConnectedReplicas[Id] = *HelloMessage->Holder;
     this->apply(ReplicaConnected{*HelloMessage->Holder});
+    // Sent at once, so that the replica's next query already proves something.
+    this->Hub.send(Id, heartbeatOf(this->State, this->Loop.now()));
     return;
   }
   if (const auto *Update = std::get_if<DirectoryChanges>(&Body)) {
@@ -270,6 +294,12 @@
 }
 
 void RelayProcess::handleConfigurationChange(const KeyChange &Change) {
+  this->adoptConfiguration(Change);
+  // After the configuration, since a vouch may be waiting for this change.
+  this->apply(ConfigurationKeyObserved{Change.Item.ModRevision});
+}
+
+void RelayProcess::adoptConfiguration(const KeyChange &Change) {
   if (Change.IsDeleted)
     return;
   const auto Decoded =
@@ -297,12 +327,17 @@
     this->apply(TargetRegistered{Decoded.value()});
     return;
   }
-  // An invalid entry describes no usable target, so a target known under this
-  // id counts as unregistered.
+  // An invalid entry was written by something else and describes no usable
+  // target, so a target known under this id counts as unregistered. Every
+  // change of a key arrives here once, so there is one line for each key and
+  // revision.
+  std::string Faults;
   for (const SettingsFault &Fault : Decoded.error())
-    logEvent("target_entry_invalid", {{"target", Id.Value},
-                                      {"path", Fault.Path},
-                                      {"expected", Fault.Expected}});
+    Faults += (Faults.empty() ? "" : ", ") + Fault.Path + ": " + Fault.Expected;
+  logEvent("target_entry_invalid",
+           {{"target", Id.Value},
+            {"revision", std::to_string(Change.Item.ModRevision.Value)},
+            {"faults", Faults}});
   this->apply(TargetUnregistered{Id});
 }
 
@@ -321,7 +356,15 @@
 
 void RelayProcess::onServiceUnavailable() { this->apply(DirectoryLost{}); }
 
+void RelayProcess::onContentConfirmed(Instant AskedAt) {
+  this->apply(DirectoryConfirmed{AskedAt});
+}
+
 void RelayProcess::publishMetrics() {
+  if (this->Settings.IsRevocationStrict)
+    this->ProcessMetrics.set(
+        "relay_configuration_proof_age_ms",
+        static_cast<double>(configurationProofAge(this->State).count()));
   this->ProcessMetrics.set("relay_calls",
                            static_cast<double>(this->State.Calls.size()));
   this->ProcessMetrics.set("relay_targets",
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -112,6 +112,34 @@
   CHECK(Fixture.Accepted == 1);
 }
 
+// The process may be suspended between the decision and the send.
+TEST_CASE("Targets: a request that is overdue when its connection is ready is "
+          "not sent") {
+  TargetFixture Fixture;
+  if (GENERATE(false, true)) {
+    // The second request uses the first one's connection.
+    RawPeer &Target = Fixture.send("1");
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(Fixture.awaitEnds(1));
+    Fixture.Ends.clear();
+  }
+  AttemptClient::Request Late = Fixture.request("2");
+  Late.SendBefore = Fixture.Loop.now();
+  Fixture.Client.send(Late);
+  CHECK(Fixture.Ends.empty());
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Overdue);
+  for (const auto &Each : Fixture.Targets)
+    CHECK_FALSE(Each->has("Id: 2"));
+  AttemptClient::Request Early = Fixture.request("3");
+  Early.SendBefore = Fixture.Loop.now() + Milliseconds(60000);
+  Fixture.Client.send(Early);
+  CHECK(runUntil(Fixture.Loop, [&] {
+    return std::any_of(Fixture.Targets.begin(), Fixture.Targets.end(),
+                       [](const auto &Each) { return Each->has("Id: 3"); });
+  }));
+}
+
 TEST_CASE("Targets: truncated responses are never reported as complete") {
   TargetFixture Fixture;
   RawPeer &Target = Fixture.send("1");
--- a/packages/runtime/include/tanagerlanding/runtime/EventLoop.h
+++ b/packages/runtime/include/tanagerlanding/runtime/EventLoop.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <chrono>
 #include <functional>
 
 namespace tanagerlanding {
@@ -37,7 +38,9 @@
   /// Runs Task on the loop whenever SIGHUP is received.
   void onReload(std::function<void()> Task);
 
-  /// Returns the time since the loop was constructed, on a monotonic clock.
+  /// Returns the time since the loop was constructed, on a monotonic clock that
+  /// includes the time for which the host was suspended. Timers of the loop
+  /// exclude that time.
   Instant now() const;
 
   /// Returns the Asio context, for sockets and timers that run on this loop.
@@ -52,7 +55,7 @@
   boost::asio::signal_set ReloadSignal;
   std::function<void()> TerminationTask;
   std::function<void()> ReloadTask;
-  std::chrono::steady_clock::time_point StartedAt;
+  std::chrono::nanoseconds StartedAt;
 };
 
 } // namespace tanagerlanding
--- a/packages/runtime/src/EventLoop.cpp
+++ b/packages/runtime/src/EventLoop.cpp
@@ -3,11 +3,26 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <ctime>
+
 namespace tanagerlanding {
 
+namespace {
+
+/// Returns the time since the host was started. Unlike the clock of
+/// std::chrono::steady_clock, this one advances while the host is suspended;
+/// otherwise what was valid before the suspension would still seem so.
+std::chrono::nanoseconds timeSinceBoot() {
+  timespec Time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &Time);
+  return std::chrono::seconds(Time.tv_sec) +
+         std::chrono::nanoseconds(Time.tv_nsec);
+}
+
+} // namespace
+
 EventLoop::EventLoop()
-    : Signals(Context), ReloadSignal(Context),
-      StartedAt(std::chrono::steady_clock::now()) {}
+    : Signals(Context), ReloadSignal(Context), StartedAt(timeSinceBoot()) {}
 
 void EventLoop::run() {
   this->Context.restart();
@@ -35,8 +50,8 @@
 }
 
 Instant EventLoop::now() const {
-  const auto Passed = std::chrono::steady_clock::now() - this->StartedAt;
-  return Instant{std::chrono::duration_cast<Milliseconds>(Passed)};
+  return Instant{std::chrono::duration_cast<Milliseconds>(timeSinceBoot() -
+                                                          this->StartedAt)};
 }
 
 void EventLoop::awaitSignal() {
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -35,11 +35,29 @@
 wire::HeartbeatT toTable(const Heartbeat &Body) {
   wire::HeartbeatT Table;
   Table.version = Body.Version.Value;
+  Table.has_sent_at = Body.SentAt.has_value();
+  Table.sent_at_ms = Body.SentAt.value_or(Instant()).SinceStart.count();
   return Table;
 }
 
 Heartbeat fromTable(const wire::HeartbeatT &Table) {
-  return Heartbeat{ConfigVersion(Table.version)};
+  Heartbeat Body;
+  Body.Version = ConfigVersion(Table.version);
+  if (Table.has_sent_at && Table.sent_at_ms >= 0)
+    Body.SentAt = Instant{Milliseconds(Table.sent_at_ms)};
+  return Body;
+}
+
+wire::ConfigurationVouchT toTable(const ConfigurationVouch &Body) {
+  wire::ConfigurationVouchT Table;
+  Table.key_revision = Body.KeyRevision.Value;
+  Table.sent_at_ms = Body.SentAt.SinceStart.count();
+  return Table;
+}
+
+ConfigurationVouch fromTable(const wire::ConfigurationVouchT &Table) {
+  return ConfigurationVouch{Revision(Table.key_revision),
+                            Instant{Milliseconds(Table.sent_at_ms)}};
 }
 
 wire::ConfigOfferT toTable(const ConfigOffer &Body) {
@@ -521,6 +539,8 @@
     return fromTable(*Body.AsPermitRequest());
   case wire::Body::PermitGrant:
     return fromTable(*Body.AsPermitGrant());
+  case wire::Body::ConfigurationVouch:
+    return fromTable(*Body.AsConfigurationVouch());
   }
   return std::nullopt;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -96,7 +96,7 @@
   Work.Body = "body";
   return {
       Hello{HostId("h"), InstanceId("i"), HolderId("j"), ConfigVersion(3)},
-      Heartbeat{ConfigVersion(3)},
+      Heartbeat{ConfigVersion(3), Instant{Milliseconds(7)}},
       ConfigOffer{ConfigVersion(3), "{}"},
       LeavingNotice{},
       ForwardCall{RequestId(4), Epoch(5), sampleCall()},
@@ -149,7 +149,8 @@
       sampleLimitNotice(),
       TargetLimitQuery{},
       PermitRequest{Instant{Milliseconds(5)}, {{sampleLimitNotice(), 2}}},
-      PermitGrant{TargetRun{TargetId("t"), 7}, 2, Instant{Milliseconds(5)}}};
+      PermitGrant{TargetRun{TargetId("t"), 7}, 2, Instant{Milliseconds(5)}},
+      ConfigurationVouch{Revision(6), Instant{Milliseconds(5)}}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
@@ -179,6 +180,32 @@
   }
 }
 
+TEST_CASE("Codec: a heartbeat keeps its time, and has none if it is absent or "
+          "negative") {
+  const auto SentAtOf = [](std::optional<Instant> SentAt) {
+    const auto Decoded =
+        decodeMessage(encodeMessage(Heartbeat{ConfigVersion(3), SentAt}));
+    return std::get<Heartbeat>(Decoded.value()).SentAt;
+  };
+  CHECK(SentAtOf(Instant{Milliseconds(7)})->SinceStart == Milliseconds(7));
+  // Time 0 is the default of the field and must not read as absent.
+  CHECK(SentAtOf(Instant())->SinceStart == Milliseconds(0));
+  CHECK_FALSE(SentAtOf(std::nullopt));
+  CHECK_FALSE(SentAtOf(Instant{Milliseconds(-1)}));
+}
+
+// They are sent to and from each of several hundred relays every second.
+TEST_CASE("Codec: the messages of the proof are small") {
+  constexpr std::int64_t LargeMillis = std::int64_t{1} << 61;
+  const std::size_t Plain = encodeMessage(Heartbeat{}).size();
+  const std::size_t Timed =
+      encodeMessage(Heartbeat{{}, Instant{Milliseconds(LargeMillis)}}).size();
+  CHECK(Timed <= Plain + 24);
+  const ConfigurationVouch Vouch{Revision(LargeMillis),
+                                 Instant{Milliseconds(LargeMillis)}};
+  CHECK(makeFrame(encodeMessage(Vouch)).size() <= 68);
+}
+
 TEST_CASE("Codec: round-trips every message and record") {
   const auto Messages = sampleMessages();
   CHECK(Messages.size() == std::variant_size_v<Message>);
--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -32,7 +32,10 @@
           {"internalPortRange", {7380, 7395}},
           {"seeds", {loopback(Site.PeerPorts[0]), loopback(Site.PeerPorts[1])}},
           {"faultTolerance", {{"machines", 1}}},
-          {"bounds", {{"graceS", 8}}},
+          {"bounds",
+           {{"graceS", 8},
+            {"strictRevocation", Site.IsRevocationStrict},
+            {"revokeMs", 5000}}},
           {"platform", {{"address", loopback(Site.Store.port())}}}};
 }
 
@@ -60,9 +63,9 @@
 
 } // namespace
 
-PlatformSite::PlatformSite(std::size_t RelayCount)
-    : Folder(newFolderPath()), FirstWorker("i-1"), SecondWorker("i-2"),
-      Relays(RelayCount) {
+PlatformSite::PlatformSite(std::size_t RelayCount, bool IsRevocationStrict)
+    : IsRevocationStrict(IsRevocationStrict), Folder(newFolderPath()),
+      FirstWorker("i-1"), SecondWorker("i-2"), Relays(RelayCount) {
   fs::remove_all(this->Folder);
   fs::create_directories(this->Folder);
   for (std::size_t Number = 0; Number < RelayCount; ++Number) {
--- a/tests/harness/PlatformSite.h
+++ b/tests/harness/PlatformSite.h
@@ -38,7 +38,8 @@
 
   /// Starts all processes and waits until the relays are ready. Throws
   /// std::runtime_error if a relay does not become ready.
-  explicit PlatformSite(std::size_t RelayCount = 1);
+  explicit PlatformSite(std::size_t RelayCount = 1,
+                        bool IsRevocationStrict = false);
   ~PlatformSite();
   PlatformSite(const PlatformSite &) = delete;
   PlatformSite &operator=(const PlatformSite &) = delete;
@@ -68,6 +69,8 @@
                                const std::string &Previous,
                                const std::string &Input);
 
+  /// Whether relays accept keys only with a proof of their configuration.
+  const bool IsRevocationStrict;
   const std::filesystem::path Folder;
   StoreStandin Store;
   WorkerStandin FirstWorker;
--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -9,6 +9,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <thread>
 
@@ -19,6 +20,37 @@
 namespace fs = std::filesystem;
 using Json = nlohmann::json;
 
+using Clock = std::chrono::steady_clock;
+
+/// Returns the number of a relay's log lines that contain both texts.
+int linesWith(const PlatformSite &Site, const std::string &First,
+              const std::string &Second) {
+  std::ifstream Log(Site.Folder / "front-0.log");
+  int Count = 0;
+  for (std::string Line; std::getline(Log, Line);)
+    Count += Line.find(First) != std::string::npos &&
+             Line.find(Second) != std::string::npos;
+  return Count;
+}
+
+/// Returns a configuration with one team that has one key.
+std::string keyedConfiguration(int Version, const std::string &Key) {
+  Json Document = Json::parse(PlatformSite::configuration(Version));
+  Document["tenants"] = {{{"name", "x"}, {"apiKeys", {Key}}, {"priority", 0}}};
+  return Document.dump();
+}
+
+int statusWithKey(const PlatformSite &Site, const std::string &Key) {
+  static int Number = 0;
+  Request Call;
+  Call.Url =
+      "http://127.0.0.1:" + std::to_string(Site.CallerPorts[0]) + "/plain/x";
+  Call.Headers = {std::string("Host: ") + PlatformSite::Host,
+                  "Request-Id: k" + std::to_string(++Number),
+                  "Authorization: Bearer " + Key};
+  return static_cast<int>(send(Call).Status);
+}
+
 } // namespace
 
 TEST_CASE("Platform path: plain requests and turns with their history") {
@@ -165,3 +197,105 @@
   CHECK(Site.FirstWorker.runs().size() == First);
   CHECK(Site.SecondWorker.runs().size() == Second);
 }
+
+// Guards against an entry that hides other targets, is taken for a target, or
+// fills the log.
+TEST_CASE("Platform path: registrations written by someone else name no "
+          "target") {
+  PlatformSite Site;
+  const Json Good = Json::parse(Site.FirstWorker.registration("app"));
+  std::vector<std::pair<std::string, std::string>> Odd = {
+      {"odd-bytes", std::string("\xff\x00\x01\xfe", 4)},
+      {"odd-empty", ""},
+      {"odd-list", "[]"},
+      {"odd-text", "\"ready\""},
+      {"odd-cut", Good.dump().substr(0, 40)},
+      {"", Good.dump()}};
+  for (const char *Field :
+       {"service", "address", "zone", "version", "slots", "state"}) {
+    Json Missing = Good;
+    Missing.erase(Field);
+    Odd.emplace_back(std::string("odd-no-") + Field, Missing.dump());
+    Json Mistyped = Good;
+    Mistyped[Field] = {{"a", 1}};
+    Odd.emplace_back(std::string("odd-type-") + Field, Mistyped.dump());
+  }
+  Json Unknown = Good;
+  Unknown["state"] = "resting";
+  Odd.emplace_back("odd-state", Unknown.dump());
+  for (const auto &[Name, Value] : Odd)
+    Site.Store.put("servers/" + Name, Value);
+  // Written after them, so all have been read once this one is known.
+  WorkerStandin Third("i-3");
+  Site.Store.put("servers/i-3", Third.registration("app"));
+  Site.awaitTargets(0, 3);
+  // All keys are read again, with the same revisions.
+  Site.Store.compactHistory();
+  WorkerStandin Fourth("i-4");
+  Site.Store.put("servers/i-4", Fourth.registration("app"));
+  Site.awaitTargets(0, 4);
+  CHECK(Site.sendPlain("r1").Status == 200);
+  CHECK(waitFor([&] {
+    return linesWith(Site, "event=target_registered", "target=i-4 ") == 1;
+  }));
+  for (const auto &[Name, Value] : Odd) {
+    INFO(Name);
+    const std::string Field =
+        Name.empty() ? "target=\"\" " : "target=" + Name + " ";
+    CHECK(linesWith(Site, "event=target_entry_invalid", Field) == 1);
+    CHECK(linesWith(Site, "event=target_registered", Field) == 0);
+  }
+}
+
+TEST_CASE("Platform path: a target that starts again under its id is a new "
+          "run") {
+  PlatformSite Site;
+  Site.Store.remove("servers/i-2");
+  Site.awaitTargets(0, 1);
+  Json Entry = Json::parse(Site.FirstWorker.registration("app"));
+  Entry["born"] = 1700000000000;
+  Site.Store.put("servers/i-1", Entry.dump());
+  Site.FirstWorker.announceLeaving();
+  // Whichever answer is the first, it ends this run's service.
+  REQUIRE(waitFor([&] { return Site.sendPlain("r1").Status == 503; }));
+  WorkerStandin Restarted("i-1");
+  Json Again = Json::parse(Restarted.registration("app"));
+  Again["born"] = 1700000000001;
+  Site.Store.put("servers/i-1", Again.dump());
+  CHECK(waitFor([&] { return Site.sendPlain("r2").Status == 200; }));
+  CHECK(Restarted.runs().size() >= 1);
+}
+
+// Guards against a removed key that is accepted for as long as the store can't
+// be reached.
+TEST_CASE("Platform path: with strict revocation no removed key is accepted "
+          "after its time") {
+  PlatformSite Site(1, /*IsRevocationStrict=*/true);
+  Site.Store.put("op/config", keyedConfiguration(5, "key-one"));
+  REQUIRE(waitFor([&] { return statusWithKey(Site, "key-one") == 200; }));
+  // Nothing is written now, so the proof is renewed by answers without changes.
+  const auto Quiet = Clock::now();
+  int Refused = 0;
+  while (Clock::now() - Quiet < std::chrono::seconds(8)) {
+    Refused += statusWithKey(Site, "key-one") != 200;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  CHECK(Refused == 0);
+  Site.Store.setDown(true);
+  Site.Store.put("op/config", keyedConfiguration(6, "key-two"));
+  const auto RemovedAt = Clock::now();
+  int TooLate = 0;
+  int Stale = 0;
+  while (Clock::now() - RemovedAt < std::chrono::seconds(8)) {
+    const bool IsLate = Clock::now() - RemovedAt > std::chrono::seconds(5);
+    const int Status = statusWithKey(Site, "key-one");
+    TooLate += IsLate && Status == 200;
+    Stale += IsLate && Status == 503;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK(TooLate == 0);
+  CHECK(Stale > 0);
+  Site.Store.setDown(false);
+  CHECK(waitFor([&] { return statusWithKey(Site, "key-two") == 200; }));
+  CHECK(statusWithKey(Site, "key-one") == 401);
+}
