--- a/packages/decision/tests/RelayTeamTest.cpp
+++ b/packages/decision/tests/RelayTeamTest.cpp
@@ -316,8 +316,8 @@
   CHECK(Fixture.sentToReplicas<CloseTurn>().back().Program == ProgramId("p"));
 }
 
-TEST_CASE("Team: no message to a replica holds a digest of a key, and ids name "
-          "the team") {
+TEST_CASE("Team: ids at the ledger begin with the team") {
+  // Guards the meaning of stored records, which outlive the process.
   TeamFixture Fixture;
   Fixture.turn(X, "turn-1");
   const OpenTurn Open = Fixture.sentToReplicas<OpenTurn>().back();
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -106,6 +106,22 @@
   }
 }
 
+TEST_CASE("Callers: control characters in header values are refused") {
+  // Guards the ids at the ledger, in which one separates the team from the id
+  // that the caller chose.
+  for (const char *Value : {"x\x1f"
+                            "y",
+                            "\x1fy", "x\x1f", "x\x01y", "x\x7fy"}) {
+    CallerFixture Fixture;
+    RawPeer Caller(Fixture.Loop);
+    Caller.connect(Fixture.Port);
+    Caller.send(std::string("GET /a HTTP/1.1\r\nHost: h\r\nId: 1\r\nX: ") +
+                Value + "\r\n\r\n");
+    CHECK(runUntil(Fixture.Loop, [&] { return Caller.has("400"); }));
+    CHECK(Fixture.Requests.empty());
+  }
+}
+
 TEST_CASE("Callers: limits on header size, body size and header time") {
   CallerFixture Fixture;
   CallerLimits Limits;
--- a/tests/harness/PlatformStandins.cpp
+++ b/tests/harness/PlatformStandins.cpp
@@ -360,9 +360,10 @@
   }
   {
     const std::lock_guard<std::mutex> Guard(this->Lock);
-    this->Runs.push_back(Run{std::string(Call["Request-Id"]),
-                             std::string(Call.target()), Call.body(),
-                             std::chrono::steady_clock::now()});
+    this->Runs.push_back(
+        Run{std::string(Call["Request-Id"]), std::string(Call.target()),
+            Call.body(), std::chrono::steady_clock::now(),
+            std::string(Call["Tenant"]), std::string(Call["Authorization"])});
   }
   const bool IsCrashing =
       Call.body() == this->CrashMark || Call.target() == this->CrashMark;
--- a/tests/harness/PlatformStandins.h
+++ b/tests/harness/PlatformStandins.h
@@ -138,6 +138,9 @@
     std::string Path;
     std::string Body;
     std::chrono::steady_clock::time_point At;
+    /// Its headers that name the team and the key; empty if absent.
+    std::string Team;
+    std::string Authorization;
   };
   /// Returns the requests that the worker ran, in order.
   std::vector<Run> runs();
