Limit teams to their quotas over all relays

Cause: each relay decides from what it has seen itself, so a team's quota could not be kept over all relays.

Ruled out: a fixed part for each relay (refuses small teams or admits one request for each of 390 relays at once), parts moved by demand, sums that members spread (late by their interval), one member for each team (two issue while it is unclear who is lost).

Change: the subject of a permit is a run of a target or a team. Each member issues an Nth of a quota from its own bucket and answers at once; a relay asks one member when it holds no permit (phase AwaitingQuota), the next on a denial or after 150 ms, and refuses with 429 if all deny. Members learn quotas from the configuration (TeamQuotasConfigured) and from relays with a newer one. A member without contact to a majority of the members does not answer, as it may have been replaced. Targets' permits are issued and asked for as before.

--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -64,7 +64,8 @@
   }
 
   void operator()(const CountMetric &Effect) {
-    this->Process.ProcessMetrics.count(Effect.Name, Effect.Cause);
+    this->Process.ProcessMetrics.count(Effect.Name, Effect.Cause,
+                                       Effect.Amount);
   }
 
   void operator()(const RecordSpan &Effect) {
--- a/packages/decision/include/tanagerlanding/decision/EntryReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/EntryReducer.h
@@ -92,6 +92,7 @@
 struct CountMetric {
   std::string Name;
   std::string Cause;
+  std::uint64_t Amount = 1;
 };
 /// Records a span of a call's trace.
 struct RecordSpan {
--- a/packages/decision/include/tanagerlanding/decision/TargetLimits.h
+++ b/packages/decision/include/tanagerlanding/decision/TargetLimits.h
@@ -1,13 +1,16 @@
 /// \file
-/// The request rates that targets state they take from all relays together.
-/// Relays and ledger replicas keep them by the same rules.
+/// The request rates that targets state they take from all relays together,
+/// the quotas of teams, and the permits that replicas issue for both. Relays
+/// and ledger replicas keep them by the same rules.
 #ifndef TANAGERLANDING_DECISION_TARGETLIMITS_H
 #define TANAGERLANDING_DECISION_TARGETLIMITS_H
 
 #include "tanagerlanding/decision/CrashEvidence.h"
+#include "tanagerlanding/decision/relay/RelayConfiguration.h"
 
 #include <map>
 #include <optional>
+#include <variant>
 #include <vector>
 
 namespace tanagerlanding {
@@ -33,25 +36,44 @@
 /// Asks a replica for all limits that it knows of.
 struct TargetLimitQuery {};
 
-/// Asks a replica for permits to send requests to targets with a limit. A later
-/// message about a target replaces an earlier one of the same sender.
+/// A team's quota as a version of the configuration states it.
+struct TeamQuotaNotice {
+  TeamId Team;
+  ConfigVersion Version;
+  RequestQuota Quota;
+};
+
+/// What a permit is for: a request to a run of a target, or a request of a
+/// team.
+using PermitSubject = std::variant<TargetRun, TeamId>;
+
+/// Asks a replica for permits. A later message about a target replaces an
+/// earlier one of the same sender, as requests for targets wait at the replica.
+/// Each row about a team is answered at once by one PermitGrant.
 struct PermitRequest {
   struct Row {
-    /// The limit as the sender knows it.
-    TargetLimitNotice Stated;
+    /// The limit or quota as the sender knows it.
+    std::variant<TargetLimitNotice, TeamQuotaNotice> Stated;
     std::uint32_t Wanted = 0;
+    /// Whether the permits of a team are for first turns of programs.
+    bool IsFirstTurn = false;
   };
   /// The time on the sender's clock, which the permits return.
   Instant AskedAt;
   std::vector<Row> Rows;
 };
 
-/// Permits a number of requests to a target. They are valid for a time from
-/// AskedAt, so that a delay on the way cannot add up permits.
+/// Permits a number of requests. They are valid for a time from AskedAt, so
+/// that a delay on the way cannot add up permits.
 struct PermitGrant {
-  TargetRun Run;
+  PermitSubject Subject;
   std::uint32_t Count = 0;
   Instant AskedAt;
+  /// The permits of a team that were asked for and not granted, and the time
+  /// after which the replica has the next one.
+  std::uint32_t Denied = 0;
+  Milliseconds NextIn{0};
+  bool IsFirstTurn = false;
 };
 
 /// How an observation changed what is known of a target.
@@ -73,6 +95,8 @@
   Instant AccruedAt;
 
   void accrue(RequestRate Rate, Instant Now);
+  /// The same with a stated number of permits that the bucket may hold.
+  void accrue(RequestRate Rate, Instant Now, double Capacity);
   /// Takes one permit. Returns false if there is none.
   bool take();
 };
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -79,6 +79,12 @@
 /// The whole state of the key-value service has been read, at start-up or after
 /// an outage.
 struct LedgerServiceSnapshotRead {};
+/// A configuration was read: all of its teams, with their quotas if they have
+/// any.
+struct TeamQuotasConfigured {
+  ConfigVersion Version;
+  std::map<TeamId, std::optional<RequestQuota>> Quotas;
+};
 
 /// A change of the configuration's key was received.
 struct LedgerConfigurationObserved {
@@ -95,8 +101,8 @@
                  LedgerViewObserved, ReplicaRegistered, ReplicaUnregistered,
                  ReplicaHelloReceived, ReplicaSynced, RetirementRequested,
                  RetirementReportFailed, LedgerServiceSnapshotRead,
-                 LedgerConfigurationObserved, LedgerServiceQueryStarted,
-                 LedgerServiceContentConfirmed>;
+                 TeamQuotasConfigured, LedgerConfigurationObserved,
+                 LedgerServiceQueryStarted, LedgerServiceContentConfirmed>;
 
 /// Make a batch durable and report LedgerBatchStored or LedgerBatchFailed.
 struct PersistLedgerBatch {
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_LEDGER_LEDGERSTATE_H
 #define TANAGERLANDING_DECISION_LEDGER_LEDGERSTATE_H
 
+#include "tanagerlanding/decision/DecayingCount.h"
 #include "tanagerlanding/decision/Messages.h"
 
 #include <deque>
@@ -45,6 +46,15 @@
   std::uint32_t PageBytes = 64 * 1024;
   /// How long a relay waits here for a permit. It then asks another replica.
   Milliseconds PermitRequestTimeout{1000};
+  /// How long after the last message of another member this replica counts it
+  /// as connected. A member that is connected to no majority of the members
+  /// issues no permits of teams, as it may have been replaced. Members send a
+  /// heartbeat every 400 ms.
+  Milliseconds MemberContactTime{1000};
+  /// Half-life of the counts from which a team's use of its quota is estimated.
+  Milliseconds RateHalfLife{2000};
+  /// The part of a team's bucket that is reserved for programs under way.
+  double ReservedShare = 0.25;
   /// Longer than a target lives without an answer to any relay.
   Milliseconds LimitRetention{600000};
   /// Number of streams whose origin is kept. A stream above it can't be
@@ -99,6 +109,13 @@
   Instant ExpiresAt;
 };
 
+/// A team's quota, absent if it has none, and the version of the configuration
+/// that states it.
+struct TeamQuota {
+  ConfigVersion Version;
+  std::optional<RequestQuota> Quota;
+};
+
 /// A relay that waits for permits of one target.
 struct WaitingRelay {
   HostId Relay;
@@ -120,9 +137,11 @@
   std::optional<Instant> VouchedFor;
 };
 
-/// Issues this replica's share of the permits of one target.
+/// Issues this replica's share of the permits of one target or team.
 struct PermitIssuer {
   PermitBucket Bucket;
+  /// Permits of a team that were granted recently.
+  DecayingCount Granted;
   /// In the order in which they get the next permits.
   std::deque<WaitingRelay> Waiting;
 };
@@ -203,7 +222,13 @@
   Instant SweptAt;
   /// Limits that targets have named, and the permits that this replica issues.
   LimitTable Limits;
-  std::map<TargetRun, PermitIssuer> PermitIssuers;
+  std::map<PermitSubject, PermitIssuer> PermitIssuers;
+  /// Quotas of teams by the newest configuration that this replica or a relay
+  /// that asked for permits has read, and the version that it has read itself.
+  std::map<TeamId, TeamQuota> Quotas;
+  ConfigVersion QuotaVersion;
+  /// When a message was last received from each other member's host.
+  std::map<HostId, Instant> MembersHeardAt;
   /// Clocks of the relays that need proofs of their configuration, and the last
   /// change of the configuration's key; revision 0 if there was none.
   std::map<HostId, RelayClock> RelayClocks;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -4,6 +4,7 @@
 #define TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
 
 #include "tanagerlanding/decision/CrashEvidence.h"
+#include "tanagerlanding/decision/DecayingCount.h"
 #include "tanagerlanding/decision/TargetLimits.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 #include "tanagerlanding/decision/relay/CallerRequest.h"
@@ -163,17 +164,22 @@
   /// The retry delay sent to callers who were refused for want of a proof. The
   /// next heartbeat or watch usually brings one.
   Milliseconds StaleRetryAfter{400};
-};
-
-/// A number of events, with exponential decay.
-struct DecayingCount {
-  double Value = 0;
-  Instant CountedAt;
-
-  void add(double Count, Instant Now, Milliseconds HalfLife);
-  double valueAt(Instant Now, Milliseconds HalfLife) const;
-  /// Returns the average number of events per second of the recent past.
-  double ratePerSecond(Instant Now, Milliseconds HalfLife) const;
+  /// How long a permit of a team is valid from the time when it was asked for.
+  /// A tenth of the 5 s over which a quota is counted, which is its tolerance.
+  Milliseconds QuotaPermitLifetime{500};
+  /// How long a replica may take to answer for a team's permit before the next
+  /// one is asked, and how long it is then asked last.
+  Milliseconds QuotaAnswerTimeout{150};
+  Milliseconds SilentIssuerTime{1000};
+  /// The time whose requests of a team a relay holds or awaits permits for.
+  Milliseconds QuotaHorizon{250};
+  /// The rate at which a relay without replicas admits requests of a team even
+  /// if it was granted less.
+  double MinOwnQuotaPerSecond = 0.2;
+  /// The shortest retry delay of callers that were refused for a quota.
+  Milliseconds MinQuotaRetryAfter{100};
+  /// How long a team's permits and rates are kept after its last request.
+  Milliseconds QuotaStockRetention{60000};
 };
 
 /// A target as registered in the key-value service.
@@ -242,6 +248,8 @@
 
 /// The phase of a call.
 enum class RelayPhase : std::uint8_t {
+  /// Waiting for a permit of its team's quota.
+  AwaitingQuota,
   /// Waiting for the ledger to claim tokens and look up the previous turn.
   Opening,
   /// Waiting for a second read of the claims, near the end of the budget.
@@ -283,6 +291,22 @@
   std::optional<TurnId> LastMissingTurn;
 };
 
+/// A call's claim on its team's quota.
+struct QuotaClaim {
+  /// Whether the call is the first turn of a program, as far as is known.
+  bool IsFirstTurn = false;
+  /// The replica that has been asked for this call and has not answered; empty
+  /// if there is none.
+  HolderId Asked;
+  Instant AskedAt;
+  Instant TimeoutAt;
+  /// Replicas that have denied a permit or have not answered in time.
+  std::set<HolderId> DeniedBy;
+  /// The end of the permit that the call has taken; absent before that, and
+  /// once the call has been sent.
+  std::optional<Instant> PermitUntil;
+};
+
 /// A caller's request in progress.
 struct RelayCall {
   RequestId Request;
@@ -307,6 +331,7 @@
   Instant QueuedAt;
   /// Whether it is queued because targets that have room name a limit.
   bool IsAwaitingPermit = false;
+  QuotaClaim Quota;
   TurnLedger Ledger;
 
   /// The current attempt; 0 if none.
@@ -360,14 +385,18 @@
   Instant Since;
 };
 
-/// The last request of a relay for permits of one target from one replica.
+/// The last request of a relay for permits of one subject from one replica.
 struct PermitInquiry {
   Instant AskedAt;
   /// Permits that are still awaited.
   std::uint32_t Awaited = 0;
+  /// After a denial, when the replica has the next permit: for first turns of
+  /// programs, and for other requests.
+  Instant NextForFirstTurns{};
+  Instant NextForOthers{};
 };
 
-/// The permits of one target that a relay holds.
+/// The permits of one subject that a relay holds.
 struct PermitStock {
   /// Until when each permit is valid, the first to end first.
   std::deque<Instant> ValidUntil;
@@ -378,6 +407,9 @@
   DecayingCount Granted;
   RequestRate LastShare;
   PermitBucket OwnShare;
+  /// Requests of a team at this relay, and the last one.
+  DecayingCount Requested;
+  Instant RequestedAt;
 };
 
 /// Paths of a route's requests.
@@ -413,8 +445,17 @@
   std::map<TargetRun, Instant> LeavingRuns;
   /// The request limits that targets state in their answers.
   LimitTable Limits;
-  /// Permits to send requests to runs that name a limit.
-  std::map<TargetRun, PermitStock> Permits;
+  /// Permits to send requests to runs that name a limit, and requests of teams
+  /// that have a quota.
+  std::map<PermitSubject, PermitStock> Permits;
+  /// Calls in the phase AwaitingQuota.
+  std::map<TeamId, std::set<RequestId>> CallsAwaitingQuota;
+  /// Replicas that have not answered for a team's permit, and until when they
+  /// are asked last.
+  std::map<HolderId, Instant> SilentIssuersUntil;
+  /// Time since which no replica has answered for a team's permit although one
+  /// was asked or none is live.
+  std::optional<Instant> NoIssuerSince;
   /// Requests for each service that were to be sent, and that were sent.
   std::map<ServiceName, DecayingCount> RequestRates;
   std::map<ServiceName, DecayingCount> SendRates;
--- a/packages/decision/src/TargetLimits.cpp
+++ b/packages/decision/src/TargetLimits.cpp
@@ -27,9 +27,12 @@
 } // namespace
 
 void PermitBucket::accrue(RequestRate Rate, Instant Now) {
+  this->accrue(Rate, Now, 1 + Rate.PerSecond * BurstSeconds);
+}
+
+void PermitBucket::accrue(RequestRate Rate, Instant Now, double Capacity) {
   const double Seconds =
       std::chrono::duration<double>(Now - this->AccruedAt).count();
-  const double Capacity = 1 + Rate.PerSecond * BurstSeconds;
   this->Available =
       std::min(Capacity, this->Available + Rate.PerSecond * Seconds);
   this->AccruedAt = Now;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -5,6 +5,7 @@
 #include "LedgerMembership.h"
 #include "LedgerRecords.h"
 #include "PermitIssuing.h"
+#include "QuotaIssuing.h"
 #include "StartedStreams.h"
 #include "SuspectReplication.h"
 
@@ -182,6 +183,7 @@
   }
 
   void operator()(const LedgerMessageReceived &Event) {
+    recordMemberContact(this->Context, Event.Peer);
     std::visit(PeerMessageHandler(this->Context, Event.Peer), Event.Body);
   }
 
@@ -300,6 +302,10 @@
     vouchToRelays(this->Context);
   }
 
+  void operator()(const TeamQuotasConfigured &Event) {
+    adoptQuotas(this->Context, Event);
+  }
+
 private:
   void forgetRetirement(const HostId &Host) {
     this->State.RetiringHosts.erase(Host);
--- a/packages/decision/src/ledger/PermitIssuing.cpp
+++ b/packages/decision/src/ledger/PermitIssuing.cpp
@@ -1,5 +1,7 @@
 #include "PermitIssuing.h"
 
+#include "QuotaIssuing.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -51,7 +53,7 @@
     WaitingRelay Next = Issuer.Waiting.front();
     Issuer.Waiting.pop_front();
     PermitGrant &Grant = Grants[Next.Relay];
-    Grant.Run = Run;
+    Grant.Subject = Run;
     Grant.AskedAt = Next.AskedAt;
     ++Grant.Count;
     Context.count("ledger_permits_total", "granted");
@@ -76,6 +78,30 @@
   return RequestRate{Limit.PerSecond / static_cast<double>(MemberCount)};
 }
 
+/// Adds a relay's row about a target to those that wait, and issues what is
+/// available.
+void addTargetRow(LedgerContext &Context, const HostId &Peer,
+                  const PermitRequest &Request, const PermitRequest::Row &Row,
+                  std::size_t Position, std::size_t MemberCount) {
+  LedgerState &State = Context.State;
+  const auto &Stated = std::get<TargetLimitNotice>(Row.Stated);
+  const TargetRun &Run = Stated.Run;
+  handleLimitNotice(Context, Peer, Stated);
+  const auto Limit = limitOf(State.Limits, Run);
+  if (!Limit) {
+    // The relay does not know that the target has ended its limit.
+    if (const auto Known = noticeOf(State.Limits, Run, State.Now))
+      Context.send(Peer, *Known);
+    return;
+  }
+  if (Row.Wanted == 0)
+    return;
+  PermitIssuer &Issuer = issuerOf(State, Run, Position, MemberCount);
+  addWaitingRelay(Issuer,
+                  WaitingRelay{Peer, Row.Wanted, Request.AskedAt, State.Now});
+  issuePermits(Context, Run, Issuer, shareOf(*Limit, MemberCount));
+}
+
 } // namespace
 
 void handleLimitNotice(LedgerContext &Context, const HostId &Peer,
@@ -112,21 +138,10 @@
   if (!Position)
     return;
   for (const PermitRequest::Row &Row : Request.Rows) {
-    const TargetRun &Run = Row.Stated.Run;
-    handleLimitNotice(Context, Peer, Row.Stated);
-    const auto Limit = limitOf(State.Limits, Run);
-    if (!Limit) {
-      // The relay does not know that the target has ended its limit.
-      if (const auto Known = noticeOf(State.Limits, Run, State.Now))
-        Context.send(Peer, *Known);
-      continue;
-    }
-    if (Row.Wanted == 0)
-      continue;
-    PermitIssuer &Issuer = issuerOf(State, Run, *Position, Members.size());
-    addWaitingRelay(Issuer,
-                    WaitingRelay{Peer, Row.Wanted, Request.AskedAt, State.Now});
-    issuePermits(Context, Run, Issuer, shareOf(*Limit, Members.size()));
+    if (std::holds_alternative<TeamQuotaNotice>(Row.Stated))
+      answerQuotaRow(Context, Peer, Request, Row);
+    else
+      addTargetRow(Context, Peer, Request, Row, *Position, Members.size());
   }
 }
 
@@ -140,13 +155,18 @@
   }
   for (auto Each = State.PermitIssuers.begin();
        Each != State.PermitIssuers.end();) {
-    const auto Limit = limitOf(State.Limits, Each->first);
+    // Requests for permits of teams do not wait.
+    const auto *Run = std::get_if<TargetRun>(&Each->first);
+    if (!Run) {
+      ++Each;
+      continue;
+    }
+    const auto Limit = limitOf(State.Limits, *Run);
     if (!Limit) {
       Each = State.PermitIssuers.erase(Each);
       continue;
     }
-    issuePermits(Context, Each->first, Each->second,
-                 shareOf(*Limit, Members.size()));
+    issuePermits(Context, *Run, Each->second, shareOf(*Limit, Members.size()));
     ++Each;
   }
 }
--- a/packages/decision/src/ledger/PermitIssuing.h
+++ b/packages/decision/src/ledger/PermitIssuing.h
@@ -1,6 +1,6 @@
 /// \file
 /// Issues permits for requests to targets that name a limit for all relays
-/// together.
+/// together, and answers requests for permits of teams; see QuotaIssuing.h.
 ///
 /// Each member of the view issues an equal part of the limit, so that members
 /// need not agree, and a lost one can only lower what the target gets.
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -3,6 +3,7 @@
 #include "Attempts.h"
 #include "ConfigurationProof.h"
 #include "CrashDetection.h"
+#include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestContent.h"
 #include "StreamOrigins.h"
@@ -118,10 +119,15 @@
     refuseCall(Context, Admitted, RelayRefusalReason::Quarantined);
   else if (!findUnnamedOrigin(Context, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::UnknownStream);
-  else if (needsLedger(Admitted))
-    openTurn(Context, Admitted);
   else
-    dispatchCall(Context, Admitted);
+    admitWithinQuota(Context, Admitted);
+}
+
+void startAdmittedCall(RelayContext &Context, RelayCall &Call) {
+  if (needsLedger(Call))
+    openTurn(Context, Call);
+  else
+    dispatchCall(Context, Call);
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/Admission.h
+++ b/packages/decision/src/relay/Admission.h
@@ -12,6 +12,10 @@
 void admitCall(RelayContext &Context, RequestId Request, CallerRequest Inbound,
                Instant Arrived);
 
+/// Opens the turn of a call that has a permit if it needs one, or dispatches
+/// it.
+void startAdmittedCall(RelayContext &Context, RelayCall &Call);
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -6,6 +6,7 @@
 #include "DeferredRequests.h"
 #include "Directory.h"
 #include "LimitObservations.h"
+#include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
@@ -86,6 +87,7 @@
 void removeCall(RelayContext &Context, RelayCall &Call) {
   releaseAttempt(Context, Call);
   Context.State.PendingOpens.erase(Call.Ledger.OpenRequest.Operation);
+  releaseQuotaClaim(Context.State, Call);
   const RequestId Request = Call.Request;
   Context.State.QueuedCalls.erase(Request);
   Context.State.Calls.erase(Request);
@@ -376,6 +378,7 @@
   Call.Target = Chosen.value();
   Call.SentTo = Target.Entry;
   Call.SentAt = State.Now;
+  Call.Quota.PermitUntil.reset();
   Call.EventsBeforeAttempt = Call.EventsSent;
   Call.IsFirstByteTimeoutRecorded = false;
   Call.TriedTargets.insert(Call.Target);
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -2,6 +2,7 @@
 
 #include "CallQueue.h"
 #include "CrashDetection.h"
+#include "QuotaPermits.h"
 #include "StreamOrigins.h"
 
 #include <algorithm>
@@ -58,6 +59,8 @@
     return quarantineTimeLeft(State, Call);
   case RelayRefusalReason::TargetLimit:
     return limitRetryAfter(State, Call);
+  case RelayRefusalReason::QuotaExceeded:
+    return quotaRetryAfter(State, Call);
   default:
     return retryAfterFor(State, Reason);
   }
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -8,6 +8,7 @@
 #include "Directory.h"
 #include "LimitObservations.h"
 #include "Placement.h"
+#include "QuotaPermits.h"
 #include "RelayContext.h"
 #include "RequestPermits.h"
 #include "Turns.h"
@@ -64,8 +65,10 @@
     const bool HasStalled =
         this->State.Options.StallThreshold < Event.Now - this->State.Now;
     this->State.Now = Event.Now;
-    if (HasStalled)
+    if (HasStalled) {
       resetHeartbeatTimers(this->State);
+      resetQuotaTimeouts(this->State);
+    }
     refuseExpiredCalls(this->Context);
     handleFirstByteTimeouts(this->Context);
     enforceLedgerTimeouts(this->Context);
@@ -156,7 +159,8 @@
 
   void operator()(const ReplicaMessageReceived &Event) {
     handleReplicaMessage(this->Context, Event.Holder, Event.Body);
-    if (const auto *Grant = std::get_if<PermitGrant>(&Event.Body))
+    const auto *Grant = std::get_if<PermitGrant>(&Event.Body);
+    if (Grant && std::holds_alternative<TargetRun>(Grant->Subject))
       dispatchQueuedCalls(this->Context, Grant->Count);
   }
 
--- a/packages/decision/src/relay/RequestPermits.cpp
+++ b/packages/decision/src/relay/RequestPermits.cpp
@@ -2,6 +2,7 @@
 
 #include "Directory.h"
 #include "LimitObservations.h"
+#include "QuotaPermits.h"
 #include "Turns.h"
 
 #include <algorithm>
@@ -173,9 +174,16 @@
   }
 }
 
+/// Returns whether the permits of a subject are still of use.
+bool isPermitSubject(const RelayState &State, const PermitSubject &Subject) {
+  const auto *Run = std::get_if<TargetRun>(&Subject);
+  return Run ? limitOf(State.Limits, *Run).has_value()
+             : isActiveTeam(State, std::get<TeamId>(Subject));
+}
+
 void dropEndedPermits(RelayState &State) {
   for (auto Each = State.Permits.begin(); Each != State.Permits.end();) {
-    if (!limitOf(State.Limits, Each->first)) {
+    if (!isPermitSubject(State, Each->first)) {
       Each = State.Permits.erase(Each);
       continue;
     }
@@ -197,23 +205,56 @@
     return false;
   if (!limitOf(State, Target))
     return true;
-  std::deque<Instant> &Valid = State.Permits.at(Target.run()).ValidUntil;
-  Valid.erase(std::find_if(Valid.begin(), Valid.end(),
-                           [&](Instant Until) { return State.Now < Until; }));
+  takePermit(State, State.Permits.at(Target.run()));
   return true;
 }
 
+std::optional<Instant> takePermit(const RelayState &State, PermitStock &Stock) {
+  std::deque<Instant> &Valid = Stock.ValidUntil;
+  const auto First =
+      std::find_if(Valid.begin(), Valid.end(),
+                   [&](Instant Until) { return State.Now < Until; });
+  if (First == Valid.end())
+    return std::nullopt;
+  const Instant Until = *First;
+  Valid.erase(First);
+  return Until;
+}
+
+void addPermits(PermitStock &Stock, std::uint32_t Count, Instant ValidUntil) {
+  std::deque<Instant> &Valid = Stock.ValidUntil;
+  const auto Place = std::upper_bound(Valid.begin(), Valid.end(), ValidUntil);
+  Valid.insert(Place, Count, ValidUntil);
+}
+
 std::size_t heldPermits(const RelayState &State,
                         const RegisteredTarget &Target) {
   const auto Found = State.Permits.find(Target.run());
-  if (Found == State.Permits.end())
-    return 0;
-  const std::deque<Instant> &Valid = Found->second.ValidUntil;
+  return Found == State.Permits.end() ? 0 : heldPermits(State, Found->second);
+}
+
+std::size_t heldPermits(const RelayState &State, const PermitStock &Stock) {
+  const std::deque<Instant> &Valid = Stock.ValidUntil;
   return static_cast<std::size_t>(
       std::count_if(Valid.begin(), Valid.end(),
                     [&](Instant Until) { return State.Now < Until; }));
 }
 
+void acceptPermits(RelayState &State, const HolderId &Holder,
+                   const PermitGrant &Grant, Instant ValidUntil) {
+  PermitStock &Stock = State.Permits[Grant.Subject];
+  PermitInquiry &Inquiry = Stock.Inquiries[Holder];
+  Inquiry.Awaited -= std::min(Inquiry.Awaited, Grant.Count + Grant.Denied);
+  addPermits(Stock, Grant.Count, ValidUntil);
+  if (Grant.Count == 0)
+    return;
+  // Before this grant is counted, so as not to exceed the share.
+  Stock.LastShare = RequestRate{
+      Stock.Granted.ratePerSecond(State.Now, State.Options.RateHalfLife)};
+  Stock.Granted.add(Grant.Count, State.Now, State.Options.RateHalfLife);
+  Stock.OwnShare = PermitBucket{0, State.Now};
+}
+
 void recordRequest(RelayState &State, const ServiceName &Service) {
   State.RequestRates[Service].add(1, State.Now, State.Options.RateHalfLife);
 }
@@ -221,6 +262,7 @@
 void maintainPermits(RelayContext &Context) {
   RelayState &State = Context.State;
   dropEndedPermits(State);
+  maintainQuotaPermits(Context);
   if (State.Limits.Observations.empty())
     return;
   const std::vector<LimitedService> Services = limitedServices(State);
@@ -241,23 +283,19 @@
 void handlePermitGrant(RelayContext &Context, const HolderId &Holder,
                        const PermitGrant &Grant) {
   RelayState &State = Context.State;
+  const auto *Run = std::get_if<TargetRun>(&Grant.Subject);
+  if (!Run) {
+    handleQuotaAnswer(Context, Holder, Grant);
+    return;
+  }
   const Instant ValidUntil = Grant.AskedAt + State.Options.PermitLifetime;
   const bool IsLate = ValidUntil <= State.Now;
   const bool IsOfEarlierRun = State.Now < Grant.AskedAt;
-  if (IsLate || IsOfEarlierRun || !limitOf(State.Limits, Grant.Run)) {
+  if (IsLate || IsOfEarlierRun || !limitOf(State.Limits, *Run)) {
     Context.count("relay_permits_total", "unused");
     return;
   }
-  PermitStock &Stock = State.Permits[Grant.Run];
-  PermitInquiry &Inquiry = Stock.Inquiries[Holder];
-  Inquiry.Awaited -= std::min(Inquiry.Awaited, Grant.Count);
-  Stock.ValidUntil.insert(Stock.ValidUntil.end(), Grant.Count, ValidUntil);
-  std::sort(Stock.ValidUntil.begin(), Stock.ValidUntil.end());
-  // Before this grant is counted, so as not to exceed the share.
-  Stock.LastShare = RequestRate{
-      Stock.Granted.ratePerSecond(State.Now, State.Options.RateHalfLife)};
-  Stock.Granted.add(Grant.Count, State.Now, State.Options.RateHalfLife);
-  Stock.OwnShare = PermitBucket{0, State.Now};
+  acceptPermits(State, Holder, Grant, ValidUntil);
   Context.count("relay_permits_total", "granted");
 }
 
--- a/packages/decision/src/relay/TargetHealth.cpp
+++ b/packages/decision/src/relay/TargetHealth.cpp
@@ -18,11 +18,6 @@
 }
 
 /// Returns the factor by which counts taken at Since have decayed by now.
-double decayFactor(Instant Since, Instant Now, Milliseconds HalfLife) {
-  const auto Elapsed = static_cast<double>((Now - Since).count());
-  return std::exp2(-Elapsed / static_cast<double>(HalfLife.count()));
-}
-
 double decayFactor(const RelayState &State, Instant Since) {
   return decayFactor(Since, State.Now, State.Options.HealthHalfLife);
 }
@@ -42,21 +37,6 @@
 
 } // namespace
 
-void DecayingCount::add(double Count, Instant Now, Milliseconds HalfLife) {
-  this->Value = this->valueAt(Now, HalfLife) + Count;
-  this->CountedAt = Now;
-}
-
-double DecayingCount::valueAt(Instant Now, Milliseconds HalfLife) const {
-  return this->Value * decayFactor(this->CountedAt, Now, HalfLife);
-}
-
-double DecayingCount::ratePerSecond(Instant Now, Milliseconds HalfLife) const {
-  const double MeanLife =
-      std::chrono::duration<double>(HalfLife).count() / std::log(2.0);
-  return this->valueAt(Now, HalfLife) / MeanLife;
-}
-
 void recordAnswerStart(RelayState &State, const RelayCall &Call) {
   const auto Found = State.Targets.find(Call.Target);
   if (Found == State.Targets.end())
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -74,6 +74,9 @@
   void onContentConfirmed(Instant AskedAt) override;
   /// Stores changes of the directory and forwards them to the relays.
   void publishDirectory(const std::vector<KeyChange> &Changes);
+  /// Reads the teams' quotas from the configuration.
+  void applyConfiguration(const KeyChange &Change);
+  void publishMetrics();
   void readDirectory();
   void applyLedgerKey(const KeyChange &Change);
 
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -1,5 +1,7 @@
 #include "tanagerlanding/ledger/LedgerProcess.h"
 
+#include "tanagerlanding/decision/ledger/QuotaUse.h"
+
 #include <algorithm>
 
 namespace tanagerlanding {
@@ -10,6 +12,9 @@
 /// Several heartbeats fit into PeerIdleTimeout.
 constexpr Milliseconds HeartbeatInterval{400};
 constexpr Milliseconds FlushTimeout{300};
+constexpr Milliseconds MetricsInterval{2000};
+/// Bounds the series of the gauge of teams' quotas.
+constexpr std::size_t MaxTeamsInMetrics = 50;
 /// How long a watch request may stay open. Configurations have to be in force
 /// two seconds after they are accepted. A request that is open while the
 /// service loses its history may miss changes, so the next one has to start
@@ -91,7 +96,7 @@
     logEvent(Effect.Event, Effect.Fields);
   }
   void operator()(const CountMetric &Effect) {
-    this->Owner.ProcessMetrics.count(Effect.Name, Effect.Cause);
+    this->Owner.ProcessMetrics.count(Effect.Name, Effect.Cause, Effect.Amount);
   }
 
 private:
@@ -181,6 +186,8 @@
     if (this->IsServiceLost)
       this->notifyRelaysOfOutage();
   });
+  this->Timers.subscribe(MetricsInterval,
+                         [this](Instant) { this->publishMetrics(); });
   this->Registration.start(this->State.Self);
   this->Keys.start();
   this->Loop.run();
@@ -269,8 +276,10 @@
   std::vector<KeyChange> DirectoryKeys;
   for (const KeyChange &Each : Changes) {
     const std::string &Key = Each.Item.Key;
-    if (Key == this->Directory.ConfigurationKey)
+    if (Key == this->Directory.ConfigurationKey) {
       this->apply(LedgerConfigurationObserved{Each.Item.ModRevision});
+      this->applyConfiguration(Each);
+    }
     if (this->Directory.isTargetKey(Key) ||
         Key == this->Directory.ConfigurationKey)
       DirectoryKeys.push_back(Each);
@@ -285,6 +294,26 @@
     this->publishDirectory(DirectoryKeys);
 }
 
+void LedgerProcess::applyConfiguration(const KeyChange &Change) {
+  if (Change.IsDeleted)
+    return;
+  const auto Decoded = this->Directory.DecodeConfiguration(Change.Item.Value);
+  if (!Decoded) {
+    // The quotas that are known stay in force, as at the relays.
+    for (const SettingsFault &Fault : Decoded.error())
+      logEvent("configuration_invalid",
+               {{"path", Fault.Path}, {"expected", Fault.Expected}});
+    return;
+  }
+  TeamQuotasConfigured Quotas;
+  Quotas.Version = Decoded.value().Version;
+  for (const auto &[Team, Each] : Decoded.value().Teams) {
+    const bool HasQuota = Each.Quota && Each.Quota->Rate.PerSecond > 0;
+    Quotas.Quotas[Team] = HasQuota ? Each.Quota : std::nullopt;
+  }
+  this->apply(Quotas);
+}
+
 void LedgerProcess::publishDirectory(const std::vector<KeyChange> &Changes) {
   DirectoryChanges Notice;
   Notice.IsServiceLost = this->IsServiceLost;
@@ -360,6 +389,13 @@
     this->Hub.send(Relay, Body);
 }
 
+void LedgerProcess::publishMetrics() {
+  std::map<std::string, double> UseByTeam;
+  for (const TeamQuotaUse &Each : busiestTeams(this->State, MaxTeamsInMetrics))
+    UseByTeam[Each.Team.Value] = Each.UsedShare;
+  this->ProcessMetrics.replaceSeries("ledger_quota_use", "team", UseByTeam);
+}
+
 void LedgerProcess::onServiceAvailable() {
   logEvent("directory_regained", {});
   this->IsServiceLost = false;
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -108,7 +108,7 @@
     logEvent(Effect.Event, Effect.Fields);
   }
   void operator()(const CountMetric &Effect) {
-    this->Owner.ProcessMetrics.count(Effect.Name, Effect.Cause);
+    this->Owner.ProcessMetrics.count(Effect.Name, Effect.Cause, Effect.Amount);
   }
 
 private:
@@ -374,10 +374,15 @@
       static_cast<double>(
           allNotices(this->State.Limits, this->State.Now).size()));
   std::size_t HeldPermits = 0;
-  for (const auto &[Run, Stock] : this->State.Permits)
-    HeldPermits += Stock.ValidUntil.size();
+  std::size_t HeldTeamPermits = 0;
+  for (const auto &[Subject, Stock] : this->State.Permits) {
+    const bool IsOfTeam = std::holds_alternative<TeamId>(Subject);
+    (IsOfTeam ? HeldTeamPermits : HeldPermits) += Stock.ValidUntil.size();
+  }
   this->ProcessMetrics.set("relay_permits_held",
                            static_cast<double>(HeldPermits));
+  this->ProcessMetrics.set("relay_team_permits_held",
+                           static_cast<double>(HeldTeamPermits));
   this->ProcessMetrics.set("platform_calls",
                            static_cast<double>(this->Service.callCount()));
   this->ProcessMetrics.set("control_sent_bytes",
--- a/packages/runtime/include/tanagerlanding/runtime/Metrics.h
+++ b/packages/runtime/include/tanagerlanding/runtime/Metrics.h
@@ -27,6 +27,11 @@
   /// Sets the gauge with this name to Value.
   void set(const std::string &Name, double Value);
 
+  /// Replaces all series of the gauge with this name by one for each value of
+  /// the label.
+  void replaceSeries(const std::string &Name, const std::string &Label,
+                     const std::map<std::string, double> &ByLabel);
+
   /// Adds a duration in milliseconds to the histogram with this name.
   void observe(const std::string &Name, double Millis);
 
@@ -47,6 +52,7 @@
   mutable std::mutex Lock;
   std::map<std::pair<std::string, std::string>, std::uint64_t> Counters;
   std::map<std::string, double> Gauges;
+  std::map<std::string, std::map<std::string, double>> LabelledGauges;
   std::map<std::string, HistogramData> Histograms;
 };
 
--- a/packages/runtime/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -11,6 +11,21 @@
 constexpr double LastBoundMillis = 100000;
 constexpr const char *Prefix = "tanagerlanding_";
 
+/// Returns a label's value with the characters escaped that would end it.
+std::string escaped(const std::string &Text) {
+  std::string Escaped;
+  for (const char Each : Text) {
+    if (Each == '\n') {
+      Escaped += "\\n";
+      continue;
+    }
+    if (Each == '"' || Each == '\\')
+      Escaped += '\\';
+    Escaped += Each;
+  }
+  return Escaped;
+}
+
 } // namespace
 
 void Metrics::count(const std::string &Name, const std::string &Cause,
@@ -24,6 +39,15 @@
   this->Gauges[Name] = Value;
 }
 
+void Metrics::replaceSeries(const std::string &Name, const std::string &Label,
+                            const std::map<std::string, double> &ByLabel) {
+  std::map<std::string, double> Series;
+  for (const auto &[Text, Value] : ByLabel)
+    Series['{' + Label + "=\"" + escaped(Text) + "\"}"] = Value;
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  this->LabelledGauges[Name] = std::move(Series);
+}
+
 void Metrics::observe(const std::string &Name, double Millis) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   auto Found = this->Histograms.find(Name);
@@ -46,6 +70,10 @@
          << '\n';
   for (const auto &[Name, Value] : this->Gauges)
     Text << Prefix << Name << ' ' << Value << '\n';
+  for (const auto &[Name, Series] : this->LabelledGauges) {
+    for (const auto &[Labels, Value] : Series)
+      Text << Prefix << Name << Labels << ' ' << Value << '\n';
+  }
   for (const auto &[Name, Each] : this->Histograms) {
     double Below = Each.Buckets.at(-1);
     for (unsigned Index = 0; Index < BucketCount; ++Index) {
--- a/packages/wire/src/LimitConversions.cpp
+++ b/packages/wire/src/LimitConversions.cpp
@@ -5,6 +5,44 @@
 
 namespace tanagerlanding {
 
+namespace {
+
+/// Returns nothing if the quota is no usable rate and burst.
+std::optional<TeamQuotaNotice> fromTable(const wire::TeamQuotaRowT &Table) {
+  const RequestQuota Quota{RequestRate{Table.requests_per_second}, Table.burst};
+  const bool IsUsable = std::isfinite(Quota.Rate.PerSecond) &&
+                        Quota.Rate.PerSecond > 0 &&
+                        std::isfinite(Quota.Burst) && Quota.Burst >= 0;
+  if (!IsUsable)
+    return std::nullopt;
+  return TeamQuotaNotice{TeamId(Table.team), ConfigVersion(Table.config),
+                         Quota};
+}
+
+/// Sets the field of a row that holds what the sender knows of its subject.
+class StatementEncoder {
+public:
+  explicit StatementEncoder(wire::PermitRequestRowT &Row) : Row(Row) {}
+
+  void operator()(const TargetLimitNotice &Notice) {
+    this->Row.stated =
+        std::make_unique<wire::TargetLimitNoticeT>(toTable(Notice));
+  }
+
+  void operator()(const TeamQuotaNotice &Notice) {
+    this->Row.quota = std::make_unique<wire::TeamQuotaRowT>();
+    this->Row.quota->team = Notice.Team.Value;
+    this->Row.quota->config = Notice.Version.Value;
+    this->Row.quota->requests_per_second = Notice.Quota.Rate.PerSecond;
+    this->Row.quota->burst = Notice.Quota.Burst;
+  }
+
+private:
+  wire::PermitRequestRowT &Row;
+};
+
+} // namespace
+
 wire::TargetLimitNoticeT toTable(const TargetLimitNotice &Body) {
   wire::TargetLimitNoticeT Table;
   Table.target = Body.Run.Target.Value;
@@ -40,9 +78,9 @@
   Table.asked_at_ms = Body.AskedAt.SinceStart.count();
   for (const PermitRequest::Row &Each : Body.Rows) {
     auto Row = std::make_unique<wire::PermitRequestRowT>();
-    Row->stated =
-        std::make_unique<wire::TargetLimitNoticeT>(toTable(Each.Stated));
+    std::visit(StatementEncoder(*Row), Each.Stated);
     Row->wanted = Each.Wanted;
+    Row->first_turn = Each.IsFirstTurn;
     Table.rows.push_back(std::move(Row));
   }
   return Table;
@@ -52,25 +90,51 @@
   PermitRequest Body;
   Body.AskedAt = Instant{Milliseconds(Table.asked_at_ms)};
   for (const auto &Row : Table.rows) {
-    const auto Stated = Row->stated ? fromTable(*Row->stated) : std::nullopt;
-    if (Stated)
-      Body.Rows.push_back(PermitRequest::Row{*Stated, Row->wanted});
+    PermitRequest::Row Each;
+    Each.Wanted = Row->wanted;
+    Each.IsFirstTurn = Row->first_turn;
+    if (const auto Limit = Row->stated ? fromTable(*Row->stated) : std::nullopt)
+      Each.Stated = *Limit;
+    else if (const auto Quota =
+                 Row->quota ? fromTable(*Row->quota) : std::nullopt)
+      Each.Stated = *Quota;
+    else
+      continue;
+    Body.Rows.push_back(std::move(Each));
   }
   return Body;
 }
 
 wire::PermitGrantT toTable(const PermitGrant &Body) {
   wire::PermitGrantT Table;
-  Table.target = Body.Run.Target.Value;
-  Table.started_at_ms = Body.Run.StartedAtMillis;
+  if (const auto *Team = std::get_if<TeamId>(&Body.Subject)) {
+    Table.has_team = true;
+    Table.team = Team->Value;
+  } else {
+    const auto &Run = std::get<TargetRun>(Body.Subject);
+    Table.target = Run.Target.Value;
+    Table.started_at_ms = Run.StartedAtMillis;
+  }
   Table.count = Body.Count;
   Table.asked_at_ms = Body.AskedAt.SinceStart.count();
+  Table.denied = Body.Denied;
+  Table.next_in_ms = Body.NextIn.count();
+  Table.first_turn = Body.IsFirstTurn;
   return Table;
 }
 
 PermitGrant fromTable(const wire::PermitGrantT &Table) {
-  return PermitGrant{TargetRun{TargetId(Table.target), Table.started_at_ms},
-                     Table.count, Instant{Milliseconds(Table.asked_at_ms)}};
+  PermitGrant Body;
+  if (Table.has_team)
+    Body.Subject = TeamId(Table.team);
+  else
+    Body.Subject = TargetRun{TargetId(Table.target), Table.started_at_ms};
+  Body.Count = Table.count;
+  Body.AskedAt = Instant{Milliseconds(Table.asked_at_ms)};
+  Body.Denied = Table.denied;
+  Body.NextIn = Milliseconds(Table.next_in_ms);
+  Body.IsFirstTurn = Table.first_turn;
+  return Body;
 }
 
 } // namespace tanagerlanding
--- a/packages/wire/src/LimitConversions.h
+++ b/packages/wire/src/LimitConversions.h
@@ -1,6 +1,6 @@
 /// \file
-/// Conversions between the messages about limits of targets and the generated
-/// FlatBuffers tables.
+/// Conversions between the messages about limits of targets and permits and the
+/// generated FlatBuffers tables.
 #ifndef TANAGERLANDING_WIRE_LIMITCONVERSIONS_H
 #define TANAGERLANDING_WIRE_LIMITCONVERSIONS_H
 
@@ -18,7 +18,7 @@
 wire::TargetLimitQueryT toTable(const TargetLimitQuery &Body);
 TargetLimitQuery fromTable(const wire::TargetLimitQueryT &Table);
 wire::PermitRequestT toTable(const PermitRequest &Body);
-/// Leaves out rows without a usable limit.
+/// Leaves out rows without a usable limit or quota.
 PermitRequest fromTable(const wire::PermitRequestT &Table);
 wire::PermitGrantT toTable(const PermitGrant &Body);
 PermitGrant fromTable(const wire::PermitGrantT &Table);
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -206,6 +206,46 @@
   CHECK(makeFrame(encodeMessage(Vouch)).size() <= 68);
 }
 
+TEST_CASE(
+    "Codec: permits of teams are round-tripped, without unusable quotas") {
+  const TeamQuotaNotice Notice{TeamId("team"), ConfigVersion(4),
+                               RequestQuota{RequestRate{2.5}, 7}};
+  TeamQuotaNotice Unusable = Notice;
+  Unusable.Quota.Burst = -1;
+  PermitRequest Request{Instant{Milliseconds(5)},
+                        {{Notice, 2, true}, {Unusable, 1, false}}};
+  for (const double PerSecond : {0.0, -1.0, std::nan(""), HUGE_VAL}) {
+    Unusable = Notice;
+    Unusable.Quota.Rate.PerSecond = PerSecond;
+    Request.Rows.push_back({Unusable, 1, false});
+  }
+  const auto Decoded = decodeMessage(encodeMessage(Request));
+  REQUIRE(Decoded);
+  const auto &Rows = std::get<PermitRequest>(Decoded.value()).Rows;
+  REQUIRE(Rows.size() == 1);
+  const auto &Stated = std::get<TeamQuotaNotice>(Rows[0].Stated);
+  CHECK(Stated.Team == Notice.Team);
+  CHECK(Stated.Version == Notice.Version);
+  CHECK(Stated.Quota == Notice.Quota);
+  CHECK(Rows[0].Wanted == 2);
+  CHECK(Rows[0].IsFirstTurn);
+
+  const PermitGrant Grant{TeamId("team"),  3,   Instant{Milliseconds(5)}, 2,
+                          Milliseconds(9), true};
+  const auto Answer = decodeMessage(encodeMessage(Grant));
+  REQUIRE(Answer);
+  const auto &Read = std::get<PermitGrant>(Answer.value());
+  CHECK(Read.Subject == Grant.Subject);
+  CHECK(Read.Count == 3);
+  CHECK(Read.Denied == 2);
+  CHECK(Read.NextIn == Milliseconds(9));
+  CHECK(Read.IsFirstTurn);
+  // The design note reckons with at most this much for a permit of a team.
+  CHECK(encodeMessage(PermitRequest{Instant{Milliseconds(5)}, {{Notice, 2}}})
+            .size() <= 176);
+  CHECK(encodeMessage(Grant).size() <= 96);
+}
+
 TEST_CASE("Codec: round-trips every message and record") {
   const auto Messages = sampleMessages();
   CHECK(Messages.size() == std::variant_size_v<Message>);
