Admit programs by the load that they will cause, and order the queue

Cause: in a burst, relays send first turns wherever a slot is free, and programs need some ten turns each afterwards, so twice the capacity is admitted within two seconds. A first turn that waited for half of its caller's time was sent to a full target all the same.

Change: a first turn is held back while the load of the service, scaled by the growth of the rate of starts over the last seconds, fills all slots. It is refused at once if the queue before it takes too long, and when its time in the queue is up; it no longer goes to a full target. Turns of programs in progress are queued above 1.25 requests per slot, those of overdue programs are refused rather than pushed in. The queue is ordered by class, priority, the turns that a team had recently, and deadline. Retry-After of a refusal for lack of capacity is the expected time in the queue, spread.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -91,6 +91,10 @@
   /// Load, in requests per slot, at which a target gets no more requests.
   /// Further ones would wait there longer than a caller's retry takes.
   double MaxLoadPerSlot = 2.5;
+  /// Load, in requests per slot, below which a target gets turns of programs in
+  /// progress. Above it they are queued at the relay, as a target serves its
+  /// own queue in order of arrival.
+  double InProgressLoadPerSlot = 1.25;
   /// Load, in requests per slot, below which a target gets first turns of
   /// programs, and turns of overdue programs. It is high enough to keep the
   /// slots in use; above it these turns are queued at the relay, where they can
@@ -104,6 +108,17 @@
   /// before the program counts as overdue. A program's time is at least a fifth
   /// more than it takes on idle targets.
   double MaxStartDelayFraction = 0.25;
+  /// How long the oldest first turn in the queue may have waited while a
+  /// further one is still queued before any has been dispatched.
+  Milliseconds UnknownStartDelayLimit{100};
+  /// Half-life of the count from which the rate of dispatched first turns is
+  /// estimated, short enough to follow a burst, and of the one that it is
+  /// compared with, which covers the time of a program.
+  Milliseconds StartRateHalfLife{700};
+  Milliseconds UsualStartRateHalfLife{5500};
+  /// Added to both rates, so that a relay with few starts does not take chance
+  /// for growth.
+  double StartRateNoise = 2;
   /// Queued turns that may be dispatched per tick, so that relays that see the
   /// same free target do not all send their turns at once.
   std::uint32_t MaxDispatchesPerTick = 2;
@@ -459,6 +474,11 @@
   /// Requests for each service that were to be sent, and that were sent.
   std::map<ServiceName, DecayingCount> RequestRates;
   std::map<ServiceName, DecayingCount> SendRates;
+  /// Turns that were sent for each team.
+  std::map<TeamId, DecayingCount> TeamTurns;
+  /// First turns of programs that were dispatched.
+  std::map<ServiceName, DecayingCount> StartRates;
+  std::map<ServiceName, DecayingCount> UsualStartRates;
   /// Invalid limits that have been logged.
   std::set<std::pair<TargetRun, std::string>> ReportedInvalidLimits;
   /// Versions of targets that are no longer registered, and when they last
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -411,6 +411,7 @@
        {"left_ms", RelayContext::millis(Send.TimeLeft)}});
   addOutstanding(State, Call.Target);
   State.SendRates[Call.Service].add(1, State.Now, State.Options.RateHalfLife);
+  recordTurn(State, Call);
   recordPromptCacheLocation(State, Call);
   Context.add(std::move(Send));
 }
--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -5,12 +5,16 @@
 #include "Turns.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace tanagerlanding {
 
 namespace {
 
+/// Count of recent turns below which a team's count is removed.
+constexpr double NegligibleTurns = 0.01;
+
 /// Returns whether this is the first turn of the call's program that the ledger
 /// and this relay know of.
 bool isFirstTurn(const RelayState &State, const RelayCall &Call) {
@@ -18,16 +22,37 @@
          !hasPromptCacheLocation(State, Call);
 }
 
-using QueueOrder = std::tuple<SchedulingClass, Instant, RequestId>;
+bool isTurn(const RelayCall &Call) {
+  const auto &Program = Call.InboundRequest.Program;
+  return Call.Route.IsStreaming && Program && Program->TimeLeft.has_value();
+}
+
+/// Returns the turns that were sent recently for a team, so that of two teams
+/// the one that has had less goes first and a busy team costs others nothing.
+double recentTurnsOf(const RelayState &State,
+                     const std::optional<TeamId> &Team) {
+  if (!Team)
+    return 0;
+  const auto Found = State.TeamTurns.find(*Team);
+  return Found == State.TeamTurns.end()
+             ? 0
+             : std::floor(Found->second.valueAt(State.Now,
+                                                State.Options.RateHalfLife));
+}
+
+using QueueOrder = std::tuple<SchedulingClass, std::uint32_t, std::uint32_t,
+                              double, Instant, RequestId>;
 
-/// Returns the sort key of a queued call: its scheduling class, then the
-/// deadline of its program or, without one, its own, then its request id.
+/// Returns the sort key of a queued call: its scheduling class, its priority,
+/// its route's, the recent turns of its team, the deadline of its program or,
+/// without one, its own, and its request id.
 QueueOrder queueOrderOf(const RelayState &State, const RelayCall &Call) {
   const auto &Program = Call.InboundRequest.Program;
   const Instant Deadline = Program && Program->TimeLeft
                                ? Call.Arrived + *Program->TimeLeft
                                : Call.Deadline;
-  return {schedulingClassOf(State, Call), Deadline, Call.Request};
+  return {schedulingClassOf(State, Call),  Call.Priority, Call.Route.Priority,
+          recentTurnsOf(State, Call.Team), Deadline,      Call.Request};
 }
 
 /// Returns the first call in queue order of a service that is not blocked, or
@@ -49,6 +74,15 @@
   return Next;
 }
 
+double rateOf(const RelayState &State,
+              const std::map<ServiceName, DecayingCount> &Rates,
+              const ServiceName &Service, Milliseconds HalfLife) {
+  const auto Found = Rates.find(Service);
+  return Found == Rates.end()
+             ? 0
+             : Found->second.ratePerSecond(State.Now, HalfLife);
+}
+
 Milliseconds fractionOf(Milliseconds Whole, double Share) {
   return Milliseconds(
       static_cast<std::int64_t>(Share * static_cast<double>(Whole.count())));
@@ -64,13 +98,10 @@
 
 SchedulingClass schedulingClassOf(const RelayState &State,
                                   const RelayCall &Call) {
-  const auto &Program = Call.InboundRequest.Program;
-  const bool IsTimed =
-      Call.Route.IsStreaming && Program && Program->TimeLeft.has_value();
-  // An answer that has begun must be completed, and no call may be queued
-  // indefinitely.
-  if (!IsTimed || Call.HasBegunAnswer || hasReachedQueueTimeLimit(State, Call))
+  // An answer that has begun must be completed.
+  if (!isTurn(Call) || Call.HasBegunAnswer)
     return SchedulingClass::InProgress;
+  const auto &Program = Call.InboundRequest.Program;
   const Milliseconds Waited = State.Now - Call.Arrived;
   if (*Program->TimeLeft <= Waited)
     return SchedulingClass::Overdue;
@@ -85,11 +116,15 @@
   const RelayOptions &Options = State.Options;
   switch (schedulingClassOf(State, Call)) {
   case SchedulingClass::InProgress:
-    return Options.MaxLoadPerSlot;
+    return isTurn(Call) && !hasReachedQueueTimeLimit(State, Call)
+               ? Options.InProgressLoadPerSlot
+               : Options.MaxLoadPerSlot;
   case SchedulingClass::Starting:
     return Options.StartingLoadPerSlot;
   case SchedulingClass::Overdue:
-    return Options.OverdueLoadPerSlot;
+    return hasReachedQueueTimeLimit(State, Call) && !isStart(State, Call)
+               ? Options.InProgressLoadPerSlot
+               : Options.OverdueLoadPerSlot;
   }
   return Options.MaxLoadPerSlot;
 }
@@ -105,13 +140,79 @@
                      });
 }
 
+bool isStart(const RelayState &State, const RelayCall &Call) {
+  return isTurn(Call) && !Call.HasBegunAnswer && isFirstTurn(State, Call);
+}
+
+Milliseconds startDelayLimitOf(const RelayState &State, const RelayCall &Call) {
+  const RelayOptions &Options = State.Options;
+  const Milliseconds Own =
+      fractionOf(Call.Deadline - Call.Arrived, Options.MaxQueueTimeFraction);
+  const Milliseconds OfProgram = fractionOf(
+      *Call.InboundRequest.Program->TimeLeft, Options.MaxStartDelayFraction);
+  return std::min(Own, OfProgram);
+}
+
+bool mayQueueStart(const RelayState &State, const RelayCall &Call) {
+  const QueueOrder Own = queueOrderOf(State, Call);
+  std::size_t Ahead = 0;
+  Instant Oldest = State.Now;
+  for (const RequestId Request : State.QueuedCalls) {
+    const RelayCall &Each = State.Calls.at(Request);
+    if (Each.Service != Call.Service || !isStart(State, Each))
+      continue;
+    Oldest = std::min(Oldest, Each.QueuedAt);
+    Ahead += queueOrderOf(State, Each) < Own;
+  }
+  if (Ahead == 0)
+    return true;
+  const double Rate = rateOf(State, State.StartRates, Call.Service,
+                             State.Options.StartRateHalfLife);
+  if (Rate < State.Options.MinRequestsPerSecond)
+    return State.Now - Oldest < State.Options.UnknownStartDelayLimit;
+  const Milliseconds Expected(
+      static_cast<std::int64_t>(1000 * static_cast<double>(Ahead + 1) / Rate));
+  return Expected < startDelayLimitOf(State, Call);
+}
+
+double expectedLoadPerSlot(const RelayState &State,
+                           const ServiceName &Service) {
+  const RelayOptions &Options = State.Options;
+  const double Recent =
+      rateOf(State, State.StartRates, Service, Options.StartRateHalfLife);
+  const double Usual = rateOf(State, State.UsualStartRates, Service,
+                              Options.UsualStartRateHalfLife);
+  const double Growth =
+      (Recent + Options.StartRateNoise) / (Usual + Options.StartRateNoise);
+  return serviceLoadPerSlot(State, Service) * std::max(1.0, Growth);
+}
+
+void expireTeamTurns(RelayState &State) {
+  for (auto Each = State.TeamTurns.begin(); Each != State.TeamTurns.end();) {
+    const double Turns =
+        Each->second.valueAt(State.Now, State.Options.RateHalfLife);
+    Each =
+        Turns < NegligibleTurns ? State.TeamTurns.erase(Each) : std::next(Each);
+  }
+}
+
+void recordTurn(RelayState &State, const RelayCall &Call) {
+  const RelayOptions &Options = State.Options;
+  if (!isTurn(Call))
+    return;
+  if (Call.Team)
+    State.TeamTurns[*Call.Team].add(1, State.Now, Options.RateHalfLife);
+  if (!isStart(State, Call))
+    return;
+  State.StartRates[Call.Service].add(1, State.Now, Options.StartRateHalfLife);
+  State.UsualStartRates[Call.Service].add(1, State.Now,
+                                          Options.UsualStartRateHalfLife);
+}
+
 std::optional<Milliseconds> expectedQueueTime(const RelayState &State,
                                               const RelayCall &Call) {
-  const auto Sent = State.SendRates.find(Call.Service);
   const double Rate =
-      Sent == State.SendRates.end()
-          ? 0
-          : Sent->second.ratePerSecond(State.Now, State.Options.RateHalfLife);
+      rateOf(State, State.SendRates, Call.Service, State.Options.RateHalfLife);
   if (Rate < State.Options.MinRequestsPerSecond)
     return std::nullopt;
   const QueueOrder Own = queueOrderOf(State, Call);
@@ -132,6 +233,16 @@
 
 void refuseStarvedCalls(RelayContext &Context) {
   RelayState &State = Context.State;
+  std::vector<RequestId> Late;
+  for (const RequestId Request : State.QueuedCalls) {
+    const RelayCall &Each = State.Calls.at(Request);
+    const Milliseconds Queued = State.Now - Each.QueuedAt;
+    if (isStart(State, Each) && startDelayLimitOf(State, Each) <= Queued)
+      Late.push_back(Request);
+  }
+  for (const RequestId Request : Late)
+    refuseCall(Context, State.Calls.at(Request),
+               RelayRefusalReason::Overloaded);
   std::vector<RequestId> Starved;
   for (const RequestId Request : State.QueuedCalls) {
     const RelayCall &Each = State.Calls.at(Request);
@@ -148,6 +259,10 @@
 
 void enqueueCall(RelayContext &Context, RelayCall &Call) {
   RelayState &State = Context.State;
+  if (isStart(State, Call) && !mayQueueStart(State, Call)) {
+    refuseCall(Context, Call, RelayRefusalReason::Overloaded);
+    return;
+  }
   const RequestId Request = Call.Request;
   Call.Phase = RelayPhase::Queued;
   Call.QueuedAt = State.Now;
--- a/packages/decision/src/relay/CallQueue.h
+++ b/packages/decision/src/relay/CallQueue.h
@@ -40,6 +40,32 @@
 /// more urgent than this call.
 bool isBehindAwaitingCall(const RelayState &State, const RelayCall &Call);
 
+/// Returns whether a call is the first turn of a program, as far as the ledger
+/// and this relay know.
+bool isStart(const RelayState &State, const RelayCall &Call);
+
+/// Returns how long the first turn of a program may be queued. Later the
+/// program would miss its deadline even on idle targets.
+Milliseconds startDelayLimitOf(const RelayState &State, const RelayCall &Call);
+
+/// Returns whether the first turn of a program may be queued: at the recent
+/// rate of starts it is expected to be dispatched within startDelayLimitOf().
+/// Answers bursts of new programs: what can't be started in time is refused at
+/// once.
+bool mayQueueStart(const RelayState &State, const RelayCall &Call);
+
+/// Returns the load of a service, in requests per slot, that is expected once
+/// the programs started recently have as many turns in progress as others: the
+/// present load, scaled by the growth of the rate of starts.
+double expectedLoadPerSlot(const RelayState &State, const ServiceName &Service);
+
+/// Removes the counts of teams that have sent no turns for a while.
+void expireTeamTurns(RelayState &State);
+
+/// Counts a turn that is sent, for its team and among the starts of its
+/// service.
+void recordTurn(RelayState &State, const RelayCall &Call);
+
 /// Returns how long a call would be queued behind the more urgent ones of its
 /// service at the rate at which they have been sent recently; absent if too few
 /// were to tell.
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -215,6 +215,23 @@
 
 } // namespace
 
+double serviceLoadPerSlot(const RelayState &State, const ServiceName &Service) {
+  const auto Registered = State.TargetsByService.find(Service);
+  if (Registered == State.TargetsByService.end())
+    return 0;
+  const double TypicalOthers = averageExternalLoad(State, Service);
+  double Load = 0;
+  double Slots = 0;
+  for (const TargetId &Id : Registered->second) {
+    const RelayTarget &Target = State.Targets.at(Id);
+    if (isLeaving(State, Target.Entry) || Target.MissingSince)
+      continue;
+    Load += loadOf(State, Target, TypicalOthers);
+    Slots += slotsOf(State, Target);
+  }
+  return Slots > 0 ? Load / Slots : 0;
+}
+
 Result<TargetId, PlacementFailure> chooseTarget(RelayState &State,
                                                 const RelayCall &Call) {
   const std::vector<Candidate> Candidates = candidatesOf(State, Call);
@@ -222,6 +239,11 @@
   if (Candidates.empty())
     return HasLimitedTargets ? PlacementFailure::AwaitingPermit
                              : PlacementFailure::NoTarget;
+  const bool IsStartHeldBack =
+      isStart(State, Call) && State.Options.StartingLoadPerSlot <=
+                                  expectedLoadPerSlot(State, Call.Service);
+  if (IsStartHeldBack)
+    return PlacementFailure::Busy;
   const Candidate *Best =
       isSuspect(State, Call) ? forSuspect(State, Candidates, Call) : nullptr;
   if (!Best)
@@ -230,11 +252,10 @@
   if (Best->Load < loadLimitOf(State, Call) * Slots)
     return Best->Target->Entry.Id;
   const bool IsFull = State.Options.MaxLoadPerSlot * Slots <= Best->Load;
-  const bool IsQueued = Call.Phase == RelayPhase::Queued &&
-                        !hasReachedQueueTimeLimit(State, Call);
   const bool MayWait =
-      IsQueued || schedulingClassOf(State, Call) != SchedulingClass::InProgress;
-  if (!IsFull || MayWait)
+      Call.Phase == RelayPhase::Queued ||
+      schedulingClassOf(State, Call) != SchedulingClass::InProgress;
+  if (!hasReachedQueueTimeLimit(State, Call) && (!IsFull || MayWait))
     return PlacementFailure::Busy;
   return HasLimitedTargets ? PlacementFailure::AwaitingPermit
                            : PlacementFailure::Overloaded;
--- a/packages/decision/src/relay/Placement.h
+++ b/packages/decision/src/relay/Placement.h
@@ -25,6 +25,10 @@
 Result<TargetId, PlacementFailure> chooseTarget(RelayState &State,
                                                 const RelayCall &Call);
 
+/// Returns the requests at the targets of a service, in requests per slot, as
+/// far as this relay knows; targets that are leaving do not count.
+double serviceLoadPerSlot(const RelayState &State, const ServiceName &Service);
+
 /// Returns the number of targets that the call could go to if this relay had
 /// permits for them.
 std::size_t targetsWithoutPermit(const RelayState &State,
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-/// Returns how long a caller should wait that was refused for the limits of
-/// targets: the time in which the calls before it are sent, drawn from an
-/// interval, so that callers do not return at the same time.
-Milliseconds limitRetryAfter(RelayState &State, const RelayCall &Call) {
+/// Returns how long a caller should wait that was refused for lack of capacity:
+/// the time in which the calls before it are sent, drawn from an interval, so
+/// that callers do not return at the same time.
+Milliseconds capacityRetryAfter(RelayState &State, const RelayCall &Call) {
   const Milliseconds Wait =
       std::max(State.Options.RetryAfter,
                expectedQueueTime(State, Call).value_or(Milliseconds(0)));
@@ -58,7 +58,8 @@
   case RelayRefusalReason::Quarantined:
     return quarantineTimeLeft(State, Call);
   case RelayRefusalReason::TargetLimit:
-    return limitRetryAfter(State, Call);
+  case RelayRefusalReason::Overloaded:
+    return capacityRetryAfter(State, Call);
   case RelayRefusalReason::QuotaExceeded:
     return quotaRetryAfter(State, Call);
   default:
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -53,6 +53,7 @@
   State.HintsExpiredAt = State.Now;
   evictPromptCacheLocations(State);
   expireLimitObservations(State);
+  expireTeamTurns(State);
 }
 
 /// Dispatches an event to the handlers of its type.
