Share the load and speed of targets among relays; choose by expected end

Cause: a relay knew the load of a target only from its own answers of the last 500 ms, and otherwise assumed the average, so that relays together sent more to some targets than these could serve.

Change: messages TargetLoadReport and TargetLoadView; the first live member of the ledger's view gathers. The fourth figure of the load header is decoded; a load that can't be parsed is counted and the former is kept. Speeds are learned from complete answers and shared. Placement compares expected times, and adds the requests that other relays have probably sent unseen. Services without load reports are handled as before. RelayDirectoryTest checks the new field in place of ExternalLoad, as strictly.

--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -7,6 +7,7 @@
 #include "tanagerlanding/decision/Inventory.h"
 #include "tanagerlanding/decision/Records.h"
 #include "tanagerlanding/decision/TargetLimits.h"
+#include "tanagerlanding/decision/TargetLoads.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 
 #include <optional>
@@ -222,7 +223,8 @@
     ReleasePrefixes, LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
     TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
     DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
-    TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch>;
+    TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch,
+    TargetLoadReport, TargetLoadView>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -146,6 +146,52 @@
   std::deque<WaitingRelay> Waiting;
 };
 
+/// Requests that a relay has sent to one run of a target, less those ended.
+struct ReportedSends {
+  HostId Relay;
+  Instant At;
+  std::int32_t Count = 0;
+};
+
+/// What relays have reported of the load of one run of a target.
+struct GatheredLoad {
+  /// The newest report, when the target made it, and the relay that received
+  /// it.
+  TargetLoad Report;
+  std::optional<Instant> ReportedAt;
+  HostId Reporter;
+  /// Requests sent since the report, the oldest first.
+  std::deque<ReportedSends> Sends;
+  /// Moving average of the slowness that relays have reported, and when they
+  /// last did.
+  std::optional<double> Slowness;
+  Instant SlownessAt;
+  Instant UpdatedAt;
+  /// The number of the last change; all rows are counted together.
+  std::uint64_t Change = 0;
+};
+
+/// A relay that reports loads here and is sent those that others report.
+struct LoadSubscriber {
+  Instant ReportedAt;
+  Instant SentAt;
+  /// Rows are sent in the order of their keys, and again from the first one
+  /// after the last; LastSent is where the next message goes on. Rows whose
+  /// last change is not after SentChanges, the number of changes at the start
+  /// of the round before this one, are left out. So a change may be sent twice,
+  /// but none is missed.
+  TargetRunKey LastSent;
+  std::uint64_t SentChanges = 0;
+  std::uint64_t RoundChanges = 0;
+};
+
+/// The loads of targets that relays have reported to this replica.
+struct LoadGathering {
+  std::map<TargetRunKey, GatheredLoad> Rows;
+  std::uint64_t Changes = 0;
+  std::map<HostId, LoadSubscriber> Relays;
+};
+
 /// A batch that has been submitted to the data folder and is not durable yet.
 struct PendingBatch {
   /// Host that gets the reply; absent for pulled batches.
@@ -233,6 +279,7 @@
   /// change of the configuration's key; revision 0 if there was none.
   std::map<HostId, RelayClock> RelayClocks;
   Revision ConfigurationKeyRevision;
+  LoadGathering Loads;
   /// Evidence against contents that crash their targets, for the relays.
   QuarantineTable Suspects{SharedRunPolicy{}, SharedContentLimit};
 };
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -4,6 +4,7 @@
 #define TANAGERLANDING_DECISION_RELAY_CALLERREQUEST_H
 
 #include "tanagerlanding/basics.h"
+#include "tanagerlanding/decision/TargetLoads.h"
 
 #include <memory>
 #include <optional>
@@ -90,8 +91,7 @@
   bool IsSigned = false;
   /// Whether the body is a stream of events.
   bool IsEventStream = false;
-  /// Requests running and waiting at the target, if it reports them.
-  std::optional<std::uint32_t> Load;
+  StatedTargetLoad Load;
   StatedRequestLimit RequestLimit;
 };
 
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -208,6 +208,9 @@
 /// too long.
 bool isRelayReady(const RelayState &State);
 
+/// Returns the number of targets whose load is known by a recent report.
+std::size_t countKnownLoads(const RelayState &State);
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -6,6 +6,7 @@
 #include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/DecayingCount.h"
 #include "tanagerlanding/decision/TargetLimits.h"
+#include "tanagerlanding/decision/TargetLoads.h"
 #include "tanagerlanding/decision/ledger/LedgerMessages.h"
 #include "tanagerlanding/decision/relay/CallerRequest.h"
 #include "tanagerlanding/decision/relay/ConfigurationProof.h"
@@ -245,14 +246,84 @@
   double FirstByteMillis = 0;
 };
 
+/// The numbers of requests that a relay has sent to a target, and of those that
+/// have ended, as of At.
+struct OwnRequestCounts {
+  Instant At;
+  std::uint64_t Sent = 0;
+  std::uint64_t Ended = 0;
+};
+
+/// What a relay knows of the load of a target.
+struct TargetLoadKnowledge {
+  /// The newest report, own or of another relay, and when the target made it.
+  TargetLoad Report;
+  std::optional<Instant> ReportedAt;
+  bool IsOwnReport = false;
+  /// Requests that other relays have sent since the report, less those ended.
+  std::int32_t SentByOthers = 0;
+  /// This relay's requests now, at the time of the report, and at those times
+  /// of the recent past at which they changed.
+  OwnRequestCounts Own;
+  OwnRequestCounts AtReport;
+  std::deque<OwnRequestCounts> Recent;
+  /// What has not been sent to the gathering replica yet: an own report, and
+  /// the number of requests sent since it or since the last message, less those
+  /// ended.
+  bool HasUnsentReport = false;
+  std::int32_t UnsentRequests = 0;
+  /// Whether an invalid load of this run has been logged.
+  bool IsInvalidLogged = false;
+};
+
+/// How long work takes at a target apart from its load, as a multiple of what
+/// it takes at its service.
+struct TargetSpeed {
+  /// By this relay's own samples, and by those of all relays as last received.
+  double Slowness = 1;
+  Instant SampledAt;
+  std::optional<double> SharedSlowness;
+  Instant SharedAt;
+  /// Samples that have not been sent to the gathering replica yet.
+  double UnsentSum = 0;
+  std::uint32_t UnsentSamples = 0;
+  /// The slowness at the last log line about it.
+  double LoggedSlowness = 1;
+};
+
+/// Moving averages of how long work takes at a service, in milliseconds; 0 if
+/// unknown.
+struct ServiceTimes {
+  double PerEvent = 0;
+  double PerRequest = 0;
+};
+
+/// The exchange of loads with the replica that gathers them.
+struct LoadExchange {
+  std::optional<HolderId> Gatherer;
+  /// When the gatherer was chosen or last sent a view.
+  Instant GathererHeardAt;
+  /// Replicas that have sent no view in time, and until when others are
+  /// preferred.
+  std::map<HolderId, Instant> PassedOverUntil;
+  std::optional<Instant> ViewReceivedAt;
+  /// When the last report was sent, the targets with something new, and the
+  /// target that was reported last.
+  Instant ReportedAt;
+  std::set<TargetId> Unsent;
+  TargetId LastSent;
+  /// Registered targets by the keys in messages. Different ones may share a
+  /// key.
+  std::multimap<TargetRunKey, TargetId> TargetsByKey;
+};
+
 /// A registered target with this relay's state of it.
 struct RelayTarget {
   RegisteredTarget Entry;
   /// Attempts of this relay in flight.
   std::uint32_t Outstanding = 0;
-  /// Requests from elsewhere at the target's last load report.
-  std::uint32_t ExternalLoad = 0;
-  Instant LoadReportedAt;
+  TargetLoadKnowledge Load;
+  TargetSpeed Speed;
   /// Set while the registration is missing but the target may be alive.
   std::optional<Instant> MissingSince;
   /// Consecutive failures, and the end of the backoff that they caused.
@@ -354,6 +425,11 @@
   TargetId Target;
   RegisteredTarget SentTo;
   Instant SentAt;
+  /// When the head of the attempt's answer was received.
+  Instant HeadAt;
+  /// Whether the attempt's target seemed to have a free slot for it, and to be
+  /// as fast as usual.
+  bool HadFreeSlot = false;
   /// EventsSent at the time when the attempt was sent.
   std::uint32_t EventsBeforeAttempt = 0;
   /// Whether the attempt's first-byte timeout has been recorded as a failure.
@@ -455,6 +531,7 @@
   Milliseconds HeartbeatOffset{0};
   std::map<TargetId, RelayTarget> Targets;
   std::map<ServiceName, std::set<TargetId>> TargetsByService;
+  LoadExchange Loads;
   /// Runs of targets that stated in an answer that they are leaving, and when
   /// they last did. A run that leaves does not come back.
   std::map<TargetRun, Instant> LeavingRuns;
@@ -486,6 +563,7 @@
   std::map<ServiceName, std::map<SoftwareVersion, Instant>> FormerVersions;
   /// Moving average of the time to first byte of each service, in milliseconds.
   std::map<ServiceName, double> TypicalFirstByteMillis;
+  std::map<ServiceName, ServiceTimes> TypicalTimes;
   bool IsKeyValueServiceReachable = false;
   Instant KeyValueServiceRegainedAt;
   LedgerView View;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -8,6 +8,7 @@
 #include "QuotaIssuing.h"
 #include "StartedStreams.h"
 #include "SuspectReplication.h"
+#include "TargetLoadGathering.h"
 
 #include <algorithm>
 
@@ -125,6 +126,9 @@
   void operator()(const PermitRequest &Request) {
     handlePermitRequest(this->Context, this->Peer, Request);
   }
+  void operator()(const TargetLoadReport &Report) {
+    handleTargetLoadReport(this->Context, this->Peer, Report);
+  }
   void operator()(const PullRecords &Request) {
     handlePull(this->Context, this->Peer, Request);
   }
@@ -179,6 +183,7 @@
     sweepRecords(this->Context);
     retryPull(this->Context);
     issueWaitingPermits(this->Context);
+    sendTargetLoadViews(this->Context);
     reconcileMembership(this->Context);
   }
 
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -11,10 +11,13 @@
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
+#include "TargetLoads.h"
+#include "TargetSpeed.h"
 #include "Teams.h"
 #include "TurnCloses.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace tanagerlanding {
 
@@ -229,6 +232,8 @@
     handleUnknownOutcome(Context, Call, "unsigned_answer");
     return;
   }
+  if (isSuccess(*Call.Head))
+    recordCompletion(Context, Call);
   if (!isStreamed(Call))
     deliverBufferedAnswer(Context, Call);
   else if (Call.Splitter.hasPartialEvent())
@@ -299,6 +304,13 @@
   return Call.Phase == RelayPhase::Queued ? "queued" : "first";
 }
 
+/// Returns the age of a target's load report, for logs; empty without a recent
+/// one.
+std::string loadAgeOf(const RelayState &State, const RelayTarget &Target) {
+  const auto Known = knownLoadOf(State, Target);
+  return Known ? RelayContext::millis(Known->Age) : std::string();
+}
+
 /// Queues a call until this relay has a permit for one of its targets, or
 /// refuses it if that would take too long.
 void awaitPermit(RelayContext &Context, RelayCall &Call) {
@@ -403,12 +415,14 @@
        {"version", Call.SentTo.Version.Value},
        {"content", std::to_string(Call.Content.Value)},
        {"outstanding", std::to_string(Target.Outstanding)},
-       {"others", std::to_string(Target.ExternalLoad)},
+       {"others", std::to_string(std::lround(externalLoadOf(State, Target)))},
+       {"load_age_ms", loadAgeOf(State, Target)},
        {"limit_per_second", RelayContext::rate(limitOf(State, Target.Entry))},
        {"permits_left", std::to_string(heldPermits(State, Target.Entry))},
        {"without_permit", std::to_string(WithoutPermit)},
        {"kind", Kind},
        {"left_ms", RelayContext::millis(Send.TimeLeft)}});
+  recordSpeedConditions(State, Call, Target);
   addOutstanding(State, Call.Target);
   State.SendRates[Call.Service].add(1, State.Now, State.Options.RateHalfLife);
   recordTurn(State, Call);
@@ -458,13 +472,13 @@
   if (!Call)
     return;
   Call->Head = Event.Head;
+  Call->HeadAt = Context.now();
   if (Event.Head.IsLeaving)
     recordLeavingRun(Context, Call->SentTo.run());
   if (Event.Head.Status < FirstServerError)
     recordAnswerStart(Context.State, *Call);
   recordStatedLimit(Context, *Call, Event.Head);
-  if (Event.Head.Load)
-    recordLoadReport(Context.State, Call->Target, *Event.Head.Load);
+  recordStatedLoad(Context, *Call, Event.Head);
 }
 
 void handleAttemptBytes(RelayContext &Context,
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -2,6 +2,7 @@
 
 #include "CrashDetection.h"
 #include "StreamOrigins.h"
+#include "TargetLoads.h"
 
 namespace tanagerlanding {
 
@@ -23,6 +24,7 @@
   const auto Found = Context.State.Targets.find(Id);
   removeFromServiceIndex(Context.State, Found->second);
   recordFormerVersion(Context.State, Found->second.Entry);
+  resetTargetLoad(Context.State, Found->second, /*IsRemoved=*/true);
   Context.State.Targets.erase(Found);
   Context.log("target_forgotten", {{"target", Id.Value}});
 }
@@ -71,10 +73,12 @@
   if (IsRestarted) {
     Target.ConsecutiveFailures = 0;
     Target.BackoffUntil = Instant();
-    Target.ExternalLoad = 0;
     Target.Health = TargetHealth();
     forgetPromptCaches(State, Entry.Id);
+    Target.Speed = TargetSpeed();
   }
+  if (IsNew || IsRestarted)
+    resetTargetLoad(State, Target, /*IsRemoved=*/false);
   State.TargetsByService[Entry.Service].insert(Entry.Id);
   if (IsChanged)
     Context.log("target_registered",
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -7,67 +7,91 @@
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
+#include "TargetLoads.h"
+#include "TargetSpeed.h"
 #include "Turns.h"
 
 #include <algorithm>
+#include <functional>
+#include <queue>
 
 namespace tanagerlanding {
 
 namespace {
 
-/// How long a load report of a target is used. Requests last some hundred
-/// milliseconds, so older reports do not reflect the current load.
-constexpr Milliseconds LoadReportLifetime{500};
+/// The time that passes on average until a relay knows what the others send:
+/// half of the interval at which they report, half of that at which the
+/// gatherer passes it on, and the ways between.
+constexpr Milliseconds SharingDelay{125};
+/// Bounds the work of one choice.
+constexpr double MaxUnseenRequests = 100;
+
+double millisOf(Milliseconds Time) { return static_cast<double>(Time.count()); }
+
+/// What the costs of the candidates for one call have in common.
+struct ServiceConditions {
+  /// Whether targets of the service state their loads.
+  bool IsLoadStated = false;
+  double AverageExternalLoad = 0;
+  /// How long a request takes; 0 if unknown.
+  double RequestMillis = 0;
+  /// The requests that other relays have probably sent but that are not known
+  /// of here.
+  double UnseenRequests = 0;
+};
 
-double slotsOf(const RelayState &State, const RelayTarget &Target) {
-  return Target.Entry.Slots > 0 ? Target.Entry.Slots
-                                : State.Options.DefaultSlots;
+/// Returns the requests that are sent to a service within the time that it
+/// takes to learn of them: by Little's law, those that run, divided by how long
+/// they do.
+double unseenRequestsOf(const RelayState &State, const ServiceName &Service,
+                        double RequestMillis) {
+  if (RequestMillis <= 0 || !hasRecentLoadView(State))
+    return 0;
+  const double Unseen = loadOfService(State, Service).Running *
+                        millisOf(SharingDelay) / RequestMillis;
+  return std::min(Unseen, MaxUnseenRequests);
 }
 
-bool hasRecentLoadReport(const RelayState &State, const RelayTarget &Target) {
-  return State.Now - Target.LoadReportedAt < LoadReportLifetime;
+ServiceConditions conditionsOf(const RelayState &State,
+                               const ServiceName &Service) {
+  ServiceConditions Conditions;
+  Conditions.IsLoadStated = hasLoadReports(State, Service);
+  if (!Conditions.IsLoadStated)
+    return Conditions;
+  Conditions.AverageExternalLoad = averageExternalLoad(State, Service);
+  Conditions.RequestMillis = typicalRequestMillis(State, Service);
+  Conditions.UnseenRequests =
+      unseenRequestsOf(State, Service, Conditions.RequestMillis);
+  return Conditions;
 }
 
-/// Returns the average load from outside this relay over the targets of a
-/// service with a recent load report. It is the estimate for the other targets,
-/// as a relay receives reports from each target only occasionally.
-double averageExternalLoad(const RelayState &State,
-                           const ServiceName &Service) {
-  const auto Registered = State.TargetsByService.find(Service);
-  if (Registered == State.TargetsByService.end())
-    return 0;
-  double Sum = 0;
-  double Count = 0;
-  for (const TargetId &Id : Registered->second) {
-    const RelayTarget &Target = State.Targets.at(Id);
-    if (!hasRecentLoadReport(State, Target))
-      continue;
-    Sum += Target.ExternalLoad;
-    ++Count;
-  }
-  return Count > 0 ? Sum / Count : 0;
+/// Returns how many times longer than usual work takes at a target.
+double timeFactorOf(const RelayState &State, const RelayTarget &Target,
+                    const ServiceConditions &Conditions) {
+  return Conditions.IsLoadStated
+             ? slownessOf(State, Target) * currentSlowdownOf(State, Target)
+             : 1;
 }
 
-/// Returns the requests at a target: the exact number of own attempts plus the
-/// reported or estimated load from elsewhere.
-double loadOf(const RelayState &State, const RelayTarget &Target,
-              double TypicalOthers) {
-  const double Others =
-      hasRecentLoadReport(State, Target) ? Target.ExternalLoad : TypicalOthers;
-  return Target.Outstanding + Others;
+/// Returns how long a request waits for each request queued before it at a
+/// target of average speed.
+double queueStepMillis(const RelayState &State, const RelayTarget &Target,
+                       const ServiceConditions &Conditions) {
+  return Conditions.RequestMillis > 0
+             ? Conditions.RequestMillis / slotsOf(State, Target)
+             : millisOf(State.Options.CostPerQueuedRequest);
 }
 
-/// Returns the cost of adding a request at a target with the given load, in
-/// milliseconds of delay.
-double loadCost(const RelayState &State, const RelayTarget &Target,
-                double Load) {
+/// Returns the time that a request would take at a target of average speed with
+/// the given load: it waits for a slot, runs, and delays the others there.
+double loadedMillis(const RelayState &State, const RelayTarget &Target,
+                    const ServiceConditions &Conditions, double Load) {
   const double Slots = slotsOf(State, Target);
   const double Running = std::min(Load, Slots);
   const double Queued = std::max(0.0, Load + 1 - Slots);
-  return Running *
-             static_cast<double>(State.Options.CostPerRunningRequest.count()) +
-         Queued *
-             static_cast<double>(State.Options.CostPerQueuedRequest.count());
+  return Conditions.RequestMillis +
+         Running * millisOf(State.Options.CostPerRunningRequest) +
+         Queued * queueStepMillis(State, Target, Conditions);
 }
 
 bool isUsable(const RelayState &State, const RelayTarget &Target,
@@ -128,10 +152,77 @@
   const RelayTarget *Target = nullptr;
   double Load = 0;
   double Cost = 0;
+  /// The cost of one request more, below which a difference says little: other
+  /// relays choose by the same reports at the same time.
+  double RequestCost = 0;
+  /// The part of the cost that is the same for all requests and does not depend
+  /// on the load, and the factor of the rest.
+  double FixedCost = 0;
+  double Factor = 1;
+  /// Requests that other relays have probably sent here meanwhile.
+  std::uint32_t Unseen = 0;
+  bool IsLoadKnown = false;
+  bool IsHome = false;
+  bool IsCrossZone = false;
   bool IsInBackoff = false;
   std::uint64_t Rank = 0;
 };
 
+/// Returns the cost of one request more at a candidate, without that of reading
+/// its prompt.
+double costOf(const RelayState &State, const ServiceConditions &Conditions,
+              const Candidate &Each) {
+  return Each.FixedCost + Each.Factor * loadedMillis(State, *Each.Target,
+                                                     Conditions,
+                                                     Each.Load + Each.Unseen);
+}
+
+/// Adds the requests that other relays have probably sent meanwhile where these
+/// relays would send them by the same reports: one by one to the best target.
+void placeUnseenRequests(const RelayState &State,
+                         const ServiceConditions &Conditions,
+                         std::vector<Candidate> &Candidates) {
+  using Entry = std::pair<double, std::size_t>;
+  std::priority_queue<Entry, std::vector<Entry>, std::greater<>> Best;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    if (!Candidates[Index].IsInBackoff)
+      Best.emplace(costOf(State, Conditions, Candidates[Index]), Index);
+  }
+  for (double Left = Conditions.UnseenRequests; Left >= 1 && !Best.empty();
+       --Left) {
+    const std::size_t Index = Best.top().second;
+    Best.pop();
+    ++Candidates[Index].Unseen;
+    Best.emplace(costOf(State, Conditions, Candidates[Index]), Index);
+  }
+}
+
+/// Returns one of the candidates to which requests of the other relays probably
+/// went, with a probability in proportion to these. What all relays send then
+/// adds up to what the targets have room for. Null if there are none below the
+/// call's limit.
+const Candidate *amongUnseen(RelayState &State,
+                             const std::vector<Candidate> &Candidates,
+                             const RelayCall &Call) {
+  const double Limit = loadLimitOf(State, Call);
+  const auto WeightOf = [&](const Candidate &Each) {
+    const bool HasRoom = Each.Load < Limit * slotsOf(State, *Each.Target);
+    return HasRoom ? Each.Unseen : 0;
+  };
+  std::uint32_t Sum = 0;
+  for (const Candidate &Each : Candidates)
+    Sum += WeightOf(Each);
+  if (Sum == 0)
+    return nullptr;
+  std::uint64_t Drawn = State.Random() % Sum;
+  for (const Candidate &Each : Candidates) {
+    if (Drawn < WeightOf(Each))
+      return &Each;
+    Drawn -= WeightOf(Each);
+  }
+  return nullptr;
+}
+
 /// Returns the usable targets of the call's service for which this relay needs
 /// no permit or has one, with their costs in milliseconds. Equal costs are
 /// ranked by a hash of affinity key and target, which is the same on every
@@ -144,38 +235,74 @@
     return Found;
   const std::string Affinity = affinityOf(Call);
   const TargetId Home = promptCacheLocationOf(State, Call);
-  const double TypicalOthers = averageExternalLoad(State, Call.Service);
+  const ServiceConditions Conditions = conditionsOf(State, Call.Service);
   for (const TargetId &Id : Registered->second) {
     const RelayTarget &Target = State.Targets.at(Id);
     if (!isUsable(State, Target, Call) || !hasPermit(State, Target.Entry))
       continue;
     Candidate Each;
     Each.Target = &Target;
-    Each.Load = loadOf(State, Target, TypicalOthers);
-    Each.Cost =
-        loadCost(State, Target, Each.Load) + expectedHealthCost(State, Target);
-    if (!(Target.Entry.Zone == State.Zone))
-      Each.Cost += static_cast<double>(State.Options.CrossZoneCost.count());
-    if (!(Id == Home))
-      Each.Cost += cacheMissCost(State, Call);
+    Each.Load = loadOf(State, Target, Conditions.AverageExternalLoad);
+    Each.Factor = timeFactorOf(State, Target, Conditions);
+    // How slow a target is that states its load is part of the factor.
+    Each.FixedCost = Conditions.IsLoadStated
+                         ? expectedFailureCost(State, Target)
+                         : expectedHealthCost(State, Target);
+    Each.IsCrossZone = !(Target.Entry.Zone == State.Zone);
+    if (Each.IsCrossZone)
+      Each.FixedCost += millisOf(State.Options.CrossZoneCost);
+    Each.IsHome = Id == Home;
+    Each.IsLoadKnown = knownLoadOf(State, Target).has_value();
     Each.IsInBackoff = State.Now < Target.BackoffUntil;
     Each.Rank = Affinity.empty() ? State.Random()
                                  : hashBytes(Affinity + '/' + Id.Value);
     Found.push_back(Each);
   }
+  placeUnseenRequests(State, Conditions, Found);
+  for (Candidate &Each : Found) {
+    Each.Cost = costOf(State, Conditions, Each);
+    if (!Each.IsHome)
+      Each.Cost += Each.Factor * cacheMissCost(State, Call);
+    const bool IsFull = slotsOf(State, *Each.Target) <= Each.Load + Each.Unseen;
+    Each.RequestCost =
+        Each.Factor *
+        std::max(millisOf(State.Options.CostPerRunningRequest),
+                 IsFull ? queueStepMillis(State, *Each.Target, Conditions) : 0);
+  }
   return Found;
 }
 
+/// Returns whether two candidates differ by at most a request's cost, so that
+/// either may be chosen. A cached prompt and a zone are worth their costs.
+bool isAsGood(const Candidate &Best, const Candidate &Second) {
+  return Best.IsLoadKnown && Second.IsLoadKnown && !Best.IsHome &&
+         !Second.IsHome && Best.IsCrossZone == Second.IsCrossZone &&
+         Best.IsInBackoff == Second.IsInBackoff &&
+         Second.Cost - Best.Cost <= Best.RequestCost;
+}
+
 /// Returns the candidate with the lowest cost, those in backoff last; null if
-/// there are none.
+/// there are none. Of the best two, if one is as good as the other, the one
+/// with the lower rank is chosen, so that relays that see the same idle target
+/// do not all send their requests there.
 const Candidate *cheapest(const std::vector<Candidate> &Candidates) {
-  const auto Best = std::min_element(
-      Candidates.begin(), Candidates.end(),
-      [](const Candidate &Left, const Candidate &Right) {
-        return std::make_tuple(Left.IsInBackoff, Left.Cost, Left.Rank) <
-               std::make_tuple(Right.IsInBackoff, Right.Cost, Right.Rank);
-      });
-  return Best == Candidates.end() ? nullptr : &*Best;
+  const auto IsBetter = [](const Candidate &Left, const Candidate &Right) {
+    return std::make_tuple(Left.IsInBackoff, Left.Cost, Left.Rank) <
+           std::make_tuple(Right.IsInBackoff, Right.Cost, Right.Rank);
+  };
+  const Candidate *Best = nullptr;
+  const Candidate *Second = nullptr;
+  for (const Candidate &Each : Candidates) {
+    if (!Best || IsBetter(Each, *Best)) {
+      Second = Best;
+      Best = &Each;
+    } else if (!Second || IsBetter(Each, *Second)) {
+      Second = &Each;
+    }
+  }
+  if (Second && isAsGood(*Best, *Second) && Second->Rank < Best->Rank)
+    return Second;
+  return Best;
 }
 
 /// Returns the candidate for a suspect content: of those with capacity, the
@@ -246,6 +373,8 @@
     return PlacementFailure::Busy;
   const Candidate *Best =
       isSuspect(State, Call) ? forSuspect(State, Candidates, Call) : nullptr;
+  if (!Best && affinityOf(Call).empty())
+    Best = amongUnseen(State, Candidates, Call);
   if (!Best)
     Best = cheapest(Candidates);
   const double Slots = slotsOf(State, *Best->Target);
@@ -305,24 +434,19 @@
 }
 
 void addOutstanding(RelayState &State, const TargetId &Target) {
-  if (RelayTarget *Found = findTarget(State, Target))
-    ++Found->Outstanding;
-}
-
-void removeOutstanding(RelayState &State, const TargetId &Target) {
   RelayTarget *Found = findTarget(State, Target);
-  if (Found && Found->Outstanding > 0)
-    --Found->Outstanding;
+  if (!Found)
+    return;
+  ++Found->Outstanding;
+  recordSend(State, *Found);
 }
 
-void recordLoadReport(RelayState &State, const TargetId &Target,
-                      std::uint32_t Load) {
+void removeOutstanding(RelayState &State, const TargetId &Target) {
   RelayTarget *Found = findTarget(State, Target);
-  if (!Found)
+  if (!Found || Found->Outstanding == 0)
     return;
-  Found->ExternalLoad =
-      Load > Found->Outstanding ? Load - Found->Outstanding : 0;
-  Found->LoadReportedAt = State.Now;
+  --Found->Outstanding;
+  recordEnd(State, *Found);
 }
 
 void backOffTarget(RelayState &State, const TargetId &Target) {
--- a/packages/decision/src/relay/Placement.h
+++ b/packages/decision/src/relay/Placement.h
@@ -49,11 +49,6 @@
 void addOutstanding(RelayState &State, const TargetId &Target);
 void removeOutstanding(RelayState &State, const TargetId &Target);
 
-/// Records the load that a target has reported: all requests that run or wait
-/// there, including those of this relay.
-void recordLoadReport(RelayState &State, const TargetId &Target,
-                      std::uint32_t Load);
-
 /// Starts or extends a target's backoff after a failure, doubling it with each
 /// consecutive failure up to the limit.
 void backOffTarget(RelayState &State, const TargetId &Target);
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -11,6 +11,7 @@
 #include "QuotaPermits.h"
 #include "RelayContext.h"
 #include "RequestPermits.h"
+#include "TargetLoads.h"
 #include "Turns.h"
 
 namespace tanagerlanding {
@@ -69,6 +70,7 @@
     if (HasStalled) {
       resetHeartbeatTimers(this->State);
       resetQuotaTimeouts(this->State);
+      resetLoadViewTimer(this->State);
     }
     refuseExpiredCalls(this->Context);
     handleFirstByteTimeouts(this->Context);
@@ -77,6 +79,7 @@
     expireHints(this->State);
     reviewCrashEvidence(this->Context);
     maintainPermits(this->Context);
+    reportTargetLoads(this->Context);
     refuseStarvedCalls(this->Context);
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
--- a/packages/decision/src/relay/TargetHealth.cpp
+++ b/packages/decision/src/relay/TargetHealth.cpp
@@ -35,6 +35,23 @@
   return Found == State.TypicalFirstByteMillis.end() ? 0 : Found->second;
 }
 
+/// Returns the loss that a request's chance to fail at a target means.
+double failureCostOf(const RelayState &State, const TargetHealth &Health) {
+  const double Decay = decayFactor(State, Health.CountedAt);
+  const double Failures = Health.Failures * Decay;
+  const double Outcomes = Failures + Health.Answers * Decay;
+  const double FailureRate = Failures / (Outcomes + State.Options.HealthPrior);
+  return FailureRate * static_cast<double>(State.Options.FailureCost.count());
+}
+
+/// A cost below that of one more running request is noise and must not decide
+/// between targets.
+double aboveNoise(const RelayState &State, double Loss) {
+  return Loss < static_cast<double>(State.Options.CostPerRunningRequest.count())
+             ? 0
+             : Loss;
+}
+
 } // namespace
 
 void recordAnswerStart(RelayState &State, const RelayCall &Call) {
@@ -58,25 +75,20 @@
   ++Found->second.Health.Failures;
 }
 
+double expectedFailureCost(const RelayState &State, const RelayTarget &Target) {
+  return aboveNoise(State, failureCostOf(State, Target.Health));
+}
+
 double expectedHealthCost(const RelayState &State, const RelayTarget &Target) {
-  const RelayOptions &Options = State.Options;
   const TargetHealth &Health = Target.Health;
-  const double Decay = decayFactor(State, Health.CountedAt);
-  const double Failures = Health.Failures * Decay;
-  const double Outcomes = Failures + Health.Answers * Decay;
-  const double FailureRate = Failures / (Outcomes + Options.HealthPrior);
-  const double Usual =
-      Options.SlowFactor * typicalFirstByteMillis(State, Target.Entry.Service);
+  const double Usual = State.Options.SlowFactor *
+                       typicalFirstByteMillis(State, Target.Entry.Service);
   // Slowness decays with time, as the target may have recovered.
   const double Slowness =
-      Usual > 0 ? Decay * std::max(0.0, Health.FirstByteMillis - Usual) : 0;
-  const double Loss =
-      FailureRate * static_cast<double>(Options.FailureCost.count()) + Slowness;
-  // A cost below that of one more running request is noise and must not decide
-  // between targets.
-  return Loss < static_cast<double>(Options.CostPerRunningRequest.count())
-             ? 0
-             : Loss;
+      Usual > 0 ? decayFactor(State, Health.CountedAt) *
+                      std::max(0.0, Health.FirstByteMillis - Usual)
+                : 0;
+  return aboveNoise(State, failureCostOf(State, Health) + Slowness);
 }
 
 Milliseconds firstByteTimeoutOf(const RelayState &State,
--- a/packages/decision/src/relay/TargetHealth.h
+++ b/packages/decision/src/relay/TargetHealth.h
@@ -20,6 +20,9 @@
 /// milliseconds per request.
 double expectedHealthCost(const RelayState &State, const RelayTarget &Target);
 
+/// Returns the part of it that is due to failures.
+double expectedFailureCost(const RelayState &State, const RelayTarget &Target);
+
 /// Returns the first-byte timeout of a service: the longest time that a
 /// healthy target takes to begin an answer.
 Milliseconds firstByteTimeoutOf(const RelayState &State,
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -6,6 +6,7 @@
 #include "LimitObservations.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
+#include "TargetLoads.h"
 #include "Teams.h"
 #include "TurnCloses.h"
 
@@ -320,6 +321,9 @@
   void operator()(const TargetLimitNotice &Notice) {
     handleLimitNotice(this->Context, this->Holder, Notice);
   }
+  void operator()(const TargetLoadView &View) {
+    handleTargetLoadView(this->Context, this->Holder, View);
+  }
   void operator()(const PermitGrant &Grant) {
     handlePermitGrant(this->Context, this->Holder, Grant);
   }
--- a/packages/decision/tests/RelayDirectoryTest.cpp
+++ b/packages/decision/tests/RelayDirectoryTest.cpp
@@ -18,20 +18,23 @@
   Locations["first"] = PromptCacheLocation{TargetId("t1"), Fixture.State.Now};
   Locations["other"] = PromptCacheLocation{TargetId("t2"), Fixture.State.Now};
   Fixture.State.LeavingRuns[Entry.run()] = Fixture.State.Now;
-  Fixture.State.Targets.at(TargetId("t1")).ExternalLoad = 9;
   RelayTarget &Known = Fixture.State.Targets.at(TargetId("t1"));
+  Known.Load.Report.Running = 9;
+  Known.Load.ReportedAt = Fixture.State.Now;
   SECTION("the same run") {
     Fixture.apply(TargetRegistered{Entry});
     CHECK(Locations.count("first") == 1);
     CHECK(Fixture.State.LeavingRuns.count(Known.Entry.run()) == 1);
-    CHECK(Known.ExternalLoad == 9);
+    CHECK(Known.Load.Report.Running == 9);
+    CHECK(Known.Load.ReportedAt);
   }
   SECTION("another run") {
     Entry.StartedAtMillis = 6;
     Fixture.apply(TargetRegistered{Entry});
     CHECK(Locations.count("first") == 0);
     CHECK(Fixture.State.LeavingRuns.count(Known.Entry.run()) == 0);
-    CHECK(Known.ExternalLoad == 0);
+    CHECK(Known.Load.Report.Running == 0);
+    CHECK_FALSE(Known.Load.ReportedAt);
   }
   CHECK(Locations.count("other") == 1);
 }
--- a/packages/decision/tests/RelayQueueTest.cpp
+++ b/packages/decision/tests/RelayQueueTest.cpp
@@ -168,7 +168,7 @@
   REQUIRE(Sent.size() == 3);
   for (int Number = 0; Number < 2; ++Number) {
     TargetAnswerHead Head = RelayFixture::head(200);
-    Head.Load = 5;
+    Head.Load = TargetLoad{5, 0, std::nullopt, std::nullopt};
     Fixture.apply(AttemptHeadReceived{Sent[Number].Attempt, Head});
   }
   Fixture.Effects.clear();
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -383,6 +383,13 @@
                            static_cast<double>(HeldPermits));
   this->ProcessMetrics.set("relay_team_permits_held",
                            static_cast<double>(HeldTeamPermits));
+  if (this->State.Loads.ViewReceivedAt)
+    this->ProcessMetrics.set(
+        "relay_load_view_age_ms",
+        static_cast<double>(
+            (this->State.Now - *this->State.Loads.ViewReceivedAt).count()));
+  this->ProcessMetrics.set("relay_load_rows",
+                           static_cast<double>(countKnownLoads(this->State)));
   this->ProcessMetrics.set("platform_calls",
                            static_cast<double>(this->Service.callCount()));
   this->ProcessMetrics.set("control_sent_bytes",
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -3,6 +3,7 @@
 #include "Conversions.h"
 #include "LedgerConversions.h"
 #include "LimitConversions.h"
+#include "LoadConversions.h"
 
 namespace tanagerlanding {
 
@@ -541,6 +542,10 @@
     return fromTable(*Body.AsPermitGrant());
   case wire::Body::ConfigurationVouch:
     return fromTable(*Body.AsConfigurationVouch());
+  case wire::Body::TargetLoadReport:
+    return fromTable(*Body.AsTargetLoadReport());
+  case wire::Body::TargetLoadView:
+    return fromTable(*Body.AsTargetLoadView());
   }
   return std::nullopt;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -90,6 +90,11 @@
                            Milliseconds(9), Milliseconds(3)};
 }
 
+TargetLoadRow sampleLoadRow() {
+  return TargetLoadRow{TargetRunKey{70000}, TargetLoad{5, 2, 8, 2.52},
+                       Milliseconds(40), 3, 2.0};
+}
+
 std::vector<Message> sampleMessages() {
   DispatchAttempt Work;
   Work.Attempt = sampleAttempt();
@@ -150,7 +155,9 @@
       TargetLimitQuery{},
       PermitRequest{Instant{Milliseconds(5)}, {{sampleLimitNotice(), 2}}},
       PermitGrant{TargetRun{TargetId("t"), 7}, 2, Instant{Milliseconds(5)}},
-      ConfigurationVouch{Revision(6), Instant{Milliseconds(5)}}};
+      ConfigurationVouch{Revision(6), Instant{Milliseconds(5)}},
+      TargetLoadReport{{sampleLoadRow()}},
+      TargetLoadView{{sampleLoadRow(), TargetLoadRow()}}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
@@ -246,6 +253,48 @@
   CHECK(encodeMessage(Grant).size() <= 96);
 }
 
+TEST_CASE("Codec: a load of a target keeps its figures") {
+  // Guards against figures that are exchanged, cut off or rounded down to an
+  // age of zero.
+  const auto Decoded =
+      decodeMessage(encodeMessage(TargetLoadView{{sampleLoadRow()}}));
+  REQUIRE(Decoded);
+  const auto Rows = std::get<TargetLoadView>(Decoded.value()).Rows;
+  REQUIRE(Rows.size() == 1);
+  CHECK(Rows[0].Run == TargetRunKey{70000});
+  REQUIRE(Rows[0].Report);
+  CHECK(*Rows[0].Report == TargetLoad{5, 2, 8, 2.52});
+  CHECK(Rows[0].Age == Milliseconds(40));
+  CHECK(Rows[0].Sent == 3);
+  CHECK(Rows[0].Slowness == 2.0);
+  TargetLoadRow Row = sampleLoadRow();
+  Row.Age = Milliseconds(1);
+  Row.Slowness = 1.3;
+  const auto Rounded = decodeMessage(encodeMessage(TargetLoadReport{{Row}}));
+  REQUIRE(Rounded);
+  const auto Other = std::get<TargetLoadReport>(Rounded.value()).Rows.at(0);
+  CHECK(Other.Age == Milliseconds(8));
+  CHECK(std::abs(*Other.Slowness - 1.3) < 0.02);
+}
+
+TEST_CASE("Codec: a load that does not fit into a row is not passed on") {
+  // A target with 500 slots and 300 requests must not seem to have 255.
+  TargetLoadRow Row = sampleLoadRow();
+  Row.Report = TargetLoad{300, 0, 500, std::nullopt};
+  const auto Decoded = decodeMessage(encodeMessage(TargetLoadReport{{Row}}));
+  REQUIRE(Decoded);
+  const auto Rows = std::get<TargetLoadReport>(Decoded.value()).Rows;
+  REQUIRE(Rows.size() == 1);
+  CHECK_FALSE(Rows[0].Report);
+  CHECK(Rows[0].Sent == 3);
+}
+
+TEST_CASE("Codec: the largest message about loads takes at most 400 bytes") {
+  const std::vector<TargetLoadRow> Rows(MaxLoadRowsPerMessage, sampleLoadRow());
+  CHECK(makeFrame(encodeMessage(TargetLoadView{Rows})).size() <= 400);
+  CHECK(makeFrame(encodeMessage(TargetLoadReport{Rows})).size() <= 400);
+}
+
 TEST_CASE("Codec: round-trips every message and record") {
   const auto Messages = sampleMessages();
   CHECK(Messages.size() == std::variant_size_v<Message>);
