Look up the origin of unnamed streams by content; close the ways of a join

Cause: a relay decided by its own memory whether one software version was in service for as long as the stream may have lasted. The caller's time may be longer than the route's time-out that it used, a suspended relay has not seen the registrations meanwhile, and a target may start again under its id before its new registration arrives.

Ruled out: asking callers to name the attempt, as they need not; keeping origins on disk, as a stream ends within seconds.

Change: relays report origins with the fingerprint of the content, and again to replicas that connect later; replicas find them by attempt or content, and one content at two versions is ambiguous and refused. What is neither known to a read quorum nor certain by the relay's own watch is refused.

--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -68,9 +68,11 @@
 };
 
 /// Records the origin of a stream before its first event is sent to the caller.
-/// A later message replaces an earlier one about the same attempt.
+/// Messages about one attempt that differ make its origin unknown.
 struct StreamStarted {
   CallerAttemptId Attempt;
+  /// Identifies what was requested, for callers that do not name the attempt.
+  Fingerprint Content;
   StreamOrigin Origin;
   /// How long the caller may still continue the stream.
   Milliseconds Retention{0};
@@ -91,6 +93,9 @@
   Milliseconds Retention{0};
   /// The attempt that began the stream that the caller continues.
   std::optional<CallerAttemptId> ResumedAttempt;
+  /// The content of the stream that the caller continues, if the caller does
+  /// not name the attempt.
+  std::optional<Fingerprint> ResumedContent;
 };
 
 /// Reply to OpenTurn, sent once the claim is durable.
@@ -108,9 +113,13 @@
   std::optional<TurnId> MissingTurn;
   /// All claims of the program that the replica has.
   std::vector<TokenClaim> Claims;
-  /// The origin of the stream that ResumedAttempt began; absent if the replica
-  /// does not know it.
+  /// The origin of the streams that ResumedAttempt or attempts with
+  /// ResumedContent began; absent if the replica knows none. The version is
+  /// empty if it is unknown or if there were several.
   std::optional<StreamOrigin> ResumedOrigin;
+  /// For how long the replica has kept the origins of all streams that were
+  /// reported to it.
+  Milliseconds StreamsKeptFor{0};
 };
 
 /// Ends a turn: settles its claim, and stores the turn if its answer is
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -260,6 +260,12 @@
   /// not stored on disk: a stream ends within seconds, and one whose origin is
   /// lost is begun anew by its caller.
   std::map<Fingerprint, StartedStream> StartedStreams;
+  /// The same origins by the content of the requests.
+  std::map<Fingerprint, StartedStream> StreamsByContent;
+  /// Since when no reported origin is missing from these maps: the start of
+  /// the process, or the last time that one exceeded the limit or was reported
+  /// without its content.
+  std::optional<Instant> StreamsCompleteSince;
   std::map<std::uint64_t, StoredBatch> StoredBatches;
   std::map<std::uint64_t, std::uint32_t> BatchesInSegment;
   std::uint64_t NextBatch = 1;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -83,6 +83,13 @@
 struct TargetUnregistered {
   TargetId Id;
 };
+/// A target was registered so until another process reported a later change of
+/// its registration.
+struct OutdatedTargetObserved {
+  RegisteredTarget Entry;
+};
+/// Registrations may have changed and changed back unobserved.
+struct DirectoryHistoryLost {};
 /// The key-value service has become unreachable, or reachable again.
 struct DirectoryLost {};
 struct DirectoryRegained {};
@@ -117,6 +124,9 @@
                  TargetConnectionProbed, RelayConfigured,
                  ConfigurationKeyObserved, DirectoryConfirmed, TargetRegistered,
                  TargetUnregistered, DirectoryLost, DirectoryRegained,
+                 TargetConnectionProbed, RelayConfigured, TargetRegistered,
+                 TargetUnregistered, OutdatedTargetObserved,
+                 DirectoryHistoryLost, DirectoryLost, DirectoryRegained,
                  ReplicaReachabilityReported, RelayLedgerViewObserved,
                  ReplicaConnected, ReplicaDisconnected, ReplicaMessageReceived,
                  RelayShutdownRequested>;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -162,6 +162,16 @@
   /// Added to the longest time of a caller, to get the time for which the
   /// origin of its stream is kept. Covers processes that are suspended.
   Milliseconds StreamOriginMargin{5000};
+  /// The time that a caller has for its request with all attempts, unless it
+  /// states more or its route's time-out is longer. What a continuation states
+  /// is only what is left of it.
+  Milliseconds MaxCallerTime{15000};
+  /// After a longer gap between two ticks this relay may serve a request before
+  /// it has read the changes of registrations meanwhile.
+  Milliseconds MaxUnwatchedTime{1000};
+  /// Number of streams of this relay whose origins are reported again to
+  /// replicas that connect.
+  std::size_t ReportedStreamLimit = 5000;
   /// How long a permit is valid from the time when it was asked for, and how
   /// long a replica may take to grant it.
   Milliseconds PermitLifetime{1500};
@@ -365,6 +375,8 @@
   /// Replicas that have answered or refused the current operation.
   std::set<HolderId> AnsweredBy;
   std::set<HolderId> RefusedBy;
+  /// Those that have kept the origins of all streams for long enough.
+  std::set<HolderId> AnsweredWithAllStreams;
   std::map<Fingerprint, TokenClaim> Claims;
   std::set<HolderId> ReplicasWithPrevious;
   /// The target that ran the previous turn; empty if unknown.
@@ -458,6 +470,18 @@
   bool HasBegunAnswer = false;
 };
 
+/// A stream that this relay began and its caller may continue.
+struct ReportedStream {
+  /// The id that the caller chose for the attempt.
+  CallerAttemptId Request;
+  Fingerprint Content;
+  StreamOrigin Origin;
+  /// The run that sent the first event.
+  TargetRun Run;
+  Instant StartedAt;
+  Instant ExpiresAt;
+};
+
 /// A request that is deferred during start-up until it can be admitted.
 struct DeferredRequest {
   CallerRequest InboundRequest;
@@ -564,6 +588,13 @@
   /// Versions of targets that are no longer registered, and when they last
   /// were.
   std::map<ServiceName, std::map<SoftwareVersion, Instant>> FormerVersions;
+  /// When versions may last have been in service unobserved, apart from
+  /// outages of the key-value service, and when the services of each route last
+  /// changed.
+  std::optional<Instant> VersionsUnwatchedAt;
+  std::map<RouteName, Instant> ServicesChangedAt;
+  /// Streams that callers may continue, by the attempts that began them here.
+  std::map<CallerAttemptId, ReportedStream> ReportedStreams;
   /// Moving average of the time to first byte of each service, in milliseconds.
   std::map<ServiceName, double> TypicalFirstByteMillis;
   std::map<ServiceName, ServiceTimes> TypicalTimes;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -25,8 +25,8 @@
   Reply.Operation = Request.Operation;
   Reply.Holder = State.Self.Holder;
   Reply.Claims = claimsOf(State, Request.Program);
-  if (Request.ResumedAttempt)
-    Reply.ResumedOrigin = originOf(State, *Request.ResumedAttempt);
+  Reply.ResumedOrigin = originOf(State, Request);
+  Reply.StreamsKeptFor = streamsKeptFor(State);
   if (Request.Previous) {
     const auto Previous = State.Turns.find(*Request.Previous);
     Reply.HasPrevious = Previous != State.Turns.end();
@@ -180,6 +180,7 @@
 
   void operator()(const LedgerTick &Event) {
     this->State.Now = Event.Now;
+    beginKeepingStreams(this->State);
     sweepRecords(this->Context);
     retryPull(this->Context);
     issueWaitingPermits(this->Context);
--- a/packages/decision/src/ledger/StartedStreams.h
+++ b/packages/decision/src/ledger/StartedStreams.h
@@ -8,12 +8,19 @@
 
 namespace tanagerlanding {
 
+/// Notes that from now on each reported origin is kept. Has no effect after the
+/// first call.
+void beginKeepingStreams(LedgerState &State);
+
 /// Records the origin of a stream, unless too many are kept already.
 void recordStartedStream(LedgerContext &Context, const StreamStarted &Started);
 
-/// Returns the origin of the stream that an attempt began, if it is known.
+/// Returns the origin of the stream that a caller continues, if it is known.
 std::optional<StreamOrigin> originOf(const LedgerState &State,
-                                     const CallerAttemptId &Attempt);
+                                     const OpenTurn &Request);
+
+/// Returns for how long the origins of all reported streams have been kept.
+Milliseconds streamsKeptFor(const LedgerState &State);
 
 void expireStartedStreams(LedgerState &State);
 
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -6,7 +6,6 @@
 #include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestContent.h"
-#include "StreamOrigins.h"
 #include "Teams.h"
 #include "Turns.h"
 
@@ -58,18 +57,6 @@
   Context.add(RefuseCaller{Request, Refusal});
 }
 
-/// Determines the origin of a stream that a caller continues without naming the
-/// attempt that began it. Returns whether it is certain or not needed.
-bool findUnnamedOrigin(RelayContext &Context, RelayCall &Call) {
-  if (!isContinuation(Call) || resumedAttemptOf(Call))
-    return true;
-  Call.Origin = soleOriginOf(Context.State, Call);
-  if (!Call.Origin)
-    return false;
-  logContinuation(Context, Call);
-  return true;
-}
-
 } // namespace
 
 void admitCall(RelayContext &Context, RequestId Request, CallerRequest Inbound,
@@ -117,8 +104,6 @@
     refuseCall(Context, Admitted, RelayRefusalReason::ConfigurationStale);
   else if (isQuarantined(State, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::Quarantined);
-  else if (!findUnnamedOrigin(Context, Admitted))
-    refuseCall(Context, Admitted, RelayRefusalReason::UnknownStream);
   else
     admitWithinQuota(Context, Admitted);
 }
--- a/packages/decision/src/relay/DeferredRequests.cpp
+++ b/packages/decision/src/relay/DeferredRequests.cpp
@@ -14,7 +14,8 @@
 }
 
 bool mayNeedLedger(const CallerRequest &Inbound) {
-  return Inbound.PreviousTurn || (Inbound.Program && Inbound.Program->Budget);
+  return Inbound.PreviousTurn || Inbound.ResumedAttempt ||
+         (Inbound.Program && Inbound.Program->Budget);
 }
 
 bool hasKey(const CallerRequest &Inbound) {
--- a/packages/decision/src/relay/Directory.cpp
+++ b/packages/decision/src/relay/Directory.cpp
@@ -46,8 +46,10 @@
   Context.log(IsOlder ? "configuration_ignored" : "configuration_adopted",
               {{"version", std::to_string(Configuration.Version.Value)},
                {"routes", std::to_string(Configuration.Routes.size())}});
-  if (!IsOlder)
-    State.Configuration = Configuration;
+  if (IsOlder)
+    return;
+  recordServiceChanges(State, Configuration);
+  State.Configuration = Configuration;
 }
 
 void registerTarget(RelayContext &Context, const RegisteredTarget &Entry) {
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -11,6 +11,7 @@
 #include "QuotaPermits.h"
 #include "RelayContext.h"
 #include "RequestPermits.h"
+#include "StreamOrigins.h"
 #include "TargetLoads.h"
 #include "Turns.h"
 
@@ -55,6 +56,7 @@
   evictPromptCacheLocations(State);
   expireLimitObservations(State);
   expireTeamTurns(State);
+  expireReportedStreams(State);
 }
 
 /// Dispatches an event to the handlers of its type.
@@ -64,14 +66,16 @@
       : Context(Context), State(Context.State) {}
 
   void operator()(const RelayTick &Event) {
-    const bool HasStalled =
-        this->State.Options.StallThreshold < Event.Now - this->State.Now;
+    const Milliseconds Stalled = Event.Now - this->State.Now;
+    const bool HasStalled = this->State.Options.StallThreshold < Stalled;
     this->State.Now = Event.Now;
     if (HasStalled) {
       resetHeartbeatTimers(this->State);
       resetQuotaTimeouts(this->State);
       resetLoadViewTimer(this->State);
     }
+    if (this->State.Options.MaxUnwatchedTime < Stalled)
+      this->State.VersionsUnwatchedAt = Event.Now;
     refuseExpiredCalls(this->Context);
     handleFirstByteTimeouts(this->Context);
     enforceLedgerTimeouts(this->Context);
@@ -132,6 +136,15 @@
     unregisterTarget(this->Context, Event.Id);
   }
 
+  void operator()(const OutdatedTargetObserved &Event) {
+    recordFormerVersion(this->State, Event.Entry);
+  }
+
+  void operator()(const DirectoryHistoryLost &) {
+    this->State.VersionsUnwatchedAt = this->State.Now;
+    this->Context.log("directory_history_lost", {});
+  }
+
   void operator()(const DirectoryLost &) {
     this->State.IsKeyValueServiceReachable = false;
     this->Context.log("directory_lost", {});
--- a/packages/decision/src/relay/StreamOrigins.h
+++ b/packages/decision/src/relay/StreamOrigins.h
@@ -17,12 +17,24 @@
 /// begins a stream.
 std::optional<CallerAttemptId> resumedAttemptOf(const RelayCall &Call);
 
-/// Returns the origin of a stream whose first attempt the caller does not name:
-/// it is certain only if all targets of the service have had one version for as
-/// long as a stream may last, and this relay has watched them meanwhile.
+/// Returns whether a caller continues a stream with this call without naming
+/// the attempt that began it.
+bool isUnnamedContinuation(const RelayCall &Call);
+
+/// Returns the longest time for which the caller of a call may continue its
+/// stream. It counts from the first attempt of the caller.
+Milliseconds streamLifetimeOf(const RelayState &State, const RelayCall &Call);
+
+/// Returns the origin of a stream that no replica knows: it is certain only if
+/// the route has had one service, and all targets of the service one version,
+/// for as long as a stream may last, and this relay has watched them meanwhile.
 std::optional<StreamOrigin> soleOriginOf(const RelayState &State,
                                          const RelayCall &Call);
 
+/// Notes which routes get other services with a new configuration.
+void recordServiceChanges(RelayState &State,
+                          const RelayConfiguration &Configuration);
+
 /// Remembers the version of a target that is no longer registered.
 void recordFormerVersion(RelayState &State, const RegisteredTarget &Entry);
 
@@ -49,6 +61,12 @@
 /// target: the new run may already have begun them.
 void invalidateOrigins(RelayContext &Context, const RegisteredTarget &Entry);
 
+/// Tells a replica that has connected which streams this relay began. The
+/// replica may have been unreachable or may have lost them in a restart.
+void sendReportedStreamsTo(RelayContext &Context, const HolderId &Holder);
+
+void expireReportedStreams(RelayState &State);
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -58,6 +58,7 @@
   Ledger.OpenSentAt = State.Now;
   Ledger.AnsweredBy.clear();
   Ledger.RefusedBy.clear();
+  Ledger.AnsweredWithAllStreams.clear();
   OpenTurn &Open = Ledger.OpenRequest = OpenTurn();
   Open.Operation = LedgerOperationId(State.NextOperation++);
   State.PendingOpens[Open.Operation] = Call.Request;
@@ -67,6 +68,8 @@
   Open.Previous = previousOf(Call);
   Open.Retention = Call.Route.Retention;
   Open.ResumedAttempt = resumedAttemptOf(Call);
+  if (isUnnamedContinuation(Call))
+    Open.ResumedContent = Call.Content;
   if (IsFirst && hasBudget(Call)) {
     Open.Claimed = Call.InboundRequest.MaxTokens;
     Ledger.HasClaim = true;
@@ -157,7 +160,7 @@
   TurnLedger &Ledger = Call.Ledger;
   if (!Ledger.LastMissingTurn) {
     Context.State.PendingOpens.erase(Ledger.OpenRequest.Operation);
-    if (resumedAttemptOf(Call))
+    if (isContinuation(Call))
       logContinuation(Context, Call);
     dispatchCall(Context, Call);
     return;
@@ -170,6 +173,50 @@
     requestMissingHistory(Context, Call);
 }
 
+/// Returns whether more replicas may still answer the current operation.
+bool areAnswersPending(const RelayState &State, const RelayCall &Call) {
+  const std::set<HolderId> Live = liveReplicas(State);
+  return std::any_of(Live.begin(), Live.end(), [&](const HolderId &Each) {
+    return containsHolder(State.View.Current, Each) &&
+           Call.Ledger.AnsweredBy.count(Each) == 0 &&
+           Call.Ledger.RefusedBy.count(Each) == 0;
+  });
+}
+
+/// Determines the origin of the stream that a call continues, once a read
+/// quorum has answered. Returns whether the call may go on; it may have been
+/// refused, or it has to wait for further answers.
+bool settleOrigin(RelayContext &Context, RelayCall &Call) {
+  const TurnLedger &Ledger = Call.Ledger;
+  if (!isContinuation(Call))
+    return true;
+  const RelayState &State = Context.State;
+  if (isUnnamedContinuation(Call)) {
+    // Another attempt with the same content may have begun at another version.
+    // Only replicas that have kept all origins long enough rule that out.
+    const bool IsWhole =
+        State.View.hasReadQuorum(Ledger.AnsweredWithAllStreams);
+    if (!IsWhole && areAnswersPending(State, Call))
+      return false;
+    const auto Sole = soleOriginOf(State, Call);
+    if (!Call.Origin)
+      Call.Origin = Sole;
+    else if (!IsWhole && !(Call.Origin == Sole))
+      Call.Origin->Version = SoftwareVersion();
+  }
+  const bool IsAmbiguous = Call.Origin && Call.Origin->Version.Value.empty();
+  if (Call.Origin && !(isUnnamedContinuation(Call) && IsAmbiguous))
+    return true;
+  Context.logCall(
+      "stream_unknown", Call,
+      {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
+       {"answered", std::to_string(Ledger.AnsweredBy.size())},
+       {"complete", std::to_string(Ledger.AnsweredWithAllStreams.size())},
+       {"ambiguous", IsAmbiguous ? "yes" : "no"}});
+  refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
+  return false;
+}
+
 /// Dispatches, confirms or refuses a turn once a quorum has answered, or
 /// refuses it if a quorum can no longer be reached.
 void evaluateOpen(RelayContext &Context, RelayCall &Call) {
@@ -188,13 +235,8 @@
     refuseCall(Context, Call, RelayRefusalReason::UnknownTurn);
     return;
   }
-  if (const auto Resumed = resumedAttemptOf(Call); Resumed && !Call.Origin) {
-    Context.logCall("stream_unknown", Call,
-                    {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
-                     {"answered", std::to_string(Ledger.AnsweredBy.size())}});
-    refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
+  if (!settleOrigin(Context, Call))
     return;
-  }
   if (hasBudget(Call)) {
     const TokenCount Budget = *Call.InboundRequest.Program->Budget;
     const TokenCount Claimed = claimedByOthers(Call);
@@ -246,8 +288,10 @@
     Ledger.ReplicasWithPrevious.insert(Holder);
   if (!Reply.PreviousTarget.Value.empty())
     Ledger.PreviousTarget = Reply.PreviousTarget;
-  if (Reply.ResumedOrigin && resumedAttemptOf(Call))
+  if (Reply.ResumedOrigin && isContinuation(Call))
     mergeResumedOrigin(State, Call, *Reply.ResumedOrigin);
+  if (streamLifetimeOf(State, Call) <= Reply.StreamsKeptFor)
+    Ledger.AnsweredWithAllStreams.insert(Holder);
   mergeHistory(Call, Reply);
   Ledger.AnsweredBy.insert(Holder);
   if (!WasCollecting) {
@@ -376,7 +420,7 @@
 
 bool needsLedger(const RelayCall &Call) {
   return hasBudget(Call) || previousOf(Call).has_value() ||
-         resumedAttemptOf(Call).has_value();
+         isContinuation(Call);
 }
 
 bool hasClaimsOfOtherTurns(const RelayCall &Call) {
@@ -410,6 +454,7 @@
   Context.log("replica_connected", {{"holder", Holder.Value}});
   resendClosesTo(Context, Holder);
   sendEvidenceTo(Context, Holder);
+  sendReportedStreamsTo(Context, Holder);
   exchangeLimits(Context, Holder);
 }
 
--- a/packages/decision/tests/RelayStreamOriginTest.cpp
+++ b/packages/decision/tests/RelayStreamOriginTest.cpp
@@ -1,6 +1,8 @@
 /// Streams go on only at the software version that began them.
 #include "RelayFixture.h"
 
+#include "relay/RequestContent.h"
+
 #include <catch2/catch.hpp>
 
 using namespace tanagerlanding;
@@ -76,11 +78,13 @@
   }
 
   void answerOrigin(const std::string &Holder,
-                    const std::optional<StreamOrigin> &Origin) {
+                    const std::optional<StreamOrigin> &Origin,
+                    Milliseconds KeptFor = Milliseconds(1000000)) {
     TurnOpened Reply;
     Reply.Operation = this->sentToReplicas<OpenTurn>().back().Operation;
     Reply.Holder = HolderId(Holder);
     Reply.ResumedOrigin = Origin;
+    Reply.StreamsKeptFor = KeptFor;
     this->apply(ReplicaMessageReceived{Reply.Holder, Reply});
   }
 
@@ -150,47 +154,57 @@
 TEST_CASE("StreamOrigin: a caller that names no attempt goes on while its "
           "service has had one version only") {
   StreamFixture Fixture;
-  const Milliseconds Lifetime = Fixture.State.Configuration->Routes[2].Timeout +
+  const Milliseconds Lifetime = Fixture.State.Options.MaxCallerTime +
                                 Fixture.State.Options.StreamOriginMargin;
-  const CallerAttemptId Unnamed;
   bool IsKnown = true;
-  SECTION("one version for long") { Fixture.passTime(Lifetime); }
+  SECTION("one version for long") { Fixture.watchFor(Lifetime); }
   SECTION("one version, not watched for long enough") {
     Fixture.State.KeyValueServiceRegainedAt = Fixture.State.Now;
-    Fixture.passTime(Lifetime - Milliseconds(1));
+    Fixture.watchFor(Lifetime - Milliseconds(1));
     IsKnown = false;
   }
   SECTION("two versions") {
-    Fixture.passTime(Lifetime);
+    Fixture.watchFor(Lifetime);
     Fixture.addTarget("t3", "a", false, "v2");
     IsKnown = false;
   }
   SECTION("another version has left") {
     Fixture.addTarget("t3", "a", false, "v2");
-    Fixture.passTime(Lifetime);
+    Fixture.watchFor(Lifetime);
     Fixture.removeTarget("t3");
-    Fixture.passTime(Lifetime - Milliseconds(1));
+    Fixture.watchFor(Lifetime - Milliseconds(1));
     IsKnown = false;
   }
   SECTION("another version left long ago") {
     Fixture.addTarget("t3", "a", false, "v2");
-    Fixture.passTime(Lifetime);
+    Fixture.watchFor(Lifetime);
     Fixture.removeTarget("t3");
-    Fixture.passTime(Lifetime);
+    Fixture.watchFor(Lifetime);
   }
   SECTION("a target has another version since") {
-    Fixture.passTime(Lifetime);
+    Fixture.watchFor(Lifetime);
     for (const char *Name : {"t1", "t2"})
       Fixture.addTarget(Name, "a", false, "v2");
     IsKnown = false;
   }
   SECTION("the key-value service is unreachable") {
-    Fixture.passTime(Lifetime);
+    Fixture.watchFor(Lifetime);
     Fixture.apply(DirectoryLost{});
     IsKnown = false;
   }
-  Fixture.Effects.clear();
-  Fixture.askStream("next", Unnamed);
+  SECTION("registrations may have changed unobserved") {
+    Fixture.apply(DirectoryHistoryLost{});
+    Fixture.watchFor(Lifetime - Milliseconds(1));
+    IsKnown = false;
+  }
+  SECTION("an overtaken registration had another version") {
+    Fixture.watchFor(Lifetime);
+    RegisteredTarget Entry = Fixture.State.Targets.at(TargetId("t1")).Entry;
+    Entry.Version = SoftwareVersion("v2");
+    Fixture.apply(OutdatedTargetObserved{Entry});
+    IsKnown = false;
+  }
+  Fixture.resumeUnnamed();
   if (IsKnown)
     CHECK(Fixture.all<SendAttempt>().size() == 1);
   else
@@ -413,6 +427,144 @@
   checkRefused(Fixture, RelayRefusalReason::UnknownStream);
 }
 
+TEST_CASE("StreamOrigin: an unnamed stream goes on where its content began") {
+  StreamFixture Fixture;
+  Fixture.addTarget("t3", "far", false, "v2");
+  const StreamOrigin AppV2{ServiceName("app"), SoftwareVersion("v2")};
+  // A relay that has just started knows nothing itself.
+  Fixture.State.KeyValueServiceRegainedAt = Fixture.State.Now;
+  Fixture.Effects.clear();
+  Fixture.askStream("next", CallerAttemptId());
+  const auto Opens = Fixture.sentToReplicas<OpenTurn>();
+  REQUIRE(Opens.size() == 3);
+  CHECK(Opens[0].ResumedContent);
+  CHECK_FALSE(Opens[0].ResumedAttempt);
+  CHECK(Fixture.all<SendAttempt>().empty());
+  SECTION("all replicas know it") {
+    Fixture.answerOrigin("a", AppV2);
+    CHECK(Fixture.all<SendAttempt>().empty());
+    Fixture.answerOrigin("b", AppV2);
+    REQUIRE(Fixture.all<SendAttempt>().size() == 1);
+    CHECK(Fixture.lastSent().Target.Id == TargetId("t3"));
+  }
+  SECTION("one replica of the quorum knows it") {
+    Fixture.answerOrigin("a", std::nullopt);
+    Fixture.answerOrigin("b", AppV2);
+    REQUIRE(Fixture.all<SendAttempt>().size() == 1);
+    CHECK(Fixture.lastSent().Target.Id == TargetId("t3"));
+  }
+  SECTION("one replica has restarted; the third one is awaited") {
+    Fixture.answerOrigin("a", AppV2, Milliseconds(100));
+    Fixture.answerOrigin("b", AppV2);
+    CHECK(Fixture.all<SendAttempt>().empty());
+    Fixture.answerOrigin("c", AppV2);
+    REQUIRE(Fixture.all<SendAttempt>().size() == 1);
+    CHECK(Fixture.lastSent().Target.Id == TargetId("t3"));
+  }
+  SECTION("the replica that was awaited knows another version") {
+    Fixture.answerOrigin("a", AppV2, Milliseconds(100));
+    Fixture.answerOrigin("b", AppV2);
+    Fixture.answerOrigin("c", AppV1);
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("two replicas have restarted: another attempt with the same content "
+          "may have been forgotten") {
+    Fixture.answerOrigin("a", AppV2, Milliseconds(100));
+    Fixture.answerOrigin("b", AppV2);
+    SECTION("and the third one has, too") {
+      Fixture.answerOrigin("c", AppV2, Milliseconds(100));
+    }
+    SECTION("and the third one is lost") {
+      Fixture.apply(ReplicaDisconnected{HolderId("c")});
+    }
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("attempts with the same content began at two versions") {
+    Fixture.answerOrigin("a", AppV1);
+    Fixture.answerOrigin("b", AppV2);
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("no replica knows it") {
+    Fixture.answerOrigin("a", std::nullopt);
+    Fixture.answerOrigin("b", std::nullopt);
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+}
+
+TEST_CASE("StreamOrigin: a content that replicas know at one version is not "
+          "continued there if they have restarted and this relay observed "
+          "another one") {
+  StreamFixture Fixture;
+  Fixture.watchFor(Milliseconds(200000));
+  Fixture.Effects.clear();
+  Fixture.askStream("next", CallerAttemptId());
+  const bool IsSame = GENERATE(true, false);
+  const StreamOrigin Known{ServiceName("app"),
+                           SoftwareVersion(IsSame ? "v1" : "v2")};
+  for (const char *Name : {"a", "b", "c"})
+    Fixture.answerOrigin(Name, Known, Milliseconds(100));
+  if (IsSame)
+    CHECK(Fixture.all<SendAttempt>().size() == 1);
+  else
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+}
+
+TEST_CASE("StreamOrigin: teams do not share the origins of contents") {
+  StreamFixture Fixture;
+  Fixture.askStream("first");
+  CallerRequest Inbound = Fixture.State.Calls.begin()->second.InboundRequest;
+  Fixture.sendEvent(Fixture.lastSent(), 1);
+  const Fingerprint Teamless = contentOf(Inbound, std::nullopt);
+  CHECK(Fixture.sentToReplicas<StreamStarted>().back().Content == Teamless);
+  const Fingerprint OfX = contentOf(Inbound, TeamId("x"));
+  CHECK_FALSE(Teamless == OfX);
+  CHECK_FALSE(contentOf(Inbound, TeamId("y")) == OfX);
+  Inbound.Id = CallerAttemptId("next");
+  CHECK(contentOf(Inbound, TeamId("x")) == OfX);
+}
+
+TEST_CASE("StreamOrigin: a replica that connects gets the origins of the "
+          "relay's streams, as it may have lost them") {
+  StreamFixture Fixture;
+  Fixture.apply(ReplicaDisconnected{HolderId("c")});
+  Fixture.askStream("first", std::nullopt, Milliseconds(4000));
+  Fixture.sendEvent(Fixture.lastSent(), 1);
+  Fixture.breakOff(Fixture.lastSent());
+  const StreamStarted Sent = Fixture.sentToReplicas<StreamStarted>().back();
+  Fixture.watchFor(Milliseconds(2000));
+  Fixture.Effects.clear();
+  Fixture.apply(ReplicaConnected{HolderId("c")});
+  const auto Resent = Fixture.sentToReplicas<StreamStarted>();
+  REQUIRE(Resent.size() == 1);
+  CHECK(Resent[0].Attempt == Sent.Attempt);
+  CHECK(Resent[0].Content == Sent.Content);
+  CHECK(Resent[0].Origin == Sent.Origin);
+  CHECK(Resent[0].Retention == Sent.Retention - Milliseconds(2000));
+  // Callers can no longer continue it after their time.
+  Fixture.watchFor(Milliseconds(8100));
+  Fixture.Effects.clear();
+  Fixture.apply(ReplicaConnected{HolderId("c")});
+  CHECK(Fixture.sentToReplicas<StreamStarted>().empty());
+}
+
+TEST_CASE("StreamOrigin: a relay that has started waits for the ledger before "
+          "it refuses a continuation") {
+  RelayFixture Fixture;
+  Fixture.configure();
+  Fixture.addTarget("t1");
+  CallerRequest Inbound;
+  Inbound.Id = CallerAttemptId("next");
+  Inbound.Method = "POST";
+  Inbound.Host = "shop.example";
+  Inbound.RequestTarget = "/turn/x";
+  Inbound.ResumedAttempt = CallerAttemptId();
+  Fixture.apply(CallerRequestReceived{RequestId(1), Inbound});
+  CHECK(Fixture.all<RefuseCaller>().empty());
+  Fixture.connectLedger();
+  // It is admitted once a quorum is connected.
+  CHECK(Fixture.sentToReplicas<OpenTurn>().size() == 2);
+}
+
 namespace {
 
 std::optional<StreamOrigin> originAt(LedgerState &State,
@@ -430,11 +582,26 @@
 }
 
 void recordAt(LedgerState &State, const std::string &Attempt,
-              const StreamOrigin &Origin) {
+              const StreamOrigin &Origin,
+              Fingerprint Content = Fingerprint(1)) {
   reduce(State,
          LedgerMessageReceived{HostId("relay"),
-                               StreamStarted{CallerAttemptId(Attempt), Origin,
-                                             Milliseconds(1000)}});
+                               StreamStarted{CallerAttemptId(Attempt), Content,
+                                             Origin, Milliseconds(1000)}});
+}
+
+TurnOpened openContentAt(LedgerState &State, Fingerprint Content) {
+  OpenTurn Open;
+  Open.View = State.View.Version;
+  Open.ResumedContent = Content;
+  for (const LedgerEffect &Each :
+       reduce(State, LedgerMessageReceived{HostId("relay"), Open})) {
+    const auto *Sent = std::get_if<SendHost>(&Each);
+    if (Sent && std::holds_alternative<TurnOpened>(Sent->Body))
+      return std::get<TurnOpened>(Sent->Body);
+  }
+  FAIL("no answer");
+  return TurnOpened();
 }
 
 LedgerState replicaState() {
@@ -481,3 +648,45 @@
   reduce(State, LedgerTick{Instant{Milliseconds(5000)}});
   CHECK(State.StartedStreams.empty());
 }
+
+TEST_CASE("StreamOrigin: a replica knows contents that began at one version") {
+  LedgerState State = replicaState();
+  const StreamOrigin AppV2{ServiceName("app"), SoftwareVersion("v2")};
+  CHECK_FALSE(openContentAt(State, Fingerprint(7)).ResumedOrigin);
+  recordAt(State, "first", AppV1, Fingerprint(7));
+  recordAt(State, "second", AppV1, Fingerprint(7));
+  recordAt(State, "other", AppV2, Fingerprint(8));
+  CHECK(openContentAt(State, Fingerprint(7)).ResumedOrigin == AppV1);
+  recordAt(State, "third", AppV2, Fingerprint(7));
+  const auto Ambiguous = openContentAt(State, Fingerprint(7)).ResumedOrigin;
+  REQUIRE(Ambiguous);
+  CHECK(Ambiguous->Version == SoftwareVersion());
+  // Those that callers name are as certain as before.
+  CHECK(originAt(State, "first") == AppV1);
+  CHECK(originAt(State, "third") == AppV2);
+}
+
+TEST_CASE("StreamOrigin: a replica states for how long it has kept all "
+          "origins") {
+  LedgerState State = replicaState();
+  State.Options.StartedStreamLimit = 2;
+  const auto KeptFor = [&State] {
+    return openContentAt(State, Fingerprint(7)).StreamsKeptFor;
+  };
+  CHECK(KeptFor() == Milliseconds(0));
+  reduce(State, LedgerTick{Instant{Milliseconds(1000)}});
+  reduce(State, LedgerTick{Instant{Milliseconds(5000)}});
+  CHECK(KeptFor() == Milliseconds(4000));
+  SECTION("one exceeds the limit") {
+    recordAt(State, "first", AppV1, Fingerprint(7));
+    recordAt(State, "second", AppV1, Fingerprint(8));
+    CHECK(KeptFor() == Milliseconds(4000));
+    recordAt(State, "third", AppV1, Fingerprint(9));
+  }
+  SECTION("one comes without its content, from a relay of an earlier version") {
+    recordAt(State, "first", AppV1, Fingerprint());
+  }
+  CHECK(KeptFor() == Milliseconds(0));
+  reduce(State, LedgerTick{Instant{Milliseconds(6000)}});
+  CHECK(KeptFor() == Milliseconds(1000));
+}
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
@@ -36,6 +36,12 @@
     /// onQueryStarted(), has been delivered. Not called for a query that was
     /// not answered, reports a lost history, or was answered from an old state.
     virtual void onContentConfirmed(Instant AskedAt) { (void)AskedAt; }
+    /// Called when the service has lost its history: keys may have had states
+    /// that are not reported.
+    virtual void onHistoryLost() {}
+    /// Called with a state in which a key was before the last reported one,
+    /// which another process reported first.
+    virtual void onOutdatedChange(const KeyChange & /*Change*/) {}
   };
 
   /// Configures which keys are watched and how.
@@ -89,6 +95,8 @@
   };
 
   bool isNewer(const KeyChange &Change) const;
+  /// Returns whether a newer state of the change's key was reported before it.
+  bool isOvertaken(const KeyChange &Change) const;
   void evictDeleted();
 
   /// Deleted keys are retained until the watch has passed the revision of
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -97,6 +97,7 @@
                        }
                        const auto &Page = std::get<WatchPage>(Reply.value());
                        if (Page.IsHistoryLost) {
+                         this->Callbacks.onHistoryLost();
                          this->start();
                          return;
                        }
@@ -138,7 +139,11 @@
     this->NewestRevision =
         std::max(this->NewestRevision, Each.Item.ModRevision);
     if (!this->isNewer(Each))
+    if (!this->isNewer(Each)) {
+      if (this->isOvertaken(Each))
+        this->Callbacks.onOutdatedChange(Each);
       continue;
+    }
     this->KnownKeys[Each.Item.Key] =
         KnownKey{Each.Item.ModRevision, Each.IsDeleted};
     Fresh.push_back(Each);
@@ -147,6 +152,12 @@
     this->Callbacks.onKeysChanged(Fresh);
 }
 
+bool KeyWatcher::isOvertaken(const KeyChange &Change) const {
+  const auto Last = this->KnownKeys.find(Change.Item.Key);
+  return !Change.IsDeleted && Last != this->KnownKeys.end() &&
+         Change.Item.ModRevision < Last->second.ModRevision;
+}
+
 void KeyWatcher::evictDeleted() {
   for (auto Each = this->KnownKeys.begin(); Each != this->KnownKeys.end();) {
     const bool IsPassed =
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -57,8 +57,8 @@
     this->Loop.stop();
   }
 
-  void onHistoryLost() { ++this->HistoryLosses; }
-  void onOutdatedChange(const KeyChange &Change) {
+  void onHistoryLost() override { ++this->HistoryLosses; }
+  void onOutdatedChange(const KeyChange &Change) override {
     this->Outdated.push_back(Change.Item.Key + "=" + Change.Item.Value);
   }
 
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -93,6 +93,8 @@
   void onServiceAvailable() override;
   void onServiceUnavailable() override;
   void onContentConfirmed(Instant AskedAt) override;
+  void onHistoryLost() override;
+  void onOutdatedChange(const KeyChange &Change) override;
   void handleConfigurationChange(const KeyChange &Change);
   void adoptConfiguration(const KeyChange &Change);
   void handleTargetChange(const KeyChange &Change);
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -359,6 +359,15 @@
 
 void RelayProcess::onContentConfirmed(Instant AskedAt) {
   this->apply(DirectoryConfirmed{AskedAt});
+void RelayProcess::onHistoryLost() { this->apply(DirectoryHistoryLost{}); }
+
+void RelayProcess::onOutdatedChange(const KeyChange &Change) {
+  const DirectoryProtocol &Directory = this->Protocols.Directory;
+  if (!Directory.isTargetKey(Change.Item.Key))
+    return;
+  const TargetId Id(Change.Item.Key.substr(Directory.TargetPrefix.size()));
+  if (const auto Decoded = Directory.DecodeTarget(Id, Change.Item.Value))
+    this->apply(OutdatedTargetObserved{Decoded.value()});
 }
 
 void RelayProcess::publishMetrics() {
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -145,6 +145,7 @@
 wire::StreamStartedT toTable(const StreamStarted &Body) {
   wire::StreamStartedT Table;
   Table.attempt = Body.Attempt.Value;
+  Table.content = Body.Content.Value;
   Table.origin = toRow(Body.Origin);
   Table.retention_ms = Body.Retention.count();
   return Table;
@@ -153,6 +154,7 @@
 StreamStarted fromTable(const wire::StreamStartedT &Table) {
   StreamStarted Body;
   Body.Attempt = CallerAttemptId(Table.attempt);
+  Body.Content = Fingerprint(Table.content);
   if (Table.origin)
     Body.Origin = fromRow(*Table.origin);
   Body.Retention = Milliseconds(Table.retention_ms);
@@ -173,6 +175,8 @@
   Table.retention_ms = Body.Retention.count();
   Table.has_resumed = Body.ResumedAttempt.has_value();
   Table.resumed = turnText(Body.ResumedAttempt);
+  Table.has_resumed_content = Body.ResumedContent.has_value();
+  Table.resumed_content = Body.ResumedContent.value_or(Fingerprint()).Value;
   return Table;
 }
 
@@ -188,6 +192,8 @@
   Body.IsHistoryRequested = Table.wants_history;
   Body.Retention = Milliseconds(Table.retention_ms);
   Body.ResumedAttempt = makeOptionalTurn(Table.has_resumed, Table.resumed);
+  if (Table.has_resumed_content)
+    Body.ResumedContent = Fingerprint(Table.resumed_content);
   return Body;
 }
 
@@ -205,6 +211,7 @@
     Table.claims.push_back(toRow(Each));
   if (Body.ResumedOrigin)
     Table.resumed_origin = toRow(*Body.ResumedOrigin);
+  Table.streams_kept_ms = Body.StreamsKeptFor.count();
   return Table;
 }
 
@@ -221,6 +228,7 @@
     Body.Claims.push_back(fromRow(Row));
   if (Table.resumed_origin)
     Body.ResumedOrigin = fromRow(*Table.resumed_origin);
+  Body.StreamsKeptFor = Milliseconds(Table.streams_kept_ms);
   return Body;
 }
 
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -82,6 +82,7 @@
   Reply.MissingTurn = TurnId("older");
   Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
   Reply.ResumedOrigin = StreamOrigin{ServiceName("s"), SoftwareVersion("v1")};
+  Reply.StreamsKeptFor = Milliseconds(6);
   return Reply;
 }
 
@@ -149,6 +150,7 @@
       DirectoryChanges{{DirectoryItem{"key", "value", Revision(3), true}},
                        true},
       StreamStarted{CallerAttemptId("t"),
+                    Fingerprint(12),
                     {ServiceName("s"), SoftwareVersion("v1")},
                     Milliseconds(9)},
       sampleLimitNotice(),
--- a/tests/integration/StreamVersions.cpp
+++ b/tests/integration/StreamVersions.cpp
@@ -17,6 +17,10 @@
 constexpr unsigned StreamCount = 16;
 constexpr int EventsBeforeCut = 1;
 constexpr milliseconds EventInterval{200};
+/// After this time replicas are sure that they know all streams, as callers
+/// have no more time.
+constexpr milliseconds ReplicaWarmup{21000};
+constexpr unsigned ReleaseStreamCount = 8;
 /// A quarter of the time that callers have.
 constexpr milliseconds RefusalLimit{1000};
 
@@ -91,6 +95,37 @@
                         {"Resumes: " + Begun, "Last-Event-Id: 1"});
   }
 
+  /// Takes up a stream with this path without naming its attempt.
+  Response resumeUnnamed(const std::string &Path, const std::string &Id,
+                         std::size_t Relay) {
+    return this->stream(Path, Id, Relay, {"Last-Event-Id: 1"});
+  }
+
+  /// Kills all relays at once, and starts them again after During has run.
+  template <typename Action> void restartRelays(const Action &During) {
+    for (ChildProcess &Each : this->Site.Relays)
+      Each.kill();
+    During();
+    for (std::size_t Relay = 0; Relay < RelayCount; ++Relay)
+      this->Site.startRelay(Relay);
+    for (std::size_t Relay = 0; Relay < RelayCount; ++Relay)
+      REQUIRE(this->Site.awaitReady(Relay));
+  }
+
+  /// Begins a stream and stops it between its first and second event by
+  /// restarting all relays.
+  template <typename Action>
+  void cutByRestart(const std::string &Path, const std::string &Id,
+                    const Action &During) {
+    std::thread Caller([&] { this->stream(Path, Id, 0); });
+    waitFor([&] { return !this->versionsThatRan(Id).empty(); });
+    std::this_thread::sleep_for(EventInterval * 3 / 2);
+    this->restartRelays([&] {
+      Caller.join();
+      During();
+    });
+  }
+
   /// Sends a stream, again under a new id while it is refused as not run, as
   /// turns may be while the disks are slow. Returns the id that was run.
   std::string streamUntilRun(const std::string &Path, const std::string &Name,
@@ -199,6 +234,72 @@
   CHECK(StreamCount / 2 <= Counts.GoneOn);
 }
 
+TEST_CASE("Streams whose relays are all killed during a release go on at their "
+          "version only") {
+  VersionSite Deployment;
+  Deployment.setDelay(EventInterval);
+  std::this_thread::sleep_for(ReplicaWarmup);
+  Resumptions Named;
+  Resumptions Unnamed;
+  for (unsigned Number = 0; Number < ReleaseStreamCount; ++Number) {
+    const bool IsNamed = Number % 2 == 0;
+    const std::string Text = std::to_string(Number);
+    const std::string Path = "/stream/x?n=" + Text;
+    const std::string Begun = "a" + Text;
+    const std::string Next = "b" + Text;
+    // In half of the rounds one replica is lost as well, with what it knew.
+    const bool IsReplicaLost = Number % 4 >= 2;
+    Deployment.cutByRestart(Path, Begun, [&] {
+      if (!IsReplicaLost)
+        return;
+      Deployment.Site.Ledgers[2].kill();
+      Deployment.Site.startLedger(2);
+    });
+    const Response Result =
+        IsNamed ? Deployment.stream(Path, Next, 1,
+                                    {"Resumes: " + Begun, "Last-Event-Id: 1"})
+                : Deployment.resumeUnnamed(Path, Next, 1);
+    Resumptions &Counts = IsNamed ? Named : Unnamed;
+    for (const std::string &Each : Deployment.versionsThatRan(Next))
+      Counts.AtOtherVersion +=
+          Each == Deployment.versionsThatRan(Begun).front() ? 0 : 1;
+    Counts.GoneOn += Result.Status == 200 ? 1 : 0;
+  }
+  CHECK(Named.AtOtherVersion == 0);
+  CHECK(Unnamed.AtOtherVersion == 0);
+  CHECK(ReleaseStreamCount / 4 <= Named.GoneOn);
+  CHECK(ReleaseStreamCount / 4 <= Unnamed.GoneOn);
+}
+
+TEST_CASE("A stream whose version left while all relays were down is not "
+          "joined with another one") {
+  VersionSite Deployment;
+  Deployment.setDelay(EventInterval);
+  const std::string Path = "/stream/x?n=1";
+  bool IsEachReplicaLost = false;
+  SECTION("the replicas are still there") {}
+  SECTION("all replicas restart as well") { IsEachReplicaLost = true; }
+  Deployment.cutByRestart(Path, "a", [&] {
+    Deployment.removeVersion(Deployment.versionsThatRan("a").front());
+    for (std::size_t Each = 0; IsEachReplicaLost && Each < 3; ++Each) {
+      Deployment.Site.Ledgers[Each].kill();
+      Deployment.Site.startLedger(Each);
+    }
+  });
+  // Longer than the route's time-out and what is added to it, after which a
+  // relay used to take the version that it knows for the only one.
+  for (int Attempt = 0; Attempt < 12; ++Attempt) {
+    const std::string Number = std::to_string(Attempt);
+    CHECK(Deployment.resumeUnnamed(Path, "b" + Number, 1).Status == 503);
+    CHECK(Deployment
+              .stream(Path, "c" + Number, 0, {"Resumes: a", "Last-Event-Id: 1"})
+              .Status == 503);
+    CHECK(Deployment.versionsThatRan("b" + Number).empty());
+    CHECK(Deployment.versionsThatRan("c" + Number).empty());
+    std::this_thread::sleep_for(milliseconds(1000));
+  }
+}
+
 TEST_CASE("A stream is refused at once when no target of its version is left") {
   VersionSite Deployment;
   Deployment.setCutAfter(EventsBeforeCut);
