Send a second attempt of slow idempotent calls within a share that is set

Cause: a few slow answers set the high percentiles, and operators accept some extra work for requests that may be repeated.

Ruled out: a fixed delay, a percentile per target, tied requests; see docs/design/hedged-requests.md.

A call that has waited for its first byte longer than the 95th percentile of its service gets a second attempt at another target; the first complete answer wins and the other attempt is cancelled.

--- a/apps/tanagerlandingd.cpp
+++ b/apps/tanagerlandingd.cpp
@@ -6,7 +6,6 @@
 
 #include <CLI/CLI.hpp>
 
-#include <functional>
 #include <iostream>
 
 using namespace tanagerlanding;
@@ -47,19 +46,42 @@
   return report(SidecarProcess(Read).run());
 }
 
-/// Options of the relay role on the command line.
-struct RelayCommandLine {
+/// Options of the command line for a relay.
+struct RelayArguments {
+  double HedgeShare = 0;
+  double HedgeMaxLoad = 0.7;
   bool IsLoadShared = false;
 };
 
+/// Largest share of extra sends that may be set.
+constexpr double MaxHedgeShare = 0.2;
+constexpr double MaxHedgeLoad = 10;
+
+void addHedgeOptions(CLI::App &Relay, RelayArguments &Arguments) {
+  Relay
+      .add_option("--hedge-share", Arguments.HedgeShare,
+                  "Second sends of slow idempotent calls, as a share of a "
+                  "service's requests; 0 for none")
+      ->check(CLI::Range(0.0, MaxHedgeShare))
+      ->capture_default_str();
+  Relay
+      .add_option("--hedge-max-load", Arguments.HedgeMaxLoad,
+                  "Requests per slot over a service above which no second "
+                  "sends are made")
+      ->check(CLI::Range(0.0, MaxHedgeLoad))
+      ->capture_default_str();
+}
+
 int runRelay(const platform::BootSettings &Boot,
-             const RelayCommandLine &Options) {
+             const RelayArguments &Arguments) {
   DeploymentProtocols Protocols;
   Protocols.Relay = platform::makeRelayProtocol();
   Protocols.Directory = platform::makeDirectoryProtocol();
   Protocols.KeyValue = platform::makeStoreDialect();
   RelaySettings Settings = platform::makeRelaySettings(Boot);
-  Settings.IsLoadShared = Options.IsLoadShared;
+  Settings.IsLoadShared = Arguments.IsLoadShared;
+  Settings.HedgeShare = Arguments.HedgeShare;
+  Settings.HedgeMaxLoad = Arguments.HedgeMaxLoad;
   return report(RelayProcess(Settings, std::move(Protocols)).run());
 }
 
@@ -71,8 +93,7 @@
 }
 
 /// Runs a role with the settings file that the platform provides.
-int runOnPlatform(
-    const std::function<int(const platform::BootSettings &)> &Role) {
+template <typename Action> int runOnPlatform(const Action &Role) {
   const auto Boot = platform::readBootSettings();
   if (Boot)
     return Role(Boot.value());
@@ -93,11 +114,12 @@
     Role->add_option("--settings", Path, "Settings file")->required();
   CLI::App *Relay = App.add_subcommand(
       "relay", "Forward callers' requests on the users' platform");
-  RelayCommandLine RelayOptions;
-  Relay->add_flag("--share-load", RelayOptions.IsLoadShared,
-                  "Share the loads and speeds of targets among relays");
   CLI::App *Ledger = App.add_subcommand(
       "ledger", "Store turns and budgets on the users' platform");
+  RelayArguments RelayOptions;
+  addHedgeOptions(*Relay, RelayOptions);
+  Relay->add_flag("--share-load", RelayOptions.IsLoadShared,
+                  "Share the loads and speeds of targets among relays");
   CLI11_PARSE(App, Count, Arguments);
   startLog(Arguments[0]);
   if (*Relay)
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -182,6 +182,10 @@
   /// Number of targets of a service for which a relay asks for permits, unless
   /// it needs as many permits. Relays ask for different ones.
   std::size_t MinPermitTargets = 16;
+  /// Hedges as a share of the requests of a service; 0 if none are sent.
+  double HedgeShare = 0;
+  /// Requests per slot over a service above which no hedges are sent.
+  double HedgeMaxLoad = 0.7;
   /// Half-life of the counts from which rates of requests are estimated, and
   /// the rate below which a relay holds no permits in advance.
   Milliseconds RateHalfLife{2000};
@@ -364,6 +368,32 @@
   Closing,
 };
 
+/// An attempt of a call beside its current one. The call has two attempts while
+/// it is hedged; an event of either makes that one the current attempt.
+struct HedgeAttempt {
+  RelayAttemptId Attempt;
+  TargetId Target;
+  RegisteredTarget SentTo;
+  Instant SentAt;
+  bool IsFirstByteTimeoutRecorded = false;
+  bool IsHedge = false;
+  std::optional<TargetAnswerHead> Head;
+  std::string BufferedBody;
+};
+
+/// How long the last answers of a service took to begin.
+struct FirstByteSamples {
+  /// The service, and whether its requests state their work.
+  using Key = std::pair<ServiceName, bool>;
+
+  /// In milliseconds; per unit of work if it is stated.
+  std::deque<double> Recent;
+  /// The 95th percentile; absent while there are too few samples.
+  std::optional<double> Quantile;
+
+  void add(double Millis);
+};
+
 /// The state of one turn at the ledger.
 struct TurnLedger {
   bool HasClaim = false;
@@ -449,6 +479,13 @@
   std::uint32_t EventsBeforeAttempt = 0;
   /// Whether the attempt's first-byte timeout has been recorded as a failure.
   bool IsFirstByteTimeoutRecorded = false;
+  /// Whether the current attempt is a hedge, and the other attempt if there are
+  /// two.
+  bool IsHedge = false;
+  std::optional<HedgeAttempt> Hedge;
+  /// Whether a hedge was sent for this call, and whether one was denied.
+  bool HasBeenHedged = false;
+  bool IsHedgeDenied = false;
   std::set<TargetId> TriedTargets;
   /// Sends after which the request may have run, and sends that targets did not
   /// run.
@@ -595,6 +632,10 @@
   std::map<RouteName, Instant> ServicesChangedAt;
   /// Streams that callers may continue, by the attempts that began them here.
   std::map<CallerAttemptId, ReportedStream> ReportedStreams;
+  /// Times to first byte from which hedge delays are taken, and the hedges that
+  /// the share allows by now. Both are empty while hedging is off.
+  std::map<FirstByteSamples::Key, FirstByteSamples> FirstByteTimes;
+  std::map<ServiceName, double> HedgeCredits;
   /// Moving average of the time to first byte of each service, in milliseconds.
   std::map<ServiceName, double> TypicalFirstByteMillis;
   std::map<ServiceName, ServiceTimes> TypicalTimes;
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -5,6 +5,7 @@
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
+#include "Hedging.h"
 #include "LimitObservations.h"
 #include "QuotaPermits.h"
 #include "Refusals.h"
@@ -61,12 +62,16 @@
   return std::max(1U, Found->second.ConnectionLimit / IdleConnectionDivisor);
 }
 
+/// Returns the call of an attempt, with that attempt as the current one.
 RelayCall *findCall(RelayContext &Context, RelayAttemptId Attempt) {
   const auto Request = Context.State.Attempts.find(Attempt);
   if (Request == Context.State.Attempts.end())
     return nullptr;
   const auto Call = Context.State.Calls.find(Request->second);
-  return Call == Context.State.Calls.end() ? nullptr : &Call->second;
+  if (Call == Context.State.Calls.end())
+    return nullptr;
+  selectAttempt(Call->second, Attempt);
+  return &Call->second;
 }
 
 /// Removes the current attempt from the relay's state, if there is one.
@@ -88,6 +93,7 @@
 }
 
 void removeCall(RelayContext &Context, RelayCall &Call) {
+  cancelOtherAttempt(Context, Call);
   releaseAttempt(Context, Call);
   Context.State.PendingOpens.erase(Call.Ledger.OpenRequest.Operation);
   releaseQuotaClaim(Context.State, Call);
@@ -112,6 +118,7 @@
 /// Forwards a complete answer that is not an event stream.
 void deliverBufferedAnswer(RelayContext &Context, RelayCall &Call) {
   clearCallContent(Context, Call);
+  recordHedgeOutcome(Context, Call);
   closeTurn(Context, Call, false);
   Context.logCall("answered", Call,
                   {{"status", std::to_string(Call.Head->Status)},
@@ -148,6 +155,8 @@
 /// Retries or refuses a call whose attempt was not run by the target.
 void handleNotRun(RelayContext &Context, RelayCall &Call, const char *Cause) {
   releaseAttempt(Context, Call);
+  if (continueOtherAttempt(Context, Call, Cause))
+    return;
   Call.Head.reset();
   Call.BufferedBody.clear();
   ++Call.RefusedSends;
@@ -173,6 +182,11 @@
   releaseAttempt(Context, Call);
   backOffTarget(Context.State, Call.Target);
   recordFailedAttempt(Context.State, Call.Target);
+  if (continueOtherAttempt(Context, Call, Cause)) {
+    ++Call.UncertainSends;
+    Context.count("relay_attempts_unknown_total", Cause);
+    return;
+  }
   Call.Head.reset();
   Call.BufferedBody.clear();
   Call.Splitter = EventSplitter();
@@ -228,8 +242,11 @@
   resetBackoff(Context.State, Call.Target);
   if (Call.Head->Status >= FirstServerError)
     recordFailedAttempt(Context.State, Call.Target);
-  if (!isForwardable(*Call.Head)) {
-    handleUnknownOutcome(Context, Call, "unsigned_answer");
+  // The other attempt may still bring an answer that is no failure.
+  const bool IsFailed = Call.Hedge && Call.Head->Status >= FirstServerError;
+  if (IsFailed || !isForwardable(*Call.Head)) {
+    handleUnknownOutcome(Context, Call,
+                         IsFailed ? "failed_answer" : "unsigned_answer");
     return;
   }
   if (isSuccess(*Call.Head))
@@ -288,6 +305,7 @@
     endOversizedAttempt(Context, Call, "answer_too_large");
     return;
   }
+  cancelOtherAttempt(Context, Call);
   if (!Call.HasBegunAnswer)
     Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
   Call.HasBegunAnswer = true;
@@ -378,21 +396,29 @@
   }
   const RelayTarget &Target = State.Targets.at(Chosen.value());
   if (!takePermit(State, Target.Entry)) {
+  if (!beginAttempt(Context, Call, Chosen.value(), kindOfNextSend(Call)))
     awaitPermit(Context, Call);
-    return;
-  }
+}
+
+bool beginAttempt(RelayContext &Context, RelayCall &Call, const TargetId &Id,
+                  const char *Kind) {
+  RelayState &State = Context.State;
+  const RelayTarget &Target = State.Targets.at(Id);
+  if (!takePermit(State, Target.Entry))
+    return false;
+  recordHedgeableRequest(State, Call);
   const std::size_t WithoutPermit = targetsWithoutPermit(State, Call);
   if (WithoutPermit > 0)
     Context.count("relay_limited_calls_total", "passed_over");
-  const char *Kind = kindOfNextSend(Call);
   Call.Phase = RelayPhase::Running;
   Call.Attempt = RelayAttemptId(State.NextAttempt++);
-  Call.Target = Chosen.value();
+  Call.Target = Id;
   Call.SentTo = Target.Entry;
   Call.SentAt = State.Now;
   Call.Quota.PermitUntil.reset();
   Call.EventsBeforeAttempt = Call.EventsSent;
   Call.IsFirstByteTimeoutRecorded = false;
+  Call.IsHedge = false;
   Call.TriedTargets.insert(Call.Target);
   State.Attempts[Call.Attempt] = Call.Request;
   SendAttempt Send;
@@ -428,6 +454,7 @@
   recordTurn(State, Call);
   recordPromptCacheLocation(State, Call);
   Context.add(std::move(Send));
+  return true;
 }
 
 void refuseCall(RelayContext &Context, RelayCall &Call,
@@ -475,8 +502,10 @@
   Call->HeadAt = Context.now();
   if (Event.Head.IsLeaving)
     recordLeavingRun(Context, Call->SentTo.run());
-  if (Event.Head.Status < FirstServerError)
+  if (Event.Head.Status < FirstServerError) {
     recordAnswerStart(Context.State, *Call);
+    recordFirstByteTime(Context.State, *Call);
+  }
   recordStatedLimit(Context, *Call, Event.Head);
   recordStatedLoad(Context, *Call, Event.Head);
 }
@@ -555,7 +584,7 @@
   for (const RequestId Request : Expired) {
     RelayCall &Call = Context.State.Calls.at(Request);
     if (Call.Attempt.Value != 0)
-      ++Call.UncertainSends;
+      Call.UncertainSends += Call.Hedge ? 2 : 1;
     refuseCall(Context, Call, RelayRefusalReason::DeadlinePassed);
   }
 }
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -21,6 +21,11 @@
 void sendCall(RelayContext &Context, RelayCall &Call,
               const Result<TargetId, PlacementFailure> &Chosen);
 
+/// Sends an attempt of a call to a target and makes it the current one. Returns
+/// false, with nothing changed, if there is no permit for the target.
+bool beginAttempt(RelayContext &Context, RelayCall &Call, const TargetId &Id,
+                  const char *Kind);
+
 /// Ends a call with a refusal, or aborts its answer if that has begun. Destroys
 /// the call.
 void refuseCall(RelayContext &Context, RelayCall &Call,
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -6,6 +6,7 @@
 #include "CrashDetection.h"
 #include "DeferredRequests.h"
 #include "Directory.h"
+#include "Hedging.h"
 #include "LimitObservations.h"
 #include "Placement.h"
 #include "QuotaPermits.h"
@@ -78,6 +79,7 @@
       this->State.VersionsUnwatchedAt = Event.Now;
     refuseExpiredCalls(this->Context);
     handleFirstByteTimeouts(this->Context);
+    sendDueHedges(this->Context);
     enforceLedgerTimeouts(this->Context);
     removeMissingTargets(this->Context);
     expireHints(this->State);
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -40,6 +40,10 @@
   /// key-value service can't be reached.
   bool IsRevocationStrict = false;
   Milliseconds RevocationTime{5000};
+  /// Hedges as a share of a service's requests, and the requests per slot over
+  /// the service above which none are sent.
+  double HedgeShare = 0;
+  double HedgeMaxLoad = 0.7;
 };
 
 /// Translations between a deployment's wire formats and the product's types.
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -140,6 +140,8 @@
   this->State.Options.MaxProofAge = maxProofAge(Settings);
   this->State.Options.IsLoadShared = Settings.IsLoadShared;
   this->State.Options.DrainTimeout = Settings.StopGracePeriod - StopMargin;
+  this->State.Options.HedgeShare = Settings.HedgeShare;
+  this->State.Options.HedgeMaxLoad = Settings.HedgeMaxLoad;
 }
 
 RelayProcess::~RelayProcess() = default;
