--- a/packages/decision/src/relay/Hedging.cpp
+++ b/packages/decision/src/relay/Hedging.cpp
@@ -3,6 +3,7 @@
 #include "Attempts.h"
 #include "CrashDetection.h"
 #include "Placement.h"
+#include "Teams.h"
 
 #include <algorithm>
 #include <utility>
@@ -57,6 +58,11 @@
     denyHedge(Context, Call, "attempts");
     return;
   }
+  // The key may have been removed since the first send.
+  if (credentialFaultOf(State, Call)) {
+    denyHedge(Context, Call, "key");
+    return;
+  }
   if (isSuspect(State, Call)) {
     denyHedge(Context, Call, "suspect");
     return;
--- a/packages/decision/tests/RelayHedgeTest.cpp
+++ b/packages/decision/tests/RelayHedgeTest.cpp
@@ -96,8 +96,8 @@
   const auto Sent = Fixture.sendSlow();
   REQUIRE(Sent.size() == 2);
   const bool HasHedgeWon = GENERATE(true, false);
-  const SendAttempt Winner = Sent[HasHedgeWon ? 1 : 0];
-  const SendAttempt Loser = Sent[HasHedgeWon ? 0 : 1];
+  const SendAttempt &Winner = Sent[HasHedgeWon ? 1 : 0];
+  const SendAttempt &Loser = Sent[HasHedgeWon ? 0 : 1];
   Fixture.head(Winner, 200);
   Fixture.bytes(Winner, "win");
   Fixture.head(Loser, 200);
@@ -143,8 +143,8 @@
   const auto Sent = Fixture.sendSlow();
   REQUIRE(Sent.size() == 2);
   const bool IsHedgeFirst = GENERATE(true, false);
-  const SendAttempt First = Sent[IsHedgeFirst ? 1 : 0];
-  const SendAttempt Second = Sent[IsHedgeFirst ? 0 : 1];
+  const SendAttempt &First = Sent[IsHedgeFirst ? 1 : 0];
+  const SendAttempt &Second = Sent[IsHedgeFirst ? 0 : 1];
   SECTION("its connection breaks") {
     Fixture.end(First, AttemptEnded::Kind::Broken);
   }
@@ -247,6 +247,11 @@
     }
     Cause = "load";
   }
+  SECTION("the route needs a key meanwhile") {
+    Fixture.State.Configuration->Teams[TeamId("x")] = TeamSettings();
+    Fixture.State.Configuration->Routes[0].IsPublic = true;
+    Cause = "key";
+  }
   SECTION("there is no other target") {
     Fixture.apply(TargetUnregistered{TargetId("t2")});
     Fixture.apply(TargetUnregistered{TargetId("t3")});
@@ -257,7 +262,13 @@
     Cause = "no_target";
   }
   SECTION("too few answers are known") { Fixture.State.FirstByteTimes.clear(); }
-  CHECK(Fixture.sendSlow(Path).size() == 1);
+  Fixture.Effects.clear();
+  Fixture.ask(Path, "slow");
+  Fixture.State.Configuration->Routes[0].IsPublic = false;
+  for (auto &[Request, Call] : Fixture.State.Calls)
+    Call.Route.IsPublic = false;
+  Fixture.passTime(Milliseconds(35));
+  CHECK(Fixture.all<SendAttempt>().size() == 1);
   if (!Cause.empty())
     CHECK(Fixture.counted("relay_hedges_denied_total", Cause) == 1);
   Fixture.passTime(Milliseconds(25));
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -137,7 +137,7 @@
       sampleBatch(),
       OpenTurn{LedgerOperationId(1), ViewVersion(2), TurnId("t"),
                ProgramId("p"), TokenCount{5}, TurnId("before"), true,
-               Milliseconds(9), CallerAttemptId("resumed")},
+               Milliseconds(9), CallerAttemptId("resumed"), Fingerprint(5)},
       sampleOpened(),
       CloseTurn{LedgerOperationId(1), ViewVersion(2), ProgramId("p"),
                 TokenCount{4}, TurnId("t"), true, TurnId("before"), "in", "out",
