--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -123,8 +123,6 @@
                  AttemptHeadReceived, AttemptBytesReceived, AttemptEnded,
                  TargetConnectionProbed, RelayConfigured,
                  ConfigurationKeyObserved, DirectoryConfirmed, TargetRegistered,
-                 TargetUnregistered, DirectoryLost, DirectoryRegained,
-                 TargetConnectionProbed, RelayConfigured, TargetRegistered,
                  TargetUnregistered, OutdatedTargetObserved,
                  DirectoryHistoryLost, DirectoryLost, DirectoryRegained,
                  ReplicaReachabilityReported, RelayLedgerViewObserved,
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -394,8 +394,6 @@
     refuseCall(Context, Call, RelayRefusalReason::ConfigurationStale);
     return;
   }
-  const RelayTarget &Target = State.Targets.at(Chosen.value());
-  if (!takePermit(State, Target.Entry)) {
   if (!beginAttempt(Context, Call, Chosen.value(), kindOfNextSend(Call)))
     awaitPermit(Context, Call);
 }
--- a/packages/decision/src/relay/Hedging.cpp
+++ b/packages/decision/src/relay/Hedging.cpp
@@ -1,6 +1,7 @@
 #include "Hedging.h"
 
 #include "Attempts.h"
+#include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "Placement.h"
 #include "Teams.h"
@@ -59,7 +60,7 @@
     return;
   }
   // The key may have been removed since the first send.
-  if (credentialFaultOf(State, Call)) {
+  if (credentialFaultOf(State, Call) || !mayUseKey(State, Call)) {
     denyHedge(Context, Call, "key");
     return;
   }
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -138,7 +138,6 @@
   for (const KeyChange &Each : Changes) {
     this->NewestRevision =
         std::max(this->NewestRevision, Each.Item.ModRevision);
-    if (!this->isNewer(Each))
     if (!this->isNewer(Each)) {
       if (this->isOvertaken(Each))
         this->Callbacks.onOutdatedChange(Each);
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -230,6 +230,8 @@
                             WatchPage{{}, Revision(11), false}});
     CHECK(Fixture.Confirmed.size() == 2);
   }
+}
+
 TEST_CASE("Watcher: reports that it may have missed states of keys, as the "
           "service has lost its history") {
   WatcherFixture Fixture;
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -361,6 +361,8 @@
 
 void RelayProcess::onContentConfirmed(Instant AskedAt) {
   this->apply(DirectoryConfirmed{AskedAt});
+}
+
 void RelayProcess::onHistoryLost() { this->apply(DirectoryHistoryLost{}); }
 
 void RelayProcess::onOutdatedChange(const KeyChange &Change) {
