Ignore the growth of starts while a relay has just started

Ruled out: a larger constant of noise, as it would also hide bursts at small relays. Change: the load alone decides until the relay has run as long as the usual rate looks back.

--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -178,13 +178,18 @@
 double expectedLoadPerSlot(const RelayState &State,
                            const ServiceName &Service) {
   const RelayOptions &Options = State.Options;
+  const double Load = serviceLoadPerSlot(State, Service);
+  // A relay that has just started has no usual rate to compare with.
+  if (!State.StartedAt ||
+      State.Now - *State.StartedAt < Options.UsualStartRateHalfLife)
+    return Load;
   const double Recent =
       rateOf(State, State.StartRates, Service, Options.StartRateHalfLife);
   const double Usual = rateOf(State, State.UsualStartRates, Service,
                               Options.UsualStartRateHalfLife);
   const double Growth =
       (Recent + Options.StartRateNoise) / (Usual + Options.StartRateNoise);
-  return serviceLoadPerSlot(State, Service) * std::max(1.0, Growth);
+  return Load * std::max(1.0, Growth);
 }
 
 void expireTeamTurns(RelayState &State) {
