Control overload only where the configuration has teams

Change: order by priority and team, limits of starts and refusals apply only with teams in the configuration; without them relays queue as before.

--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -51,6 +51,8 @@
   const Instant Deadline = Program && Program->TimeLeft
                                ? Call.Arrived + *Program->TimeLeft
                                : Call.Deadline;
+  if (!hasOverloadControl(State))
+    return {schedulingClassOf(State, Call), 0, 0, 0, Deadline, Call.Request};
   return {schedulingClassOf(State, Call),  Call.Priority, Call.Route.Priority,
           recentTurnsOf(State, Call.Team), Deadline,      Call.Request};
 }
@@ -96,11 +98,19 @@
   return Call.Phase == RelayPhase::Queued && Limit <= State.Now - Call.QueuedAt;
 }
 
+bool hasOverloadControl(const RelayState &State) {
+  return State.Configuration && State.Configuration->needsKeys();
+}
+
 SchedulingClass schedulingClassOf(const RelayState &State,
                                   const RelayCall &Call) {
   // An answer that has begun must be completed.
   if (!isTurn(Call) || Call.HasBegunAnswer)
     return SchedulingClass::InProgress;
+  const bool MustBeSent =
+      !hasOverloadControl(State) && hasReachedQueueTimeLimit(State, Call);
+  if (MustBeSent)
+    return SchedulingClass::InProgress;
   const auto &Program = Call.InboundRequest.Program;
   const Milliseconds Waited = State.Now - Call.Arrived;
   if (*Program->TimeLeft <= Waited)
@@ -116,7 +126,8 @@
   const RelayOptions &Options = State.Options;
   switch (schedulingClassOf(State, Call)) {
   case SchedulingClass::InProgress:
-    return isTurn(Call) && !hasReachedQueueTimeLimit(State, Call)
+    return hasOverloadControl(State) && isTurn(Call) &&
+                   !hasReachedQueueTimeLimit(State, Call)
                ? Options.InProgressLoadPerSlot
                : Options.MaxLoadPerSlot;
   case SchedulingClass::Starting:
@@ -242,7 +253,8 @@
   for (const RequestId Request : State.QueuedCalls) {
     const RelayCall &Each = State.Calls.at(Request);
     const Milliseconds Queued = State.Now - Each.QueuedAt;
-    if (isStart(State, Each) && startDelayLimitOf(State, Each) <= Queued)
+    if (hasOverloadControl(State) && isStart(State, Each) &&
+        startDelayLimitOf(State, Each) <= Queued)
       Late.push_back(Request);
   }
   for (const RequestId Request : Late)
@@ -264,7 +276,8 @@
 
 void enqueueCall(RelayContext &Context, RelayCall &Call) {
   RelayState &State = Context.State;
-  if (isStart(State, Call) && !mayQueueStart(State, Call)) {
+  if (hasOverloadControl(State) && isStart(State, Call) &&
+      !mayQueueStart(State, Call)) {
     refuseCall(Context, Call, RelayRefusalReason::Overloaded);
     return;
   }
--- a/packages/decision/src/relay/CallQueue.h
+++ b/packages/decision/src/relay/CallQueue.h
@@ -26,6 +26,11 @@
   Overdue,
 };
 
+/// Returns whether starts of programs are limited and the queue is ordered by
+/// priority and team: where the configuration has teams, which compete for the
+/// same targets.
+bool hasOverloadControl(const RelayState &State);
+
 SchedulingClass schedulingClassOf(const RelayState &State,
                                   const RelayCall &Call);
 
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -368,9 +368,10 @@
   if (Candidates.empty())
     return HasLimitedTargets ? PlacementFailure::AwaitingPermit
                              : PlacementFailure::NoTarget;
-  const bool IsStartHeldBack =
-      isStart(State, Call) && State.Options.StartingLoadPerSlot <=
-                                  expectedLoadPerSlot(State, Call.Service);
+  const bool IsStartHeldBack = hasOverloadControl(State) &&
+                               isStart(State, Call) &&
+                               State.Options.StartingLoadPerSlot <=
+                                   expectedLoadPerSlot(State, Call.Service);
   if (IsStartHeldBack)
     return PlacementFailure::Busy;
   const Candidate *Best =
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -58,8 +58,10 @@
   case RelayRefusalReason::Quarantined:
     return quarantineTimeLeft(State, Call);
   case RelayRefusalReason::TargetLimit:
-  case RelayRefusalReason::Overloaded:
     return capacityRetryAfter(State, Call);
+  case RelayRefusalReason::Overloaded:
+    return hasOverloadControl(State) ? capacityRetryAfter(State, Call)
+                                     : retryAfterFor(State, Reason);
   case RelayRefusalReason::QuotaExceeded:
     return quotaRetryAfter(State, Call);
   default:
