--- a/packages/decision/tests/RelayTeamTest.cpp
+++ b/packages/decision/tests/RelayTeamTest.cpp
@@ -142,6 +142,8 @@
   void fillTargets() {
     this->apply(TargetUnregistered{TargetId("t2")});
     this->passTime(Milliseconds(3000));
+    // A growing rate of first turns would hold the last of them back.
+    this->State.Options.StartRateNoise = 1000;
     for (int Number = 0; Number < 4; ++Number) {
       const std::string Id = "fill-" + std::to_string(Number);
       this->turn(digestOf("key-y"), Id, std::nullopt, Id);
--- a/packages/wire/src/LimitConversions.cpp
+++ b/packages/wire/src/LimitConversions.cpp
@@ -108,7 +108,6 @@
 wire::PermitGrantT toTable(const PermitGrant &Body) {
   wire::PermitGrantT Table;
   if (const auto *Team = std::get_if<TeamId>(&Body.Subject)) {
-    Table.has_team = true;
     Table.team = Team->Value;
   } else {
     const auto &Run = std::get<TargetRun>(Body.Subject);
@@ -125,7 +124,7 @@
 
 PermitGrant fromTable(const wire::PermitGrantT &Table) {
   PermitGrant Body;
-  if (Table.has_team)
+  if (!Table.team.empty())
     Body.Subject = TeamId(Table.team);
   else
     Body.Subject = TargetRun{TargetId(Table.target), Table.started_at_ms};
