--- a/packages/decision/src/relay/CallQueue.h
+++ b/packages/decision/src/relay/CallQueue.h
@@ -81,7 +81,9 @@
 /// within the longest time allowed in the queue.
 bool mayAwaitPermit(const RelayState &State, const RelayCall &Call);
 
-/// Refuses queued calls that got no permit in the longest time allowed.
+/// Refuses queued calls that got no permit in the longest time allowed and,
+/// with overload control, first turns that have been queued for
+/// startDelayLimitOf().
 void refuseStarvedCalls(RelayContext &Context);
 
 /// Queues a call, then dispatches the most urgent queued call if a target has
