--- a/packages/decision/tests/RelayProofTest.cpp
+++ b/packages/decision/tests/RelayProofTest.cpp
@@ -295,13 +295,13 @@
           "sent") {
   ProofFixture Fixture;
   Fixture.confirm(Fixture.now());
-  const auto reportLoad = [&](std::uint32_t Load) {
+  const auto ReportLoad = [&](std::uint32_t Load) {
     for (auto &[Id, Target] : Fixture.State.Targets) {
       Target.Load.Report = TargetLoad{Load, 0, std::nullopt, std::nullopt};
       Target.Load.ReportedAt = Fixture.now();
     }
   };
-  reportLoad(6);
+  ReportLoad(6);
   // A program's first turn waits for a free slot.
   const RequestId Request = Fixture.askKeyed(
       "/turn/x", "k1",
@@ -311,11 +311,11 @@
   Call.Deadline = Fixture.now() + Milliseconds(60000);
   for (int Step = 0; Step < 200; ++Step) {
     Fixture.passTime(ProofFixture::Step);
-    reportLoad(6);
+    ReportLoad(6);
   }
   CHECK(Fixture.all<SendAttempt>().empty());
   CHECK(Fixture.all<RefuseCaller>().empty());
-  reportLoad(0);
+  ReportLoad(0);
   Fixture.run(Milliseconds(50));
   CHECK(Fixture.all<SendAttempt>().empty());
   REQUIRE(Fixture.all<RefuseCaller>().size() == 1);
--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -263,7 +263,7 @@
   Again["born"] = 1700000000001;
   Site.Store.put("servers/i-1", Again.dump());
   CHECK(waitFor([&] { return Site.sendPlain("r2").Status == 200; }));
-  CHECK(Restarted.runs().size() >= 1);
+  CHECK(!Restarted.runs().empty());
 }
 
 // Guards against a removed key that is accepted for as long as the store can't
