--- a/packages/decision/src/ledger/PermitIssuing.cpp
+++ b/packages/decision/src/ledger/PermitIssuing.cpp
@@ -74,10 +74,6 @@
     *Known = New;
 }
 
-RequestRate shareOf(RequestRate Limit, std::size_t MemberCount) {
-  return RequestRate{Limit.PerSecond / static_cast<double>(MemberCount)};
-}
-
 /// Adds a relay's row about a target to those that wait, and issues what is
 /// available.
 void addTargetRow(LedgerContext &Context, const HostId &Peer,
@@ -104,6 +100,10 @@
 
 } // namespace
 
+RequestRate shareOf(RequestRate Limit, std::size_t MemberCount) {
+  return RequestRate{Limit.PerSecond / static_cast<double>(MemberCount)};
+}
+
 void handleLimitNotice(LedgerContext &Context, const HostId &Peer,
                        const TargetLimitNotice &Notice) {
   LedgerState &State = Context.State;
--- a/packages/decision/src/ledger/PermitIssuing.h
+++ b/packages/decision/src/ledger/PermitIssuing.h
@@ -11,6 +11,9 @@
 
 namespace tanagerlanding {
 
+/// Returns the part of a limit that each of the members issues.
+RequestRate shareOf(RequestRate Limit, std::size_t MemberCount);
+
 /// Merges a limit that a relay has learned of, and tells all relays if the
 /// target now has a limit or has none any more.
 void handleLimitNotice(LedgerContext &Context, const HostId &Peer,
--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -155,6 +155,10 @@
   return isTurn(Call) && !Call.HasBegunAnswer && isFirstTurn(State, Call);
 }
 
+bool isLimitedStart(const RelayState &State, const RelayCall &Call) {
+  return hasOverloadControl(State) && isStart(State, Call);
+}
+
 Milliseconds startDelayLimitOf(const RelayState &State, const RelayCall &Call) {
   const RelayOptions &Options = State.Options;
   const Milliseconds Own =
@@ -247,19 +251,22 @@
   return Milliseconds(0) < Limit && (!Expected || *Expected < Limit);
 }
 
-void refuseStarvedCalls(RelayContext &Context) {
+void refuseLateStarts(RelayContext &Context) {
   RelayState &State = Context.State;
   std::vector<RequestId> Late;
   for (const RequestId Request : State.QueuedCalls) {
     const RelayCall &Each = State.Calls.at(Request);
-    const Milliseconds Queued = State.Now - Each.QueuedAt;
-    if (hasOverloadControl(State) && isStart(State, Each) &&
-        startDelayLimitOf(State, Each) <= Queued)
+    if (isLimitedStart(State, Each) &&
+        startDelayLimitOf(State, Each) <= State.Now - Each.QueuedAt)
       Late.push_back(Request);
   }
   for (const RequestId Request : Late)
     refuseCall(Context, State.Calls.at(Request),
                RelayRefusalReason::Overloaded);
+}
+
+void refuseStarvedCalls(RelayContext &Context) {
+  RelayState &State = Context.State;
   std::vector<RequestId> Starved;
   for (const RequestId Request : State.QueuedCalls) {
     const RelayCall &Each = State.Calls.at(Request);
@@ -276,8 +283,7 @@
 
 void enqueueCall(RelayContext &Context, RelayCall &Call) {
   RelayState &State = Context.State;
-  if (hasOverloadControl(State) && isStart(State, Call) &&
-      !mayQueueStart(State, Call)) {
+  if (isLimitedStart(State, Call) && !mayQueueStart(State, Call)) {
     refuseCall(Context, Call, RelayRefusalReason::Overloaded);
     return;
   }
--- a/packages/decision/src/relay/CallQueue.h
+++ b/packages/decision/src/relay/CallQueue.h
@@ -49,6 +49,9 @@
 /// and this relay know.
 bool isStart(const RelayState &State, const RelayCall &Call);
 
+/// Returns whether a call is such a turn and overload control limits it.
+bool isLimitedStart(const RelayState &State, const RelayCall &Call);
+
 /// Returns how long the first turn of a program may be queued. Later the
 /// program would miss its deadline even on idle targets.
 Milliseconds startDelayLimitOf(const RelayState &State, const RelayCall &Call);
@@ -81,9 +84,11 @@
 /// within the longest time allowed in the queue.
 bool mayAwaitPermit(const RelayState &State, const RelayCall &Call);
 
-/// Refuses queued calls that got no permit in the longest time allowed and,
-/// with overload control, first turns that have been queued for
-/// startDelayLimitOf().
+/// Refuses first turns that have been queued for startDelayLimitOf(), where
+/// starts are limited.
+void refuseLateStarts(RelayContext &Context);
+
+/// Refuses queued calls that got no permit in the longest time allowed.
 void refuseStarvedCalls(RelayContext &Context);
 
 /// Queues a call, then dispatches the most urgent queued call if a target has
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -4,6 +4,7 @@
 #include "CrashDetection.h"
 #include "Directory.h"
 #include "LimitObservations.h"
+#include "MovingAverage.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
@@ -26,8 +27,6 @@
 /// Bounds the work of one choice.
 constexpr double MaxUnseenRequests = 100;
 
-double millisOf(Milliseconds Time) { return static_cast<double>(Time.count()); }
-
 /// What the costs of the candidates for one call have in common.
 struct ServiceConditions {
   /// Whether targets of the service state their loads.
@@ -368,8 +367,7 @@
   if (Candidates.empty())
     return HasLimitedTargets ? PlacementFailure::AwaitingPermit
                              : PlacementFailure::NoTarget;
-  const bool IsStartHeldBack = hasOverloadControl(State) &&
-                               isStart(State, Call) &&
+  const bool IsStartHeldBack = isLimitedStart(State, Call) &&
                                State.Options.StartingLoadPerSlot <=
                                    expectedLoadPerSlot(State, Call.Service);
   if (IsStartHeldBack)
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -12,15 +12,12 @@
 namespace {
 
 /// Returns how long a caller should wait that was refused for lack of capacity:
-/// the time in which the calls before it are sent, drawn from an interval, so
-/// that callers do not return at the same time.
+/// the time in which the calls before it are sent.
 Milliseconds capacityRetryAfter(RelayState &State, const RelayCall &Call) {
-  const Milliseconds Wait =
+  return spreadRetryAfter(
+      State,
       std::max(State.Options.RetryAfter,
-               expectedQueueTime(State, Call).value_or(Milliseconds(0)));
-  std::uniform_real_distribution<double> Spread(1, 2);
-  return Milliseconds(static_cast<std::int64_t>(
-      Spread(State.Random) * static_cast<double>(Wait.count())));
+               expectedQueueTime(State, Call).value_or(Milliseconds(0))));
 }
 
 } // namespace
@@ -69,4 +66,10 @@
   }
 }
 
+Milliseconds spreadRetryAfter(RelayState &State, Milliseconds Wait) {
+  std::uniform_real_distribution<double> Spread(1, 2);
+  return Milliseconds(static_cast<std::int64_t>(
+      Spread(State.Random) * static_cast<double>(Wait.count())));
+}
+
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/Refusals.h
+++ b/packages/decision/src/relay/Refusals.h
@@ -25,6 +25,10 @@
 Milliseconds retryAfterOf(RelayState &State, const RelayCall &Call,
                           RelayRefusalReason Reason);
 
+/// Returns a wait multiplied by a random factor between 1 and 2, so that
+/// callers that are refused together do not return together.
+Milliseconds spreadRetryAfter(RelayState &State, Milliseconds Wait);
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -86,6 +86,7 @@
     reviewCrashEvidence(this->Context);
     maintainPermits(this->Context);
     reportTargetLoads(this->Context);
+    refuseLateStarts(this->Context);
     refuseStarvedCalls(this->Context);
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
--- a/packages/decision/src/relay/TargetHealth.cpp
+++ b/packages/decision/src/relay/TargetHealth.cpp
@@ -1,5 +1,7 @@
 #include "TargetHealth.h"
 
+#include "MovingAverage.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,10 +15,6 @@
 constexpr double TargetWeight = 0.25;
 constexpr double ServiceWeight = 0.02;
 
-void updateMovingAverage(double &Mean, double Value, double Weight) {
-  Mean = Mean > 0 ? Mean + Weight * (Value - Mean) : Value;
-}
-
 /// Returns the factor by which counts taken at Since have decayed by now.
 double decayFactor(const RelayState &State, Instant Since) {
   return decayFactor(Since, State.Now, State.Options.HealthHalfLife);
--- a/packages/decision/src/relay/TargetSpeed.cpp
+++ b/packages/decision/src/relay/TargetSpeed.cpp
@@ -1,5 +1,6 @@
 #include "TargetSpeed.h"
 
+#include "MovingAverage.h"
 #include "TargetLoads.h"
 
 #include <algorithm>
@@ -46,8 +47,6 @@
   return 0.8 < Value && Value < 1.25;
 }
 
-double millisOf(Milliseconds Time) { return static_cast<double>(Time.count()); }
-
 /// Returns how fast an attempt's target was; absent if the attempt waited for a
 /// slot, as this says how busy the target was.
 std::optional<Sample> sampleOf(RelayState &State, const RelayCall &Call) {
@@ -68,10 +67,6 @@
                 &Times.PerRequest};
 }
 
-void updateAverage(double &Mean, double Millis) {
-  Mean = Mean > 0 ? Mean + ServiceWeight * (Millis - Mean) : Millis;
-}
-
 void logChange(RelayContext &Context, RelayTarget &Target) {
   const double Slowness = slownessOf(Context.State, Target);
   double &Logged = Target.Speed.LoggedSlowness;
@@ -120,13 +115,14 @@
   const auto *Stated = std::get_if<TargetLoad>(&Call.Head->Load);
   const double Slowdown = Stated ? Stated->Slowdown.value_or(1) : 1;
   if (Call.Head->IsEventStream && Call.HadFreeSlot)
-    updateAverage(State.TypicalTimes[Call.Service].PerRequest,
-                  millisOf(State.Now - Call.SentAt) / Slowdown);
+    updateMovingAverage(State.TypicalTimes[Call.Service].PerRequest,
+                        millisOf(State.Now - Call.SentAt) / Slowdown,
+                        ServiceWeight);
   const auto Taken = sampleOf(State, Call);
   if (!Taken)
     return;
   const double Millis = Taken->Millis / Slowdown;
-  updateAverage(*Taken->Typical, Millis);
+  updateMovingAverage(*Taken->Typical, Millis, ServiceWeight);
   const double Ratio =
       std::clamp(Millis / *Taken->Typical, MinSlowness, MaxSlowness);
   TargetSpeed &Speed = Found->second.Speed;
