Start programs of a team only within its quota, over all relays

Cause: a quota counts requests, and a program sends some 23 of them. In a burst, each first turn got a permit like any other request, and nearly all programs then ended by requests that were refused with 429. Change: the first live member in a team's order decides on starts from a bucket of nine tenths of the whole quota, in requests; each start takes the requests of a program, estimated from what relays report.

--- a/packages/decision/include/tanagerlanding/decision/TargetLimits.h
+++ b/packages/decision/include/tanagerlanding/decision/TargetLimits.h
@@ -57,6 +57,11 @@
     std::uint32_t Wanted = 0;
     /// Whether the permits of a team are for first turns of programs.
     bool IsFirstTurn = false;
+    /// Asks whether a program of the team may start, not for a request.
+    bool IsProgramStart = false;
+    /// Requests of the team that the sender has admitted since its last row
+    /// about the start of a program.
+    std::uint32_t AdmittedRequests = 0;
   };
   /// The time on the sender's clock, which the permits return.
   Instant AskedAt;
@@ -74,6 +79,7 @@
   std::uint32_t Denied = 0;
   Milliseconds NextIn{0};
   bool IsFirstTurn = false;
+  bool IsProgramStart = false;
 };
 
 /// How an observation changed what is known of a target.
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -55,6 +55,19 @@
   Milliseconds RateHalfLife{2000};
   /// The part of a team's bucket that is reserved for programs under way.
   double ReservedShare = 0.25;
+  /// The part of a team's quota up to which programs are started. The rest
+  /// covers programs that send more requests than usual.
+  double ProgramStartShare = 0.9;
+  /// Requests of a program that are assumed before any is known, and the number
+  /// of programs after which what was counted weighs more than the assumption.
+  double AssumedProgramRequests = 10;
+  double AssumedPrograms = 5;
+  /// Half-life of the counts from which the requests of a program are
+  /// estimated, and the time after which a start is counted. Most requests of a
+  /// program are sent by then; counted at once, a burst of starts would lower
+  /// the estimate.
+  Milliseconds ProgramHalfLife{15000};
+  Milliseconds ProgramSettleTime{2000};
   /// Longer than a target lives without an answer to any relay.
   Milliseconds LimitRetention{600000};
   /// Number of streams whose origin is kept. A stream above it can't be
@@ -137,9 +150,22 @@
   std::optional<Instant> VouchedFor;
 };
 
+/// Programs that started recently, and the requests that were admitted for
+/// programs in the same time.
+struct ProgramCounts {
+  DecayingCount Started;
+  /// Starts that are not counted yet, the oldest first.
+  std::deque<Instant> Recent;
+  DecayingCount Requests;
+};
+
 /// Issues this replica's share of the permits of one target or team.
 struct PermitIssuer {
   PermitBucket Bucket;
+  /// The requests that programs of a team which start here may send. Each start
+  /// takes the requests of a whole program, so the balance may be negative.
+  std::optional<PermitBucket> ProgramBudget;
+  ProgramCounts Programs;
   /// Permits of a team that were granted recently.
   DecayingCount Granted;
   /// In the order in which they get the next permits.
@@ -275,6 +301,10 @@
   /// Limits that targets have named, and the permits that this replica issues.
   LimitTable Limits;
   std::map<PermitSubject, PermitIssuer> PermitIssuers;
+  /// Since when this replica has been a member without interruption.
+  std::optional<Instant> MemberSince;
+  /// The programs of all teams.
+  ProgramCounts AllPrograms;
   /// Quotas of teams by the newest configuration that this replica or a relay
   /// that asked for permits has read, and the version that it has read itself.
   std::map<TeamId, TeamQuota> Quotas;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -426,6 +426,8 @@
 struct QuotaClaim {
   /// Whether the call is the first turn of a program, as far as is known.
   bool IsFirstTurn = false;
+  /// Whether the call starts a program that no replica has let start yet.
+  bool NeedsStart = false;
   /// The replica that has been asked for this call and has not answered; empty
   /// if there is none.
   HolderId Asked;
@@ -565,6 +567,10 @@
   /// Requests of a team at this relay, and the last one.
   DecayingCount Requested;
   Instant RequestedAt;
+  /// Requests of a team that were admitted here and have not been reported, and
+  /// until when no program of the team may start.
+  std::uint32_t UnreportedRequests = 0;
+  Instant NextStartAt;
 };
 
 /// Paths of a route's requests.
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -363,6 +363,10 @@
                {"current", namesOf(View.Current)},
                {"next", namesOf(View.Next)}});
   Context.add(PersistLedgerView{View});
+  if (!containsHolder(View.allMembers(), State.Self.Holder))
+    State.MemberSince.reset();
+  else if (!State.MemberSince)
+    State.MemberSince = State.Now;
   // Other members may poll the key-value service less often than this one.
   if (View.Version == State.ProposedVersion)
     broadcastView(Context);
--- a/packages/decision/src/ledger/QuotaIssuing.cpp
+++ b/packages/decision/src/ledger/QuotaIssuing.cpp
@@ -1,5 +1,7 @@
 #include "QuotaIssuing.h"
 
+#include "PermitIssuing.h"
+
 #include "tanagerlanding/decision/ledger/QuotaUse.h"
 
 #include <algorithm>
@@ -17,10 +19,6 @@
   return std::max<std::size_t>(1, State.View.allMembers().size());
 }
 
-RequestRate quotaShare(const RequestQuota &Quota, std::size_t MemberCount) {
-  return RequestRate{Quota.Rate.PerSecond / static_cast<double>(MemberCount)};
-}
-
 /// Returns the permits of a bucket that are reserved for programs under way.
 double reservedPermits(const LedgerState &State, const RequestQuota &Quota,
                        std::size_t MemberCount) {
@@ -60,7 +58,7 @@
   const std::size_t Count = memberCount(State);
   PermitBucket &Bucket = Found->second.Bucket;
   if (Before)
-    Bucket.accrue(quotaShare(*Before, Count), State.Now,
+    Bucket.accrue(shareOf(Before->Rate, Count), State.Now,
                   quotaCapacity(*Before, Count));
   Bucket.accrue(RequestRate{0}, State.Now, quotaCapacity(*After, Count));
 }
@@ -97,9 +95,11 @@
                        const RequestQuota &Quota, std::size_t MemberCount) {
   const auto [Found, IsNew] =
       State.PermitIssuers.emplace(PermitSubject(Team), PermitIssuer());
+  // What has accrued since this replica became a member was issued by nobody.
   if (IsNew)
-    Found->second.Bucket = PermitBucket{1, State.Now};
-  Found->second.Bucket.accrue(quotaShare(Quota, MemberCount), State.Now,
+    Found->second.Bucket =
+        PermitBucket{1, State.MemberSince.value_or(State.Now)};
+  Found->second.Bucket.accrue(shareOf(Quota.Rate, MemberCount), State.Now,
                               quotaCapacity(Quota, MemberCount));
   return Found->second;
 }
@@ -122,11 +122,72 @@
   if (Answer.Denied == 0)
     return;
   const double Missing = Kept + 1 - Issuer.Bucket.Available;
-  const double Seconds = Missing / quotaShare(Quota, Count).PerSecond;
+  const double Seconds = Missing / shareOf(Quota.Rate, Count).PerSecond;
   Answer.NextIn =
       Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * Seconds)));
 }
 
+/// Returns the average of the requests of a program. As long as few are
+/// counted, Assumed weighs more.
+double requestsPerProgram(const LedgerState &State, const ProgramCounts &Counts,
+                          double Assumed) {
+  const LedgerOptions &Options = State.Options;
+  const double Programs =
+      Counts.Started.valueAt(State.Now, Options.ProgramHalfLife);
+  const double Requests =
+      Counts.Requests.valueAt(State.Now, Options.ProgramHalfLife);
+  return std::max(1.0, (Requests + Options.AssumedPrograms * Assumed) /
+                           (Programs + Options.AssumedPrograms));
+}
+
+/// Counts the starts that are long enough ago.
+void countSettledStarts(const LedgerState &State, ProgramCounts &Counts) {
+  const LedgerOptions &Options = State.Options;
+  while (!Counts.Recent.empty() &&
+         Options.ProgramSettleTime <= State.Now - Counts.Recent.front()) {
+    Counts.Recent.pop_front();
+    Counts.Started.add(1, State.Now, Options.ProgramHalfLife);
+  }
+}
+
+/// Returns the requests that a program of a team sends on average: by the
+/// programs of the team or, while there are few, by those of all teams.
+double programCost(const LedgerState &State, const PermitIssuer &Issuer) {
+  const double OfAll = requestsPerProgram(State, State.AllPrograms,
+                                          State.Options.AssumedProgramRequests);
+  return requestsPerProgram(State, Issuer.Programs, OfAll);
+}
+
+/// Lets a program of a team start if the programs before it leave room in the
+/// quota. Relays ask one member for all starts of a team, so this bucket is
+/// that of the whole quota.
+void takeProgramStart(LedgerState &State, const TeamId &Team,
+                      const RequestQuota &Quota, std::uint32_t Admitted,
+                      PermitGrant &Answer) {
+  PermitIssuer &Issuer = issuerOf(State, Team, Quota, memberCount(State));
+  const double Capacity = Quota.Burst + 1;
+  if (!Issuer.ProgramBudget)
+    Issuer.ProgramBudget = PermitBucket{Capacity, State.Now};
+  PermitBucket &Budget = *Issuer.ProgramBudget;
+  const RequestRate Rate{State.Options.ProgramStartShare *
+                         Quota.Rate.PerSecond};
+  Budget.accrue(Rate, State.Now, Capacity);
+  for (ProgramCounts *Counts : {&Issuer.Programs, &State.AllPrograms}) {
+    Counts->Requests.add(Admitted, State.Now, State.Options.ProgramHalfLife);
+    countSettledStarts(State, *Counts);
+  }
+  if (Budget.Available < 1) {
+    const double Seconds = (1 - Budget.Available) / Rate.PerSecond;
+    Answer.NextIn =
+        Milliseconds(static_cast<std::int64_t>(std::ceil(1000 * Seconds)));
+    return;
+  }
+  Budget.Available -= programCost(State, Issuer);
+  for (ProgramCounts *Counts : {&Issuer.Programs, &State.AllPrograms})
+    Counts->Recent.push_back(State.Now);
+  std::swap(Answer.Count, Answer.Denied);
+}
+
 } // namespace
 
 double quotaCapacity(const RequestQuota &Quota, std::size_t MemberCount) {
@@ -187,17 +248,26 @@
   Answer.AskedAt = Request.AskedAt;
   Answer.Denied = Row.Wanted;
   Answer.IsFirstTurn = Row.IsFirstTurn;
+  Answer.IsProgramStart = Row.IsProgramStart;
+  if (Row.IsProgramStart)
+    Answer.Denied = 1;
   const auto Known = State.Quotas.find(Notice.Team);
   if (Known == State.Quotas.end())
     Answer.NextIn = UnknownTeamDelay;
+  else if (Known->second.Quota && Row.IsProgramStart)
+    takeProgramStart(State, Notice.Team, *Known->second.Quota,
+                     Row.AdmittedRequests, Answer);
   else if (Known->second.Quota)
     takeQuotaPermits(State, Notice.Team, *Known->second.Quota, Answer);
   else
     std::swap(Answer.Count, Answer.Denied);
-  Context.add(
-      CountMetric{"ledger_permits_total", "team_granted", Answer.Count});
-  Context.add(
-      CountMetric{"ledger_permits_total", "team_denied", Answer.Denied});
+  const bool IsStart = Row.IsProgramStart;
+  Context.add(CountMetric{"ledger_permits_total",
+                          IsStart ? "program_granted" : "team_granted",
+                          Answer.Count});
+  Context.add(CountMetric{"ledger_permits_total",
+                          IsStart ? "program_denied" : "team_denied",
+                          Answer.Denied});
   Context.send(Peer, std::move(Answer));
 }
 
@@ -212,7 +282,7 @@
     const double Rate =
         Issuer.Granted.ratePerSecond(State.Now, State.Options.RateHalfLife);
     const double Share =
-        quotaShare(*Known->second.Quota, memberCount(State)).PerSecond;
+        shareOf(Known->second.Quota->Rate, memberCount(State)).PerSecond;
     ByRate.emplace_back(Rate, TeamQuotaUse{*Team, Rate / Share});
   }
   std::sort(ByRate.begin(), ByRate.end(),
--- a/packages/decision/src/relay/QuotaPermits.cpp
+++ b/packages/decision/src/relay/QuotaPermits.cpp
@@ -3,12 +3,14 @@
 #include "Admission.h"
 #include "Attempts.h"
 #include "Placement.h"
+#include "Refusals.h"
 #include "RequestPermits.h"
 #include "Turns.h"
 
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 namespace tanagerlanding {
 
@@ -142,6 +144,7 @@
       Waiting.erase(Team);
   }
   Call.Quota.Asked = HolderId();
+  ++Context.State.Permits[*Call.Team].UnreportedRequests;
   Call.Quota.PermitUntil = PermitUntil;
   startAdmittedCall(Context, Call);
 }
@@ -149,6 +152,8 @@
 /// Starts a call that waits if this relay holds a permit for it.
 bool startIfPermitted(RelayContext &Context, RelayCall &Call) {
   RelayState &State = Context.State;
+  if (Call.Quota.NeedsStart)
+    return false;
   const auto Until = takePermit(State, State.Permits[*Call.Team]);
   if (Until)
     startWithPermit(Context, Call, *Until);
@@ -180,7 +185,9 @@
 void startPermittedCalls(RelayContext &Context, const TeamId &Team) {
   for (const RequestId Request : waitingCalls(Context.State, Team)) {
     RelayCall *Call = findWaiting(Context.State, Request);
-    if (Call && !startIfPermitted(Context, *Call))
+    if (!Call || Call->Quota.NeedsStart)
+      continue;
+    if (!startIfPermitted(Context, *Call))
       return;
   }
 }
@@ -194,6 +201,8 @@
   if (Found == State.Permits.end() || !Quota)
     return std::nullopt;
   const PermitStock &Stock = Found->second;
+  if (Call.Quota.NeedsStart && State.Now < Stock.NextStartAt)
+    return Stock.NextStartAt - State.Now;
   std::optional<Milliseconds> Soonest;
   for (const HolderId &Each : liveIssuers(State)) {
     const auto Known = Stock.Inquiries.find(Each);
@@ -219,6 +228,7 @@
                   {{"per_second", std::to_string(Quota.Rate.PerSecond)},
                    {"burst", std::to_string(Quota.Burst)},
                    {"first_turn", Call.Quota.IsFirstTurn ? "yes" : "no"},
+                   {"start", Call.Quota.NeedsStart ? "yes" : "no"},
                    {"denied_by", std::to_string(Call.Quota.DeniedBy.size())},
                    {"wait_ms", Wait ? RelayContext::millis(*Wait)
                                     : std::string("unknown")}});
@@ -237,6 +247,54 @@
   return Stock.OwnShare.take();
 }
 
+/// Records that a replica is asked for a call.
+void recordInquiry(const RelayState &State, QuotaClaim &Claim,
+                   const HolderId &Replica) {
+  Claim.Asked = Replica;
+  Claim.AskedAt = State.Now;
+  Claim.TimeoutAt = State.Now + State.Options.QuotaAnswerTimeout;
+}
+
+/// Returns the replica that decides on the starts of a team's programs: the
+/// first one in the team's order that has not left a request of this call
+/// without an answer. Empty if there is none.
+HolderId starterOf(const RelayState &State, const RelayCall &Call) {
+  HolderId First;
+  std::tuple<bool, std::uint64_t> FirstRank;
+  for (const HolderId &Each : liveIssuers(State)) {
+    const std::tuple<bool, std::uint64_t> Rank{
+        isSilent(State, Each), hashBytes(Call.Team->Value + '/' + Each.Value)};
+    const bool IsTried = Call.Quota.DeniedBy.count(Each) > 0;
+    if (IsTried || (!First.Value.empty() && FirstRank <= Rank))
+      continue;
+    First = Each;
+    FirstRank = Rank;
+  }
+  return First;
+}
+
+/// Asks a replica whether the program of a call may start. Refuses the call if
+/// it is known that none may.
+void askForStart(RelayContext &Context, RelayCall &Call,
+                 const RequestQuota &Quota) {
+  RelayState &State = Context.State;
+  const TeamId Team = *Call.Team;
+  PermitStock &Stock = State.Permits[Team];
+  const HolderId Starter = starterOf(State, Call);
+  if (Starter.Value.empty() || State.Now < Stock.NextStartAt) {
+    refuseForQuota(Context, Call);
+    return;
+  }
+  recordInquiry(State, Call.Quota, Starter);
+  PermitRequest::Row Row;
+  Row.Stated = TeamQuotaNotice{Team, State.Configuration->Version, Quota};
+  Row.Wanted = 1;
+  Row.IsFirstTurn = true;
+  Row.IsProgramStart = true;
+  Row.AdmittedRequests = std::exchange(Stock.UnreportedRequests, 0);
+  Context.send(Starter, PermitRequest{Context.now(), {Row}});
+}
+
 /// Asks the next replica for a call's permit. Refuses the call if all have
 /// denied it.
 void askNextIssuer(RelayContext &Context, RelayCall &Call) {
@@ -254,6 +312,10 @@
     return;
   }
   QuotaClaim &Claim = Call.Quota;
+  if (Claim.NeedsStart) {
+    askForStart(Context, Call, *Quota);
+    return;
+  }
   const std::vector<HolderId> Order =
       issuersToAsk(State, Team, Claim.IsFirstTurn);
   const auto Next =
@@ -264,9 +326,7 @@
     refuseForQuota(Context, Call);
     return;
   }
-  Claim.Asked = *Next;
-  Claim.AskedAt = State.Now;
-  Claim.TimeoutAt = State.Now + State.Options.QuotaAnswerTimeout;
+  recordInquiry(State, Claim, *Next);
   RowsByReplica Rows;
   addRow(State, Team, *Next, 1, Claim.IsFirstTurn, Rows);
   sendRows(Context, std::move(Rows));
@@ -334,6 +394,7 @@
     const bool IsSameTime = Each.Quota.AskedAt <= Answer.AskedAt &&
                             Answer.AskedAt <= Each.Quota.AskedAt;
     if (Each.Quota.Asked == Holder && IsSameTime &&
+        Each.Quota.NeedsStart == Answer.IsProgramStart &&
         Each.Quota.IsFirstTurn == Answer.IsFirstTurn)
       return &Each;
   }
@@ -350,6 +411,31 @@
     Inquiry.NextForOthers = std::max(Inquiry.NextForOthers, Next);
 }
 
+/// Handles a replica's decision on the start of a program.
+void handleStartAnswer(RelayContext &Context, const HolderId &Holder,
+                       const TeamId &Team, const PermitGrant &Answer) {
+  RelayState &State = Context.State;
+  const bool IsAllowed = Answer.Count > 0;
+  Context.count("relay_permits_total",
+                IsAllowed ? "program_granted" : "program_denied");
+  if (!IsAllowed)
+    State.Permits[Team].NextStartAt = State.Now + Answer.NextIn;
+  RelayCall *Asker = findAsker(State, Team, Holder, Answer);
+  if (!Asker)
+    return;
+  if (!IsAllowed) {
+    refuseForQuota(Context, *Asker);
+    return;
+  }
+  // From now on the program is one under way.
+  Asker->Quota.NeedsStart = false;
+  Asker->Quota.IsFirstTurn = false;
+  Asker->Quota.DeniedBy.clear();
+  Asker->Quota.Asked = HolderId();
+  if (!startIfPermitted(Context, *Asker))
+    askNextIssuer(Context, *Asker);
+}
+
 } // namespace
 
 void admitWithinQuota(RelayContext &Context, RelayCall &Call) {
@@ -363,6 +449,7 @@
   Stock.Requested.add(1, State.Now, State.Options.RateHalfLife);
   Stock.RequestedAt = State.Now;
   Call.Quota.IsFirstTurn = startsProgram(State, Call);
+  Call.Quota.NeedsStart = Call.Quota.IsFirstTurn;
   Call.Phase = RelayPhase::AwaitingQuota;
   const RequestId Request = Call.Request;
   State.CallsAwaitingQuota[Team].insert(Request);
@@ -404,6 +491,10 @@
   }
   State.SilentIssuersUntil.erase(Holder);
   State.NoIssuerSince.reset();
+  if (Answer.IsProgramStart) {
+    handleStartAnswer(Context, Holder, Team, Answer);
+    return;
+  }
   const bool IsLate = ValidUntil <= State.Now;
   Context.add(CountMetric{"relay_permits_total",
                           IsLate ? "team_unused" : "team_granted",
@@ -470,12 +561,11 @@
 }
 
 Milliseconds quotaRetryAfter(RelayState &State, const RelayCall &Call) {
-  const Milliseconds Wait = std::max(
-      State.Options.MinQuotaRetryAfter,
-      timeToNextPermit(State, Call).value_or(State.Options.RetryAfter));
-  std::uniform_real_distribution<double> Spread(1, 2);
-  return Milliseconds(static_cast<std::int64_t>(
-      Spread(State.Random) * static_cast<double>(Wait.count())));
+  return spreadRetryAfter(
+      State,
+      std::max(
+          State.Options.MinQuotaRetryAfter,
+          timeToNextPermit(State, Call).value_or(State.Options.RetryAfter)));
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/tests/QuotaIssuingTest.cpp
+++ b/packages/decision/tests/QuotaIssuingTest.cpp
@@ -59,6 +59,24 @@
     return std::nullopt;
   }
 
+  /// Asks whether a program may start, after a number of admitted requests.
+  PermitGrant askStart(std::uint32_t AdmittedRequests = 0) {
+    PermitRequest::Row Row;
+    Row.Stated = TeamQuotaNotice{Team, ConfigVersion(0),
+                                 RequestQuota{RequestRate{1}, 1}};
+    Row.Wanted = 1;
+    Row.IsFirstTurn = true;
+    Row.IsProgramStart = true;
+    Row.AdmittedRequests = AdmittedRequests;
+    const PermitRequest Request{Instant{Milliseconds(7)}, {Row}};
+    for (const LedgerEffect &Each :
+         reduce(this->State, LedgerMessageReceived{HostId("relay"), Request})) {
+      if (const auto *Sent = std::get_if<SendHost>(&Each))
+        return std::get<PermitGrant>(Sent->Body);
+    }
+    return PermitGrant();
+  }
+
   std::uint32_t granted(std::uint32_t Wanted, bool IsFirstTurn = false) {
     const auto Answer = this->ask(Wanted, IsFirstTurn);
     return Answer ? Answer->Count : 0;
@@ -225,3 +243,40 @@
   CHECK(Busiest[0].UsedShare > 0.9);
   CHECK(Busiest[0].UsedShare < 1.2);
 }
+
+TEST_CASE("QuotaIssuing: a burst of programs starts only as many as the quota "
+          "serves to their end") {
+  MemberFixture Member;
+  Member.configure(1, RequestQuota{RequestRate{30}, 30});
+  int Started = 0;
+  while (Member.askStart().Count > 0)
+    ++Started;
+  // The burst holds 30 requests, and ten are assumed for a program; the last
+  // program may exceed it.
+  CHECK(Started == 4);
+  const PermitGrant Denied = Member.askStart();
+  CHECK(Denied.Denied == 1);
+  CHECK(Denied.IsProgramStart);
+  CHECK(Denied.NextIn > Milliseconds(0));
+  Member.passTime(Denied.NextIn);
+  CHECK(Member.askStart().Count == 1);
+}
+
+TEST_CASE("QuotaIssuing: programs start at the rate at which the quota serves "
+          "their requests") {
+  MemberFixture Member;
+  Member.configure(1, RequestQuota{RequestRate{30}, 30});
+  // Relays report 20 requests for each program that started.
+  std::uint32_t Unreported = 0;
+  int Started = 0;
+  for (int Tick = 0; Tick < 600; ++Tick) {
+    Member.passTime(Milliseconds(100));
+    const PermitGrant Answer = Member.askStart(Unreported);
+    Unreported = 20 * Answer.Count;
+    if (300 <= Tick)
+      Started += static_cast<int>(Answer.Count);
+  }
+  // Nine tenths of 30 requests a second for 30 s, 20 for each program.
+  CHECK(Started >= 36);
+  CHECK(Started <= 45);
+}
--- a/packages/decision/tests/RelayQuotaTest.cpp
+++ b/packages/decision/tests/RelayQuotaTest.cpp
@@ -77,6 +77,7 @@
     Answer.Denied = Row.Row.Wanted - Count;
     Answer.NextIn = NextIn;
     Answer.IsFirstTurn = Row.Row.IsFirstTurn;
+    Answer.IsProgramStart = Row.Row.IsProgramStart;
     this->apply(ReplicaMessageReceived{Row.Replica, Answer});
   }
 
@@ -375,3 +376,58 @@
   Fixture.answer(First, 1);
   CHECK(Fixture.sent() == 1);
 }
+
+TEST_CASE("RelayQuota: a program starts only once a replica lets it, also if "
+          "the relay holds permits") {
+  QuotaFixture Fixture;
+  Fixture.grant(2);
+  Fixture.call("start", "key", "/turn/x");
+  CHECK(Fixture.sent() == 0);
+  REQUIRE(Fixture.asked().size() == 1);
+  CHECK(Fixture.asked()[0].Row.IsProgramStart);
+  Fixture.answer(Fixture.asked()[0], 1);
+  CHECK(Fixture.sent() == 1);
+}
+
+TEST_CASE("RelayQuota: a program that may not start is refused at once, and no "
+          "replica is asked again until one may") {
+  QuotaFixture Fixture;
+  Fixture.call("start", "key", "/turn/x");
+  Fixture.answer(Fixture.asked().at(0), 0, Milliseconds(600));
+  REQUIRE(Fixture.all<RefuseCaller>().size() == 1);
+  const RelayRefusal First = Fixture.all<RefuseCaller>()[0].Refusal;
+  CHECK(First.Reason == RelayRefusalReason::QuotaExceeded);
+  CHECK(Milliseconds(600) <= First.RetryAfter);
+  Fixture.call("second", "key", "/turn/x");
+  CHECK(Fixture.asked().size() == 1);
+  CHECK(Fixture.all<RefuseCaller>().size() == 2);
+  // Requests of programs under way are not held back.
+  Fixture.call("tool");
+  CHECK(Fixture.all<RefuseCaller>().size() == 2);
+  Fixture.passLiveTime(24);
+  Fixture.call("third", "key", "/turn/x");
+  CHECK(Fixture.asked().back().Row.IsProgramStart);
+}
+
+TEST_CASE("RelayQuota: a relay reports the requests that it has admitted with "
+          "the next start of a program, once") {
+  QuotaFixture Fixture;
+  Fixture.grant(3);
+  for (const char *Id : {"r1", "r2", "r3"})
+    Fixture.call(Id);
+  Fixture.call("start", "key", "/turn/x");
+  Fixture.call("next", "key", "/turn/x");
+  REQUIRE(Fixture.asked().size() == 2);
+  CHECK(Fixture.asked()[0].Row.AdmittedRequests == 3);
+  CHECK(Fixture.asked()[1].Row.AdmittedRequests == 0);
+}
+
+TEST_CASE("RelayQuota: the next replica decides on starts if the first does "
+          "not answer") {
+  QuotaFixture Fixture;
+  Fixture.call("start", "key", "/turn/x");
+  Fixture.passLiveTime(7);
+  REQUIRE(Fixture.asked().size() == 2);
+  CHECK_FALSE(Fixture.asked()[0].Replica == Fixture.asked()[1].Replica);
+  CHECK(Fixture.asked()[1].Row.IsProgramStart);
+}
--- a/packages/wire/src/LimitConversions.cpp
+++ b/packages/wire/src/LimitConversions.cpp
@@ -81,6 +81,8 @@
     std::visit(StatementEncoder(*Row), Each.Stated);
     Row->wanted = Each.Wanted;
     Row->first_turn = Each.IsFirstTurn;
+    Row->program_start = Each.IsProgramStart;
+    Row->admitted = Each.AdmittedRequests;
     Table.rows.push_back(std::move(Row));
   }
   return Table;
@@ -93,6 +95,8 @@
     PermitRequest::Row Each;
     Each.Wanted = Row->wanted;
     Each.IsFirstTurn = Row->first_turn;
+    Each.IsProgramStart = Row->program_start;
+    Each.AdmittedRequests = Row->admitted;
     if (const auto Limit = Row->stated ? fromTable(*Row->stated) : std::nullopt)
       Each.Stated = *Limit;
     else if (const auto Quota =
@@ -119,6 +123,7 @@
   Table.denied = Body.Denied;
   Table.next_in_ms = Body.NextIn.count();
   Table.first_turn = Body.IsFirstTurn;
+  Table.program_start = Body.IsProgramStart;
   return Table;
 }
 
@@ -133,6 +138,7 @@
   Body.Denied = Table.denied;
   Body.NextIn = Milliseconds(Table.next_in_ms);
   Body.IsFirstTurn = Table.first_turn;
+  Body.IsProgramStart = Table.program_start;
   return Body;
 }
 
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -222,7 +222,7 @@
   TeamQuotaNotice Unusable = Notice;
   Unusable.Quota.Burst = -1;
   PermitRequest Request{Instant{Milliseconds(5)},
-                        {{Notice, 2, true}, {Unusable, 1, false}}};
+                        {{Notice, 2, true, true, 12}, {Unusable, 1, false}}};
   for (const double PerSecond : {0.0, -1.0, std::nan(""), HUGE_VAL}) {
     Unusable = Notice;
     Unusable.Quota.Rate.PerSecond = PerSecond;
@@ -238,6 +238,8 @@
   CHECK(Stated.Quota == Notice.Quota);
   CHECK(Rows[0].Wanted == 2);
   CHECK(Rows[0].IsFirstTurn);
+  CHECK(Rows[0].IsProgramStart);
+  CHECK(Rows[0].AdmittedRequests == 12);
 
   const PermitGrant Grant{TeamId("team"),  3,   Instant{Milliseconds(5)}, 2,
                           Milliseconds(9), true};
@@ -249,6 +251,11 @@
   CHECK(Read.Denied == 2);
   CHECK(Read.NextIn == Milliseconds(9));
   CHECK(Read.IsFirstTurn);
+  PermitGrant Start = Grant;
+  Start.IsProgramStart = true;
+  const auto StartAnswer = decodeMessage(encodeMessage(Start));
+  REQUIRE(StartAnswer);
+  CHECK(std::get<PermitGrant>(StartAnswer.value()).IsProgramStart);
   // The design note reckons with at most this much for a permit of a team.
   CHECK(encodeMessage(PermitRequest{Instant{Milliseconds(5)}, {{Notice, 2}}})
             .size() <= 176);
