Ask again for permits and starts of teams when the configuration changes

Cause: a relay keeps until when replicas have denied permits and starts. By a small quota this may be minutes, and a raised quota was not used until then: found by reading the diff. Ruled out: limiting the time that is kept, as Retry-After is told by it. Change: a new configuration clears what was said before. Run: decision tests of quotas, 907 assertions passed; the new test was not run without the change.

--- a/packages/decision/src/relay/QuotaPermits.cpp
+++ b/packages/decision/src/relay/QuotaPermits.cpp
@@ -552,6 +552,16 @@
   }
 }
 
+void forgetQuotaDenials(RelayState &State) {
+  for (auto &[Subject, Stock] : State.Permits) {
+    Stock.NextStartAt = Instant();
+    for (auto &[Replica, Inquiry] : Stock.Inquiries) {
+      Inquiry.NextForFirstTurns = Instant();
+      Inquiry.NextForOthers = Instant();
+    }
+  }
+}
+
 bool isActiveTeam(const RelayState &State, const TeamId &Team) {
   if (State.CallsAwaitingQuota.count(Team) > 0)
     return true;
--- a/packages/decision/src/relay/QuotaPermits.h
+++ b/packages/decision/src/relay/QuotaPermits.h
@@ -28,6 +28,10 @@
 /// Restarts the waiting time for answers after this process has stalled.
 void resetQuotaTimeouts(RelayState &State);
 
+/// Forgets until when replicas have denied permits and starts, as they said so
+/// by the quotas of the configuration before.
+void forgetQuotaDenials(RelayState &State);
+
 /// Returns whether a team has sent requests recently.
 bool isActiveTeam(const RelayState &State, const TeamId &Team);
 
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -121,6 +121,7 @@
 
   void operator()(const RelayConfigured &Event) {
     adoptConfiguration(this->Context, Event.Configuration);
+    forgetQuotaDenials(this->State);
   }
 
   void operator()(const ConfigurationKeyObserved &Event) {
--- a/packages/decision/tests/RelayQuotaTest.cpp
+++ b/packages/decision/tests/RelayQuotaTest.cpp
@@ -431,3 +431,21 @@
   CHECK_FALSE(Fixture.asked()[0].Replica == Fixture.asked()[1].Replica);
   CHECK(Fixture.asked()[1].Row.IsProgramStart);
 }
+
+TEST_CASE("RelayQuota: a raised quota is used at once, whatever the replicas "
+          "said by the one before") {
+  QuotaFixture Fixture;
+  Fixture.setQuota(RequestQuota{RequestRate{0.1}, 1});
+  Fixture.call("start", "key", "/turn/x");
+  Fixture.answer(Fixture.asked().at(0), 0, Milliseconds(100000));
+  Fixture.call("tool");
+  for (std::size_t Index = 1; Index < 4; ++Index)
+    Fixture.answer(Fixture.asked().at(Index), 0, Milliseconds(50000));
+  CHECK(Fixture.all<RefuseCaller>().size() == 2);
+  Fixture.setQuota(Quota);
+  Fixture.call("second", "key", "/turn/x");
+  Fixture.call("other-tool");
+  CHECK(Fixture.all<RefuseCaller>().size() == 2);
+  REQUIRE(Fixture.asked().size() == 6);
+  CHECK(Fixture.asked()[4].Row.IsProgramStart);
+}
