Check configurations of relays with check-config

A configuration that relays reject, or that has entries without effect, is noticed only after it is in force.

The app passes the check to package ctl, so wire names stay in platform/.

--- a/packages/ctl/include/tanagerlanding/ctl/CommandLine.h
+++ b/packages/ctl/include/tanagerlanding/ctl/CommandLine.h
@@ -3,6 +3,8 @@
 #ifndef TANAGERLANDING_CTL_COMMANDLINE_H
 #define TANAGERLANDING_CTL_COMMANDLINE_H
 
+#include "tanagerlanding/settings/ConfigurationReport.h"
+
 namespace tanagerlanding {
 
 /// Exit codes, as documented in docs/OPERATING.md.
@@ -16,8 +18,8 @@
 };
 
 /// Parses the arguments and runs the command that they name. Returns its exit
-/// code.
-int runCommandLine(int Count, char **Arguments);
+/// code. Checker knows the format of the operators' configuration.
+int runCommandLine(int Count, char **Arguments, ConfigurationChecker Checker);
 
 } // namespace tanagerlanding
 
--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 
 #include <functional>
+#include <utility>
 
 namespace tanagerlanding {
 
@@ -13,9 +14,12 @@
 /// Defines the commands and their options, and runs the chosen one.
 class CommandLine {
 public:
-  CommandLine() : App("Operates a tanagerlanding deployment") {
+  explicit CommandLine(ConfigurationChecker Checker)
+      : App("Operates a tanagerlanding deployment"),
+        Checker(std::move(Checker)) {
     this->App.require_subcommand(1);
     this->addFileCommands();
+    this->addCheckConfig();
     this->addPlatformCommands();
     this->addEntryCommands();
     this->addLoad();
@@ -75,6 +79,21 @@
     addJson(Command, this->Trace.AsJson);
   }
 
+  void addCheckConfig() {
+    CLI::App *Command =
+        this->add("check-config", "Check a configuration of relays", [this] {
+          return runCheckConfig(this->CheckConfig, this->Checker);
+        });
+    Command->add_option("file", this->CheckConfig.File, "Configuration")
+        ->required();
+    Command->add_option("--against", this->CheckConfig.Against,
+                        "Show the differences from this version");
+    Command->add_option("--targets", this->CheckConfig.Targets,
+                        "Registered targets: an object of registrations by "
+                        "target id");
+    addJson(Command, this->CheckConfig.AsJson);
+  }
+
   void addPlatformCommands() {
     CLI::App *Command =
         this->add("diff", "Show what applying a file would change",
@@ -134,8 +153,10 @@
   }
 
   CLI::App App;
+  ConfigurationChecker Checker;
   std::function<ExitCode()> Chosen;
   CheckOptions Check;
+  CheckConfigOptions CheckConfig;
   ImportOptions Import;
   TraceOptions Trace;
   DiffOptions Diff;
@@ -149,8 +170,8 @@
 
 } // namespace
 
-int runCommandLine(int Count, char **Arguments) {
-  return CommandLine().run(Count, Arguments);
+int runCommandLine(int Count, char **Arguments, ConfigurationChecker Checker) {
+  return CommandLine(std::move(Checker)).run(Count, Arguments);
 }
 
 } // namespace tanagerlanding
--- a/packages/ctl/src/Commands.h
+++ b/packages/ctl/src/Commands.h
@@ -25,6 +25,19 @@
 /// Validates settings and inventory files.
 ExitCode runCheck(const CheckOptions &Options);
 
+struct CheckConfigOptions {
+  std::string File;
+  /// The version to compare with; empty for none.
+  std::string Against;
+  /// The registered targets; empty if they are not known.
+  std::string Targets;
+  bool AsJson = false;
+};
+/// Checks a configuration of relays. Fails if there are findings; differences
+/// from the other version are none.
+ExitCode runCheckConfig(const CheckConfigOptions &Options,
+                        const ConfigurationChecker &Checker);
+
 struct ImportOptions {
   std::string File;
   /// Each is FIELD=COLUMN.
--- a/packages/settings/include/tanagerlanding/settings.h
+++ b/packages/settings/include/tanagerlanding/settings.h
@@ -6,6 +6,7 @@
 #define TANAGERLANDING_SETTINGS_H
 
 #include "tanagerlanding/settings/AssetRegister.h"
+#include "tanagerlanding/settings/ConfigurationReport.h"
 #include "tanagerlanding/settings/DocumentReader.h"
 #include "tanagerlanding/settings/InventoryDocument.h"
 #include "tanagerlanding/settings/NodeSettings.h"
