--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -5,6 +5,7 @@
 
 #include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/Inventory.h"
+#include "tanagerlanding/decision/ProgramStarts.h"
 #include "tanagerlanding/decision/Records.h"
 #include "tanagerlanding/decision/TargetLimits.h"
 #include "tanagerlanding/decision/TargetLoads.h"
@@ -224,7 +225,7 @@
     TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
     DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
     TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch,
-    TargetLoadReport, TargetLoadView>;
+    TargetLoadReport, TargetLoadView, ProgramStartRequest, ProgramStartGrant>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/TargetLimits.h
+++ b/packages/decision/include/tanagerlanding/decision/TargetLimits.h
@@ -62,6 +62,9 @@
     /// Requests of the team that the sender has admitted since its last row
     /// about the start of a program.
     std::uint32_t AdmittedRequests = 0;
+    /// For a program start: earlier starts that were allowed and whose first
+    /// turn was refused for another reason.
+    std::uint32_t ReturnedStarts = 0;
   };
   /// The time on the sender's clock, which the permits return.
   Instant AskedAt;
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -68,6 +68,14 @@
   /// the estimate.
   Milliseconds ProgramHalfLife{15000};
   Milliseconds ProgramSettleTime{2000};
+  /// How long a relay may use a granted start; how long its use of a service
+  /// counts after its last request, which it sends every 100 ms.
+  Milliseconds StartGrantLifetime{200};
+  Milliseconds StartReportLifetime{500};
+  /// The rate of starts assumed at least for the time until the next one, and
+  /// the longest time that relays are told.
+  double MinStartsPerSecond = 1;
+  Milliseconds MaxStartDelay{5000};
   /// Longer than a target lives without an answer to any relay.
   Milliseconds LimitRetention{600000};
   /// Number of streams whose origin is kept. A stream above it can't be
@@ -172,6 +180,29 @@
   std::deque<WaitingRelay> Waiting;
 };
 
+/// Starts of programs that were granted to a relay.
+struct SentStartGrant {
+  std::uint64_t Sequence = 0;
+  Instant At;
+  std::uint32_t Count = 0;
+};
+
+/// What one relay has in progress at a service.
+struct RelayStarts {
+  /// The last request, without the starts that were granted since.
+  ProgramStartRequest Report;
+  Instant ReportedAt;
+  /// Grants that are not part of the report yet.
+  std::deque<SentStartGrant> Unconfirmed;
+};
+
+/// The starts of programs at one service that this replica decides on.
+struct ServiceStarts {
+  std::map<HostId, RelayStarts> Relays;
+  std::uint64_t LastSequence = 0;
+  DecayingCount Granted;
+};
+
 /// Requests that a relay has sent to one run of a target, less those ended.
 struct ReportedSends {
   HostId Relay;
@@ -316,6 +347,7 @@
   std::map<HostId, RelayClock> RelayClocks;
   Revision ConfigurationKeyRevision;
   LoadGathering Loads;
+  std::map<ServiceName, ServiceStarts> Starts;
   /// Evidence against contents that crash their targets, for the relays.
   QuarantineTable Suspects{SharedRunPolicy{}, SharedContentLimit};
 };
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -13,6 +13,7 @@
 #include "tanagerlanding/decision/relay/EventSplitter.h"
 #include "tanagerlanding/decision/relay/RelayConfiguration.h"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -105,6 +106,19 @@
   /// be ordered, and turns of programs in progress go first.
   double StartingLoadPerSlot = 1.0;
   double OverdueLoadPerSlot = 0.85;
+  /// How much longer than at the load at which they are fastest turns may take
+  /// while programs are started, and the lowest load to which starts are
+  /// limited for it. A program's time is at least a fifth more than it takes on
+  /// idle targets, and its turns are about half of that.
+  double MaxTurnSlowdown = 1.4;
+  double MinStartLoadPerSlot = 0.5;
+  /// How often a relay tells the deciding replica what it has in progress while
+  /// no start waits, and how long a granted start may be used.
+  Milliseconds StartReportInterval{100};
+  Milliseconds StartGrantLifetime{200};
+  /// How long a turn of a program that is past its deadline is queued. Then its
+  /// caller learns at once that it has not run.
+  Milliseconds MaxOverdueQueueTime{250};
   /// The fraction of its caller's time after which a queued turn is scheduled
   /// like a turn in progress. The rest of the time is left for running it.
   double MaxQueueTimeFraction = 0.5;
@@ -315,6 +329,37 @@
   double PerRequest = 0;
 };
 
+/// The times that streams of a service took per event, by the load of their
+/// target at the start of their answers.
+struct LoadCurve {
+  static constexpr std::size_t BinsPerSlot = 8;
+  static constexpr std::size_t BinCount = 13;
+
+  struct Bin {
+    double Millis = 0;
+    std::uint32_t Samples = 0;
+  };
+
+  std::array<Bin, BinCount> Bins;
+};
+
+/// The starts of programs at one service that a replica has granted to this
+/// relay, and the exchange with that replica.
+struct StartStock {
+  /// Starts that are not used yet, and when the last of them were granted.
+  std::uint32_t Granted = 0;
+  Instant GrantedAt;
+  HolderId Decider;
+  /// The last request, and since when requests have had no answer.
+  Instant AskedAt;
+  std::optional<Instant> UnansweredSince;
+  std::uint64_t LastGrant = 0;
+  std::uint32_t ReportedInFlight = 0;
+  Instant NextStartAt;
+  /// The load limit at the last log line about it.
+  double LoggedLimit = 1;
+};
+
 /// The exchange of loads with the replica that gathers them.
 struct LoadExchange {
   std::optional<HolderId> Gatherer;
@@ -428,6 +473,8 @@
   bool IsFirstTurn = false;
   /// Whether the call starts a program that no replica has let start yet.
   bool NeedsStart = false;
+  /// Whether a replica has let the program start and nothing was sent since.
+  bool HasStart = false;
   /// The replica that has been asked for this call and has not answered; empty
   /// if there is none.
   HolderId Asked;
@@ -570,6 +617,8 @@
   /// Requests of a team that were admitted here and have not been reported, and
   /// until when no program of the team may start.
   std::uint32_t UnreportedRequests = 0;
+  /// Starts that were allowed and refused later for another reason.
+  std::uint32_t ReturnedStarts = 0;
   Instant NextStartAt;
 };
 
@@ -626,6 +675,8 @@
   /// First turns of programs that were dispatched.
   std::map<ServiceName, DecayingCount> StartRates;
   std::map<ServiceName, DecayingCount> UsualStartRates;
+  std::map<ServiceName, StartStock> ProgramStarts;
+  std::map<ServiceName, LoadCurve> LoadCurves;
   /// Invalid limits that have been logged.
   std::set<std::pair<TargetRun, std::string>> ReportedInvalidLimits;
   /// Versions of targets that are no longer registered, and when they last
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -6,6 +6,7 @@
 #include "LedgerRecords.h"
 #include "PermitIssuing.h"
 #include "QuotaIssuing.h"
+#include "StartDecisions.h"
 #include "StartedStreams.h"
 #include "SuspectReplication.h"
 #include "TargetLoadGathering.h"
@@ -126,6 +127,9 @@
   void operator()(const PermitRequest &Request) {
     handlePermitRequest(this->Context, this->Peer, Request);
   }
+  void operator()(const ProgramStartRequest &Request) {
+    handleStartRequest(this->Context, this->Peer, Request);
+  }
   void operator()(const TargetLoadReport &Report) {
     handleTargetLoadReport(this->Context, this->Peer, Report);
   }
@@ -185,6 +189,7 @@
     retryPull(this->Context);
     issueWaitingPermits(this->Context);
     sendTargetLoadViews(this->Context);
+    expireStartReports(this->State);
     reconcileMembership(this->Context);
   }
 
--- a/packages/decision/src/ledger/QuotaIssuing.cpp
+++ b/packages/decision/src/ledger/QuotaIssuing.cpp
@@ -150,6 +150,12 @@
   }
 }
 
+/// Takes back starts that relays could not use.
+void returnStarts(ProgramCounts &Counts, std::uint32_t Returned) {
+  for (; Returned > 0 && !Counts.Recent.empty(); --Returned)
+    Counts.Recent.pop_back();
+}
+
 /// Returns the requests that a program of a team sends on average: by the
 /// programs of the team or, while there are few, by those of all teams.
 double programCost(const LedgerState &State, const PermitIssuer &Issuer) {
@@ -162,7 +168,7 @@
 /// quota. Relays ask one member for all starts of a team, so this bucket is
 /// that of the whole quota.
 void takeProgramStart(LedgerState &State, const TeamId &Team,
-                      const RequestQuota &Quota, std::uint32_t Admitted,
+                      const RequestQuota &Quota, const PermitRequest::Row &Row,
                       PermitGrant &Answer) {
   PermitIssuer &Issuer = issuerOf(State, Team, Quota, memberCount(State));
   const double Capacity = Quota.Burst + 1;
@@ -173,9 +179,14 @@
                          Quota.Rate.PerSecond};
   Budget.accrue(Rate, State.Now, Capacity);
   for (ProgramCounts *Counts : {&Issuer.Programs, &State.AllPrograms}) {
-    Counts->Requests.add(Admitted, State.Now, State.Options.ProgramHalfLife);
+    Counts->Requests.add(Row.AdmittedRequests, State.Now,
+                         State.Options.ProgramHalfLife);
     countSettledStarts(State, *Counts);
+    returnStarts(*Counts, Row.ReturnedStarts);
   }
+  Budget.Available = std::min(
+      Capacity, Budget.Available +
+                    Row.ReturnedStarts * programCost(State, Issuer));
   if (Budget.Available < 1) {
     const double Seconds = (1 - Budget.Available) / Rate.PerSecond;
     Answer.NextIn =
@@ -256,7 +267,7 @@
     Answer.NextIn = UnknownTeamDelay;
   else if (Known->second.Quota && Row.IsProgramStart)
     takeProgramStart(State, Notice.Team, *Known->second.Quota,
-                     Row.AdmittedRequests, Answer);
+                     Row, Answer);
   else if (Known->second.Quota)
     takeQuotaPermits(State, Notice.Team, *Known->second.Quota, Answer);
   else
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -7,6 +7,7 @@
 #include "Directory.h"
 #include "Hedging.h"
 #include "LimitObservations.h"
+#include "LoadCurve.h"
 #include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestPermits.h"
@@ -249,8 +250,10 @@
                          IsFailed ? "failed_answer" : "unsigned_answer");
     return;
   }
-  if (isSuccess(*Call.Head))
+  if (isSuccess(*Call.Head)) {
     recordCompletion(Context, Call);
+    recordLoadSample(Context.State, Call);
+  }
   if (!isStreamed(Call))
     deliverBufferedAnswer(Context, Call);
   else if (Call.Splitter.hasPartialEvent())
@@ -450,6 +453,7 @@
   addOutstanding(State, Call.Target);
   State.SendRates[Call.Service].add(1, State.Now, State.Options.RateHalfLife);
   recordTurn(State, Call);
+  Call.Quota.HasStart = false;
   recordPromptCacheLocation(State, Call);
   Context.add(std::move(Send));
   return true;
--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -2,6 +2,8 @@
 
 #include "Attempts.h"
 #include "Placement.h"
+#include "ProgramStarts.h"
+#include "ReplicaRanking.h"
 #include "Turns.h"
 
 #include <algorithm>
@@ -15,13 +17,34 @@
 /// Count of recent turns below which a team's count is removed.
 constexpr double NegligibleTurns = 0.01;
 
+/// The part of its program's time for which a first turn may be queued where
+/// starts are limited. A program's time is at least a fifth more than it takes
+/// on idle targets, and its turns need most of that while targets are busy.
+constexpr double MaxLimitedStartDelayFraction = 0.1;
+/// The part of its time that a program may have lost by refusals of its first
+/// turn and still meet its deadline.
+constexpr double MaxLostTimeFraction = 0.2;
+
 /// Returns whether this is the first turn of the call's program that the ledger
-/// and this relay know of.
+/// and this relay know of. Where starts are limited, a program whose first turn
+/// was refused has not begun.
 bool isFirstTurn(const RelayState &State, const RelayCall &Call) {
-  return !Call.InboundRequest.PreviousTurn && !hasClaimsOfOtherTurns(Call) &&
+  const OtherTurns Others = otherTurnsOf(Call);
+  const bool HasBegun =
+      Others.Begun > 0 || (!hasOverloadControl(State) && Others.Refused > 0);
+  return !Call.InboundRequest.PreviousTurn && !HasBegun &&
          !hasPromptCacheLocation(State, Call);
 }
 
+/// Returns whether a program has lost too much time by refusals of its first
+/// turn to meet its deadline. Each has cost the shortest retry delay at least.
+bool hasLostTooMuchTime(const RelayState &State, const RelayCall &Call) {
+  const std::size_t Refused = otherTurnsOf(Call).Refused;
+  const auto Lost = static_cast<double>(Refused) * State.Options.RetryAfter;
+  const auto Left = *Call.InboundRequest.Program->TimeLeft;
+  return MaxLostTimeFraction * Left < (1 - MaxLostTimeFraction) * Lost;
+}
+
 bool isTurn(const RelayCall &Call) {
   const auto &Program = Call.InboundRequest.Program;
   return Call.Route.IsStreaming && Program && Program->TimeLeft.has_value();
@@ -90,6 +113,39 @@
       static_cast<std::int64_t>(Share * static_cast<double>(Whole.count())));
 }
 
+/// The first turns in the queue that are more urgent than a call, and when the
+/// oldest of all was queued.
+struct StartsAhead {
+  std::size_t Count = 0;
+  Instant Oldest;
+};
+
+StartsAhead startsAheadOf(const RelayState &State, const RelayCall &Call) {
+  const QueueOrder Own = queueOrderOf(State, Call);
+  StartsAhead Found{0, State.Now};
+  for (const RequestId Request : State.QueuedCalls) {
+    const RelayCall &Each = State.Calls.at(Request);
+    if (!(Each.Service == Call.Service) || !isStart(State, Each))
+      continue;
+    Found.Oldest = std::min(Found.Oldest, Each.QueuedAt);
+    Found.Count += queueOrderOf(State, Each) < Own;
+  }
+  return Found;
+}
+
+/// Returns how long a turn may be queued; absent if overload control does not
+/// limit it.
+std::optional<Milliseconds> queueTimeLimitOf(const RelayState &State,
+                                             const RelayCall &Call) {
+  if (!hasOverloadControl(State))
+    return std::nullopt;
+  if (isStart(State, Call))
+    return startDelayLimitOf(State, Call);
+  if (schedulingClassOf(State, Call) == SchedulingClass::Overdue)
+    return State.Options.MaxOverdueQueueTime;
+  return std::nullopt;
+}
+
 } // namespace
 
 bool hasReachedQueueTimeLimit(const RelayState &State, const RelayCall &Call) {
@@ -117,6 +173,8 @@
     return SchedulingClass::Overdue;
   if (!isFirstTurn(State, Call))
     return SchedulingClass::InProgress;
+  if (hasOverloadControl(State) && hasLostTooMuchTime(State, Call))
+    return SchedulingClass::Overdue;
   const Milliseconds Slack =
       fractionOf(*Program->TimeLeft, State.Options.MaxStartDelayFraction);
   return Waited < Slack ? SchedulingClass::Starting : SchedulingClass::Overdue;
@@ -163,31 +221,34 @@
   const RelayOptions &Options = State.Options;
   const Milliseconds Own =
       fractionOf(Call.Deadline - Call.Arrived, Options.MaxQueueTimeFraction);
-  const Milliseconds OfProgram = fractionOf(
-      *Call.InboundRequest.Program->TimeLeft, Options.MaxStartDelayFraction);
+  const Milliseconds OfProgram =
+      fractionOf(*Call.InboundRequest.Program->TimeLeft,
+                 MaxLimitedStartDelayFraction);
   return std::min(Own, OfProgram);
 }
 
-bool mayQueueStart(const RelayState &State, const RelayCall &Call) {
-  const QueueOrder Own = queueOrderOf(State, Call);
-  std::size_t Ahead = 0;
-  Instant Oldest = State.Now;
-  for (const RequestId Request : State.QueuedCalls) {
-    const RelayCall &Each = State.Calls.at(Request);
-    if (Each.Service != Call.Service || !isStart(State, Each))
-      continue;
-    Oldest = std::min(Oldest, Each.QueuedAt);
-    Ahead += queueOrderOf(State, Each) < Own;
-  }
-  if (Ahead == 0)
-    return true;
+std::optional<Milliseconds> expectedStartDelay(const RelayState &State,
+                                               const RelayCall &Call) {
+  const StartsAhead Queue = startsAheadOf(State, Call);
   const double Rate = rateOf(State, State.StartRates, Call.Service,
                              State.Options.StartRateHalfLife);
   if (Rate < State.Options.MinRequestsPerSecond)
-    return State.Now - Oldest < State.Options.UnknownStartDelayLimit;
-  const Milliseconds Expected(
-      static_cast<std::int64_t>(1000 * static_cast<double>(Ahead + 1) / Rate));
-  return Expected < startDelayLimitOf(State, Call);
+    return std::nullopt;
+  return Milliseconds(
+      static_cast<std::int64_t>(1000 * (Queue.Count + 1.0) / Rate));
+}
+
+bool mayQueueStart(const RelayState &State, const RelayCall &Call) {
+  const StartsAhead Queue = startsAheadOf(State, Call);
+  const bool IsHeldBack =
+      hasNoIssuer(State) ||
+      timeToNextStart(State, Call.Service) > Milliseconds(0);
+  if (Queue.Count == 0 || !IsHeldBack)
+    return true;
+  const auto Expected = expectedStartDelay(State, Call);
+  if (!Expected)
+    return State.Now - Queue.Oldest < State.Options.UnknownStartDelayLimit;
+  return *Expected < startDelayLimitOf(State, Call);
 }
 
 double expectedLoadPerSlot(const RelayState &State,
@@ -220,6 +281,7 @@
   const RelayOptions &Options = State.Options;
   if (!isTurn(Call))
     return;
+  recordTurnOfProgram(State, Call);
   if (Call.Team)
     State.TeamTurns[*Call.Team].add(1, State.Now, Options.RateHalfLife);
   if (!isStart(State, Call))
@@ -251,13 +313,13 @@
   return Milliseconds(0) < Limit && (!Expected || *Expected < Limit);
 }
 
-void refuseLateStarts(RelayContext &Context) {
+void refuseLateTurns(RelayContext &Context) {
   RelayState &State = Context.State;
   std::vector<RequestId> Late;
   for (const RequestId Request : State.QueuedCalls) {
     const RelayCall &Each = State.Calls.at(Request);
-    if (isLimitedStart(State, Each) &&
-        startDelayLimitOf(State, Each) <= State.Now - Each.QueuedAt)
+    const auto Limit = queueTimeLimitOf(State, Each);
+    if (Limit && *Limit <= State.Now - Each.QueuedAt)
       Late.push_back(Request);
   }
   for (const RequestId Request : Late)
@@ -291,7 +353,11 @@
   Call.Phase = RelayPhase::Queued;
   Call.QueuedAt = State.Now;
   State.QueuedCalls.insert(Request);
+  const ServiceName Service = Call.Service;
+  const bool NeedsStart = isLimitedStart(State, Call);
   dispatchQueuedCalls(Context, 1);
+  if (NeedsStart && State.QueuedCalls.count(Request) > 0)
+    requestProgramStarts(Context, Service);
   if (State.QueuedCalls.count(Request) > 0)
     Context.logCall(
         "call_waits", State.Calls.at(Request),
--- a/packages/decision/src/relay/CallQueue.h
+++ b/packages/decision/src/relay/CallQueue.h
@@ -84,9 +84,15 @@
 /// within the longest time allowed in the queue.
 bool mayAwaitPermit(const RelayState &State, const RelayCall &Call);
 
-/// Refuses first turns that have been queued for startDelayLimitOf(), where
-/// starts are limited.
-void refuseLateStarts(RelayContext &Context);
+/// Returns how long the first turn of a program would be queued at the recent
+/// rate of starts; absent if too few programs started to tell.
+std::optional<Milliseconds> expectedStartDelay(const RelayState &State,
+                                               const RelayCall &Call);
+
+/// Refuses, where starts are limited, first turns that have been queued for
+/// startDelayLimitOf(), and turns of programs past their deadline that have
+/// been for RelayOptions::MaxOverdueQueueTime.
+void refuseLateTurns(RelayContext &Context);
 
 /// Refuses queued calls that got no permit in the longest time allowed.
 void refuseStarvedCalls(RelayContext &Context);
--- a/packages/decision/src/relay/Placement.cpp
+++ b/packages/decision/src/relay/Placement.cpp
@@ -5,6 +5,7 @@
 #include "Directory.h"
 #include "LimitObservations.h"
 #include "MovingAverage.h"
+#include "ProgramStarts.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
@@ -367,10 +368,7 @@
   if (Candidates.empty())
     return HasLimitedTargets ? PlacementFailure::AwaitingPermit
                              : PlacementFailure::NoTarget;
-  const bool IsStartHeldBack = isLimitedStart(State, Call) &&
-                               State.Options.StartingLoadPerSlot <=
-                                   expectedLoadPerSlot(State, Call.Service);
-  if (IsStartHeldBack)
+  if (isLimitedStart(State, Call) && !mayStartProgram(State, Call.Service))
     return PlacementFailure::Busy;
   const Candidate *Best =
       isSuspect(State, Call) ? forSuspect(State, Candidates, Call) : nullptr;
--- a/packages/decision/src/relay/QuotaPermits.cpp
+++ b/packages/decision/src/relay/QuotaPermits.cpp
@@ -4,12 +4,12 @@
 #include "Attempts.h"
 #include "Placement.h"
 #include "Refusals.h"
+#include "ReplicaRanking.h"
 #include "RequestPermits.h"
 #include "Turns.h"
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 #include <utility>
 
 namespace tanagerlanding {
@@ -39,30 +39,6 @@
          !Inbound.ResumedAttempt && !hasPromptCacheLocation(State, Call);
 }
 
-bool isSilent(const RelayState &State, const HolderId &Replica) {
-  const auto Found = State.SilentIssuersUntil.find(Replica);
-  return Found != State.SilentIssuersUntil.end() && State.Now < Found->second;
-}
-
-/// Returns the live members of the view, those that issue permits.
-std::vector<HolderId> liveIssuers(const RelayState &State) {
-  const std::set<HolderId> Live = liveReplicas(State);
-  std::vector<HolderId> Found;
-  for (const LedgerMember &Each : State.View.allMembers()) {
-    if (Live.count(Each.Holder) > 0)
-      Found.push_back(Each.Holder);
-  }
-  return Found;
-}
-
-/// Returns whether no live member answers requests for permits.
-bool hasNoIssuer(const RelayState &State) {
-  const std::vector<HolderId> Live = liveIssuers(State);
-  return std::all_of(Live.begin(), Live.end(), [&](const HolderId &Each) {
-    return isSilent(State, Each);
-  });
-}
-
 /// Returns when a replica has the next permit after its last denial.
 Instant nextPermitAt(const PermitInquiry &Inquiry, bool IsFirstTurn) {
   return IsFirstTurn ? Inquiry.NextForFirstTurns : Inquiry.NextForOthers;
@@ -73,25 +49,17 @@
 /// small team draw on the same bucket wherever they arrive.
 std::vector<HolderId> issuersToAsk(const RelayState &State, const TeamId &Team,
                                    bool IsFirstTurn) {
-  std::vector<std::tuple<bool, std::uint64_t, HolderId>> Ranked;
+  std::vector<HolderId> Order = rankedIssuers(State, Team.Value);
   const auto Stock = State.Permits.find(Team);
-  for (const HolderId &Each : liveIssuers(State)) {
-    if (Stock != State.Permits.end()) {
-      const auto Known = Stock->second.Inquiries.find(Each);
-      const bool IsDenied =
-          Known != Stock->second.Inquiries.end() &&
-          State.Now < nextPermitAt(Known->second, IsFirstTurn);
-      if (IsDenied)
-        continue;
-    }
-    Ranked.emplace_back(isSilent(State, Each),
-                        hashBytes(Team.Value + '/' + Each.Value), Each);
-  }
-  std::sort(Ranked.begin(), Ranked.end());
-  std::vector<HolderId> Order;
-  Order.reserve(Ranked.size());
-  for (auto &[Silent, Rank, Holder] : Ranked)
-    Order.push_back(std::move(Holder));
+  if (Stock == State.Permits.end())
+    return Order;
+  const auto HasDenied = [&](const HolderId &Each) {
+    const auto Known = Stock->second.Inquiries.find(Each);
+    return Known != Stock->second.Inquiries.end() &&
+           State.Now < nextPermitAt(Known->second, IsFirstTurn);
+  };
+  Order.erase(std::remove_if(Order.begin(), Order.end(), HasDenied),
+              Order.end());
   return Order;
 }
 
@@ -259,18 +227,11 @@
 /// first one in the team's order that has not left a request of this call
 /// without an answer. Empty if there is none.
 HolderId starterOf(const RelayState &State, const RelayCall &Call) {
-  HolderId First;
-  std::tuple<bool, std::uint64_t> FirstRank;
-  for (const HolderId &Each : liveIssuers(State)) {
-    const std::tuple<bool, std::uint64_t> Rank{
-        isSilent(State, Each), hashBytes(Call.Team->Value + '/' + Each.Value)};
-    const bool IsTried = Call.Quota.DeniedBy.count(Each) > 0;
-    if (IsTried || (!First.Value.empty() && FirstRank <= Rank))
-      continue;
-    First = Each;
-    FirstRank = Rank;
+  for (HolderId &Each : rankedIssuers(State, Call.Team->Value)) {
+    if (Call.Quota.DeniedBy.count(Each) == 0)
+      return std::move(Each);
   }
-  return First;
+  return HolderId();
 }
 
 /// Asks a replica whether the program of a call may start. Refuses the call if
@@ -292,6 +253,7 @@
   Row.IsFirstTurn = true;
   Row.IsProgramStart = true;
   Row.AdmittedRequests = std::exchange(Stock.UnreportedRequests, 0);
+  Row.ReturnedStarts = std::exchange(Stock.ReturnedStarts, 0);
   Context.send(Starter, PermitRequest{Context.now(), {Row}});
 }
 
@@ -375,8 +337,7 @@
     if (!IsLost && State.Now < Claim.TimeoutAt)
       continue;
     if (!IsLost) {
-      State.SilentIssuersUntil[Claim.Asked] =
-          State.Now + State.Options.SilentIssuerTime;
+      markSilent(State, Claim.Asked);
       Context.count("relay_permits_total", "team_unanswered");
     }
     Claim.DeniedBy.insert(Claim.Asked);
@@ -429,6 +390,7 @@
   }
   // From now on the program is one under way.
   Asker->Quota.NeedsStart = false;
+  Asker->Quota.HasStart = true;
   Asker->Quota.IsFirstTurn = false;
   Asker->Quota.DeniedBy.clear();
   Asker->Quota.Asked = HolderId();
@@ -475,6 +437,8 @@
                           Stock != State.Permits.end();
   if (IsReturned)
     addPermits(Stock->second, 1, *Call.Quota.PermitUntil);
+  if (Call.Quota.HasStart && Stock != State.Permits.end())
+    ++Stock->second.ReturnedStarts;
 }
 
 void handleQuotaAnswer(RelayContext &Context, const HolderId &Holder,
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -2,6 +2,7 @@
 
 #include "CallQueue.h"
 #include "CrashDetection.h"
+#include "ProgramStarts.h"
 #include "QuotaPermits.h"
 #include "StreamOrigins.h"
 
@@ -12,12 +13,16 @@
 namespace {
 
 /// Returns how long a caller should wait that was refused for lack of capacity:
-/// the time in which the calls before it are sent.
+/// the time in which the calls before it are sent or the programs before its
+/// own are started.
 Milliseconds capacityRetryAfter(RelayState &State, const RelayCall &Call) {
-  return spreadRetryAfter(
-      State,
-      std::max(State.Options.RetryAfter,
-               expectedQueueTime(State, Call).value_or(Milliseconds(0))));
+  const bool IsStart = isLimitedStart(State, Call);
+  const auto Expected = IsStart ? expectedStartDelay(State, Call)
+                                : expectedQueueTime(State, Call);
+  const Milliseconds NextStart =
+      IsStart ? timeToNextStart(State, Call.Service) : Milliseconds(0);
+  return spreadRetryAfter(State, std::max({State.Options.RetryAfter, NextStart,
+                                           Expected.value_or(NextStart)}));
 }
 
 } // namespace
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -9,6 +9,7 @@
 #include "Hedging.h"
 #include "LimitObservations.h"
 #include "Placement.h"
+#include "ProgramStarts.h"
 #include "QuotaPermits.h"
 #include "RelayContext.h"
 #include "RequestPermits.h"
@@ -73,6 +74,7 @@
     if (HasStalled) {
       resetHeartbeatTimers(this->State);
       resetQuotaTimeouts(this->State);
+      resetStartTimeouts(this->State);
       resetLoadViewTimer(this->State);
     }
     if (this->State.Options.MaxUnwatchedTime < Stalled)
@@ -86,10 +88,11 @@
     reviewCrashEvidence(this->Context);
     maintainPermits(this->Context);
     reportTargetLoads(this->Context);
-    refuseLateStarts(this->Context);
+    refuseLateTurns(this->Context);
     refuseStarvedCalls(this->Context);
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
+    maintainProgramStarts(this->Context);
     advanceDraining(this->Context);
   }
 
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -4,6 +4,7 @@
 #include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "LimitObservations.h"
+#include "ProgramStarts.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
 #include "TargetLoads.h"
@@ -368,6 +369,9 @@
   void operator()(const TargetLoadView &View) {
     handleTargetLoadView(this->Context, this->Holder, View);
   }
+  void operator()(const ProgramStartGrant &Grant) {
+    handleStartGrant(this->Context, this->Holder, Grant);
+  }
   void operator()(const PermitGrant &Grant) {
     handlePermitGrant(this->Context, this->Holder, Grant);
   }
@@ -423,11 +427,16 @@
          isContinuation(Call);
 }
 
-bool hasClaimsOfOtherTurns(const RelayCall &Call) {
+OtherTurns otherTurnsOf(const RelayCall &Call) {
   const Fingerprint Own = fingerprintOf(turnOf(Call));
-  const auto &Claims = Call.Ledger.Claims;
-  return std::any_of(Claims.begin(), Claims.end(),
-                     [&Own](const auto &Each) { return !(Each.first == Own); });
+  OtherTurns Found;
+  for (const auto &[Turn, Claim] : Call.Ledger.Claims) {
+    if (Turn == Own)
+      continue;
+    const bool IsRefused = Claim.IsSettled && Claim.Tokens == TokenCount{0};
+    ++(IsRefused ? Found.Refused : Found.Begun);
+  }
+  return Found;
 }
 
 void openTurn(RelayContext &Context, RelayCall &Call) {
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -22,9 +22,16 @@
 /// unique over all teams.
 ProgramId programOf(const RelayCall &Call);
 
-/// Returns whether other turns of the call's program have claimed tokens,
-/// according to the replicas that have answered for this call.
-bool hasClaimsOfOtherTurns(const RelayCall &Call);
+/// Other turns of a call's program that have claimed tokens, according to the
+/// replicas that have answered for the call.
+struct OtherTurns {
+  std::size_t Begun = 0;
+  /// Those that ended without any output: they were refused after they had been
+  /// opened.
+  std::size_t Refused = 0;
+};
+
+OtherTurns otherTurnsOf(const RelayCall &Call);
 
 /// Asks the ledger's replicas to claim tokens and to look up the previous turn.
 /// Once a quorum has answered, the call is dispatched or refused.
--- a/packages/decision/tests/RelayOverloadTest.cpp
+++ b/packages/decision/tests/RelayOverloadTest.cpp
@@ -239,20 +239,37 @@
     }
   }
 
+  /// Passes a request for starts to the deciding replica, and its answer back.
+  void decideStarts(int Relay, const SendToReplica &Out) {
+    LedgerState &Decider = this->Deciders[Out.Holder];
+    Decider.Now = this->Now;
+    const HostId Peer = this->Relays[Relay].State.Self;
+    for (const LedgerEffect &Each :
+         reduce(Decider, LedgerMessageReceived{Peer, Out.Body})) {
+      if (const auto *Answer = std::get_if<SendHost>(&Each))
+        this->apply(Relay, ReplicaMessageReceived{Out.Holder, Answer->Body});
+    }
+  }
+
   void answerLedger(int Relay, const SendToReplica &Out) {
     if (const auto *Open = std::get_if<OpenTurn>(&Out.Body)) {
       TurnOpened Reply;
       Reply.Operation = Open->Operation;
       Reply.Holder = Out.Holder;
-      if (this->HasClaimed[Open->Program] && Open->Claimed)
-        Reply.Claims = {TokenClaim{Fingerprint(7), TokenCount{5}, true}};
+      for (const auto &[Turn, Claim] : this->Claims[Open->Program])
+        Reply.Claims.push_back(Claim);
       this->apply(Relay, ReplicaMessageReceived{Out.Holder, Reply});
     } else if (const auto *Close = std::get_if<CloseTurn>(&Out.Body)) {
-      if (Close->IsKept)
-        this->HasClaimed[Close->Program] = true;
+      if (Close->Used) {
+        const Fingerprint Turn = fingerprintOf(Close->Turn);
+        this->Claims[Close->Program][Turn] =
+            TokenClaim{Turn, *Close->Used, true};
+      }
       this->apply(Relay,
                   ReplicaMessageReceived{
                       Out.Holder, TurnClosed{Close->Operation, Out.Holder}});
+    } else if (std::holds_alternative<ProgramStartRequest>(Out.Body)) {
+      this->decideStarts(Relay, Out);
     }
   }
 
@@ -279,10 +296,11 @@
   const Burst Played;
   std::mt19937_64 Random;
   std::deque<RelayFixture> Relays;
+  std::map<HolderId, LedgerState> Deciders;
   std::map<TargetId, FakeTarget> Targets;
   std::vector<Program> Programs;
   std::map<RequestId, std::size_t> ProgramOf;
-  std::map<ProgramId, bool> HasClaimed;
+  std::map<ProgramId, std::map<Fingerprint, TokenClaim>> Claims;
   std::uint64_t LastRequest = 0;
   Instant Start;
   Instant Now;
--- a/packages/wire/src/LimitConversions.cpp
+++ b/packages/wire/src/LimitConversions.cpp
@@ -83,6 +83,7 @@
     Row->first_turn = Each.IsFirstTurn;
     Row->program_start = Each.IsProgramStart;
     Row->admitted = Each.AdmittedRequests;
+    Row->returned = Each.ReturnedStarts;
     Table.rows.push_back(std::move(Row));
   }
   return Table;
@@ -97,6 +98,7 @@
     Each.IsFirstTurn = Row->first_turn;
     Each.IsProgramStart = Row->program_start;
     Each.AdmittedRequests = Row->admitted;
+    Each.ReturnedStarts = Row->returned;
     if (const auto Limit = Row->stated ? fromTable(*Row->stated) : std::nullopt)
       Each.Stated = *Limit;
     else if (const auto Quota =
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -4,6 +4,7 @@
 #include "LedgerConversions.h"
 #include "LimitConversions.h"
 #include "LoadConversions.h"
+#include "StartConversions.h"
 
 namespace tanagerlanding {
 
@@ -546,6 +547,10 @@
     return fromTable(*Body.AsTargetLoadReport());
   case wire::Body::TargetLoadView:
     return fromTable(*Body.AsTargetLoadView());
+  case wire::Body::ProgramStartRequest:
+    return fromTable(*Body.AsProgramStartRequest());
+  case wire::Body::ProgramStartGrant:
+    return fromTable(*Body.AsProgramStartGrant());
   }
   return std::nullopt;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -159,7 +159,11 @@
       PermitGrant{TargetRun{TargetId("t"), 7}, 2, Instant{Milliseconds(5)}},
       ConfigurationVouch{Revision(6), Instant{Milliseconds(5)}},
       TargetLoadReport{{sampleLoadRow()}},
-      TargetLoadView{{sampleLoadRow(), TargetLoadRow()}}};
+      TargetLoadView{{sampleLoadRow(), TargetLoadRow()}},
+      ProgramStartRequest{ServiceName("app"), Instant{Milliseconds(9)},
+                          {WaitingStarts{2, 3}}, 5, 40, 0.75, 6},
+      ProgramStartGrant{ServiceName("app"), Instant{Milliseconds(9)}, 2, 7,
+                        Milliseconds(30)}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
