--- a/packages/decision/src/ledger/StartDecisions.cpp
+++ b/packages/decision/src/ledger/StartDecisions.cpp
@@ -1,5 +1,7 @@
 #include "StartDecisions.h"
 
+#include "tanagerlanding/decision/StartPriority.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,6 +9,11 @@
 
 namespace {
 
+/// The part of the slots that programs which can't meet their deadline leave
+/// for others. Without it they would fill the service after a burst, and those
+/// that come next would wait for them.
+constexpr double ReservedSlotShare = 0.25;
+
 /// Drops the grants that a relay has received, which are part of what it
 /// reports, and those that it can't have used any more.
 void dropSettledGrants(const LedgerState &State, RelayStarts &Relay,
@@ -25,20 +32,29 @@
   return Sum;
 }
 
+/// Returns the slots of a service. A relay that does not know all targets yet
+/// reports fewer.
+double slotsOf(const ServiceStarts &Service) {
+  std::uint32_t Slots = 0;
+  for (const auto &[Host, Relay] : Service.Relays)
+    Slots = std::max(Slots, Relay.Report.Slots);
+  return Slots;
+}
+
 /// Returns the starts that still fit: the slots up to the load limit, less the
 /// turns in flight and the starts that were granted since relays reported.
 double freeStarts(const ServiceStarts &Service) {
   double Used = 0;
-  double Slots = 0;
   double Limits = 0;
   for (const auto &[Host, Relay] : Service.Relays) {
     Used += Relay.Report.InFlight;
     for (const SentStartGrant &Each : Relay.Unconfirmed)
       Used += Each.Count;
-    Slots = std::max<double>(Slots, Relay.Report.Slots);
     Limits += Relay.Report.LoadLimit;
   }
-  return Slots * Limits / static_cast<double>(Service.Relays.size()) - Used;
+  return slotsOf(Service) * Limits /
+             static_cast<double>(Service.Relays.size()) -
+         Used;
 }
 
 /// Returns how many of a relay's waiting starts of one priority to grant, if
@@ -56,7 +72,10 @@
       Same += Each.Priority == Wanted.Priority ? Each.Count : 0;
     }
   }
-  const double Left = Free - Before;
+  const double Reserved = Wanted.Priority == OverdueStartPriority
+                              ? ReservedSlotShare * slotsOf(Service)
+                              : 0;
+  const double Left = Free - Before - Reserved;
   if (Left < 1)
     return 0;
   const double Part = std::max(1.0, Left * Wanted.Count / Same);
--- a/packages/decision/src/relay/LoadCurve.cpp
+++ b/packages/decision/src/relay/LoadCurve.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// The highest limit. It is above one turn per slot since targets are not loaded
+/// evenly: turns wait at some while others have free slots.
+constexpr double MaxTurnLoad = 1.1;
 /// Samples from which the time at a load counts as known.
 constexpr std::uint32_t MinSamples = 20;
 /// The smallest weight of a sample in the average of its load.
@@ -69,14 +72,14 @@
   const RelayOptions &Options = State.Options;
   const auto Found = State.LoadCurves.find(Service);
   if (Found == State.LoadCurves.end())
-    return Options.StartingLoadPerSlot;
+    return MaxTurnLoad;
   const double Bound = Options.MaxTurnSlowdown * fastestMillis(Found->second);
   for (std::size_t Bin = binOf(Options.MinStartLoadPerSlot);
-       Bin < binOf(Options.StartingLoadPerSlot); ++Bin) {
+       Bin < binOf(MaxTurnLoad); ++Bin) {
     if (Bound < smoothedMillis(Found->second, Bin))
       return static_cast<double>(Bin) / LoadCurve::BinsPerSlot;
   }
-  return Options.StartingLoadPerSlot;
+  return MaxTurnLoad;
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/ProgramStarts.cpp
+++ b/packages/decision/src/relay/ProgramStarts.cpp
@@ -6,8 +6,9 @@
 #include "ReplicaRanking.h"
 #include "TargetLoads.h"
 
+#include "tanagerlanding/decision/StartPriority.h"
+
 #include <algorithm>
-#include <limits>
 
 namespace tanagerlanding {
 
@@ -16,11 +17,6 @@
 /// Changes of the learned load limit below this are not logged.
 constexpr double LoggedLimitChange = 0.1;
 
-/// The priority of programs that can't meet their deadline any more: they start
-/// after all others.
-constexpr std::uint32_t OverduePriority =
-    std::numeric_limits<std::uint32_t>::max();
-
 std::uint32_t heldStarts(const RelayState &State, const StartStock &Stock) {
   const bool IsValid =
       State.Now - Stock.GrantedAt < State.Options.StartGrantLifetime;
@@ -37,7 +33,7 @@
       continue;
     const bool IsOverdue =
         schedulingClassOf(State, Each) == SchedulingClass::Overdue;
-    ++ByPriority[IsOverdue ? OverduePriority : Each.Priority];
+    ++ByPriority[IsOverdue ? OverdueStartPriority : Each.Priority];
   }
   std::vector<WaitingStarts> Waiting;
   Waiting.reserve(ByPriority.size());
@@ -47,6 +43,7 @@
 }
 
 /// Returns the turns of programs in progress that run or are queued here.
+/// Queued turns of programs past their deadline give way to starts.
 std::uint32_t turnsInFlight(const RelayState &State,
                             const ServiceName &Service) {
   std::uint32_t Count = 0;
@@ -54,8 +51,9 @@
     const bool IsTurn = Call.Route.IsStreaming && Call.InboundRequest.Program;
     if (!IsTurn || !(Call.Service == Service))
       continue;
-    const bool IsQueued = Call.Phase == RelayPhase::Queued &&
-                          !isLimitedStart(State, Call);
+    const bool IsQueued =
+        Call.Phase == RelayPhase::Queued &&
+        schedulingClassOf(State, Call) == SchedulingClass::InProgress;
     Count += Call.Phase == RelayPhase::Running || IsQueued;
   }
   return Count;
