--- a/packages/decision/include/tanagerlanding/decision/ProgramStarts.h
+++ b/packages/decision/include/tanagerlanding/decision/ProgramStarts.h
@@ -7,10 +7,16 @@
 #include "tanagerlanding/basics.h"
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace tanagerlanding {
 
+/// The priority of programs that can't meet their deadline any more: they start
+/// after all others.
+constexpr std::uint32_t OverdueStartPriority =
+    std::numeric_limits<std::uint32_t>::max();
+
 /// First turns of one priority that wait at a relay for their program to start.
 struct WaitingStarts {
   /// 0 is the most urgent.
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -72,6 +72,9 @@
   /// counts after its last request, which it sends every 100 ms.
   Milliseconds StartGrantLifetime{200};
   Milliseconds StartReportLifetime{500};
+  /// The time over which the use of a service is averaged. Programs pause
+  /// between turns, and those that pause now come back.
+  Milliseconds StartUseWindow{500};
   /// The rate of starts assumed at least for the time until the next one, and
   /// the longest time that relays are told.
   double MinStartsPerSecond = 1;
@@ -201,6 +204,9 @@
   std::map<HostId, RelayStarts> Relays;
   std::uint64_t LastSequence = 0;
   DecayingCount Granted;
+  /// Moving average of the use by all relays, and when it was last updated.
+  double AverageUse = 0;
+  Instant AveragedAt;
 };
 
 /// Requests that a relay has sent to one run of a target, less those ended.
--- a/packages/decision/src/ledger/StartDecisions.cpp
+++ b/packages/decision/src/ledger/StartDecisions.cpp
@@ -1,7 +1,5 @@
 #include "StartDecisions.h"
 
-#include "tanagerlanding/decision/StartPriority.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -41,20 +39,37 @@
   return Slots;
 }
 
-/// Returns the starts that still fit: the slots up to the load limit, less the
-/// turns in flight and the starts that were granted since relays reported.
-double freeStarts(const ServiceStarts &Service) {
+/// Returns the turns in flight at all relays, and the starts that were granted
+/// since they reported.
+double useOf(const ServiceStarts &Service) {
   double Used = 0;
-  double Limits = 0;
   for (const auto &[Host, Relay] : Service.Relays) {
     Used += Relay.Report.InFlight;
     for (const SentStartGrant &Each : Relay.Unconfirmed)
       Used += Each.Count;
-    Limits += Relay.Report.LoadLimit;
   }
+  return Used;
+}
+
+void updateAverageUse(const LedgerState &State, ServiceStarts &Service) {
+  const auto Passed =
+      static_cast<double>((State.Now - Service.AveragedAt).count());
+  const auto Window = static_cast<double>(State.Options.StartUseWindow.count());
+  const double Weight = 1 - std::exp(-Passed / Window);
+  Service.AverageUse += Weight * (useOf(Service) - Service.AverageUse);
+  Service.AveragedAt = State.Now;
+}
+
+/// Returns the starts that still fit: the slots up to the load limit, less what
+/// is used. A short drop below the average leaves no room, since it is only
+/// that many programs pause at once.
+double freeStarts(const ServiceStarts &Service) {
+  double Limits = 0;
+  for (const auto &[Host, Relay] : Service.Relays)
+    Limits += Relay.Report.LoadLimit;
   return slotsOf(Service) * Limits /
              static_cast<double>(Service.Relays.size()) -
-         Used;
+         std::max(useOf(Service), Service.AverageUse);
 }
 
 /// Returns how many of a relay's waiting starts of one priority to grant, if
@@ -107,6 +122,7 @@
   Relay.Report = Request;
   Relay.ReportedAt = State.Now;
   dropSettledGrants(State, Relay, Request.LastGrant);
+  updateAverageUse(State, Service);
   ProgramStartGrant Answer;
   Answer.Service = Request.Service;
   Answer.AskedAt = Request.AskedAt;
--- a/packages/decision/src/relay/ProgramStarts.cpp
+++ b/packages/decision/src/relay/ProgramStarts.cpp
@@ -6,8 +6,6 @@
 #include "ReplicaRanking.h"
 #include "TargetLoads.h"
 
-#include "tanagerlanding/decision/StartPriority.h"
-
 #include <algorithm>
 
 namespace tanagerlanding {
--- a/packages/decision/tests/RelayFixture.h
+++ b/packages/decision/tests/RelayFixture.h
@@ -21,10 +21,31 @@
     this->passTime(Milliseconds(1));
   }
 
-  /// Applies an event and appends its effects to Effects.
+  /// Applies an event and appends its effects to Effects. Replicas let all
+  /// programs start at once while AreStartsGranted is set.
   void apply(const RelayEvent &Event) {
-    for (RelayEffect &Each : reduce(this->State, Event))
+    std::vector<ReplicaMessageReceived> Answers;
+    for (RelayEffect &Each : reduce(this->State, Event)) {
+      const auto *Sent = std::get_if<SendToReplica>(&Each);
+      const auto *Asked =
+          Sent ? std::get_if<ProgramStartRequest>(&Sent->Body) : nullptr;
+      if (Asked && this->AreStartsGranted)
+        Answers.push_back(
+            ReplicaMessageReceived{Sent->Holder, grantAll(*Asked)});
       this->Effects.push_back(std::move(Each));
+    }
+    for (const ReplicaMessageReceived &Each : Answers)
+      this->apply(Each);
+  }
+
+  static ProgramStartGrant grantAll(const ProgramStartRequest &Asked) {
+    ProgramStartGrant Grant;
+    Grant.Service = Asked.Service;
+    Grant.AskedAt = Asked.AskedAt;
+    Grant.Sequence = Asked.LastGrant + 1;
+    for (const WaitingStarts &Each : Asked.Waiting)
+      Grant.Count += Each.Count;
+    return Grant;
   }
 
   void passTime(Milliseconds Passed) {
@@ -184,6 +205,7 @@
 
   RelayState State;
   std::vector<RelayEffect> Effects;
+  bool AreStartsGranted = true;
 
 private:
   Instant Now;
