Wait in Proof01 until the target runs the call

Cause: the test waited a fixed 60 ms and took the call for dispatched. On a busy machine an entry may handle the request later than that. The owner is then killed before it has the call, and the caller rightly gets "not_run". In a kept trace the entry began to handle the request 106 ms after it had seen the owner's connection close; no sidecar had received the call, and it ran once. A call of 400 ms may also be answered before the fault. An owner as reported by one entry may be out of date after a start or takeover: in the same trace entry-0 listed two shards as its own 400 ms after entry-2 had claimed them.

Ruled out: a false "not_run", by that trace; a longer fixed wait, which only makes the failure rarer.

Change: the service stand-in counts runs that have begun at /starts, and the tests inject their fault after seeing the start. Calls that have to outlast the fault take 1 s. awaitOwnerOf() waits until all entries report the same owner. What is checked is unchanged; a call that does not begin now fails the test.

--- a/tests/harness/Site.cpp
+++ b/tests/harness/Site.cpp
@@ -1,7 +1,5 @@
 #include "Site.h"
 
-#include "tanagerlanding/basics.h"
-
 #include <nlohmann/json.hpp>
 
 #include <filesystem>
@@ -232,26 +230,53 @@
   return get(this->httpPort(Entry), "/v1/status");
 }
 
-unsigned Site::ownerOf(const std::string &Program, unsigned Via) const {
-  const ShardId Shard = shardOf(ProgramId(Program), this->Options.Shards);
-  const Json Status = Json::parse(this->status(Via));
+std::optional<unsigned> Site::reportedOwner(ShardId Shard, unsigned Via) const {
+  const Json Status = Json::parse(this->status(Via), nullptr, false);
+  if (!Status.is_object())
+    return std::nullopt;
   for (const Json &Each : Status["shards"]) {
     if (Each["shard"] != Shard.Value)
       continue;
     const std::string Owner = Each["owner"];
-    return static_cast<unsigned>(std::stoul(Owner.substr(Owner.find('-') + 1)));
+    const std::size_t Dash = Owner.find('-');
+    if (Dash == std::string::npos)
+      return std::nullopt;
+    return static_cast<unsigned>(std::stoul(Owner.substr(Dash + 1)));
   }
-  throw std::runtime_error("no owner reported for the program's shard");
+  return std::nullopt;
 }
 
-std::map<std::string, int> Site::executions() const {
+unsigned Site::ownerOf(const std::string &Program, unsigned Via) const {
+  const ShardId Shard = shardOf(ProgramId(Program), this->Options.Shards);
+  const std::optional<unsigned> Owner = this->reportedOwner(Shard, Via);
+  if (!Owner)
+    throw std::runtime_error("no owner reported for the program's shard");
+  return *Owner;
+}
+
+unsigned Site::awaitOwnerOf(const std::string &Program) const {
+  const ShardId Shard = shardOf(ProgramId(Program), this->Options.Shards);
+  std::optional<unsigned> Owner;
+  const bool IsAgreed = waitFor([&] {
+    Owner = this->reportedOwner(Shard, 0);
+    for (unsigned Via = 1; Owner && Via < this->Options.Entries; ++Via) {
+      if (this->reportedOwner(Shard, Via) != Owner)
+        return false;
+    }
+    return Owner.has_value();
+  });
+  if (!IsAgreed)
+    throw std::runtime_error("entries report different owners of the program");
+  return *Owner;
+}
+
+std::map<std::string, int> Site::sumCounts(const std::string &Path) const {
   std::map<std::string, int> Total;
   for (const auto &[Name, Each] : this->Nodes) {
     if (Each.Program != "tanagerlanding-standin-service" ||
         !Each.Process.isRunning())
       continue;
-    const Json Counts =
-        Json::parse(get(Each.Port, "/executions"), nullptr, false);
+    const Json Counts = Json::parse(get(Each.Port, Path), nullptr, false);
     if (!Counts.is_object())
       continue;
     for (const auto &[Body, Count] : Counts.items())
@@ -260,6 +285,14 @@
   return Total;
 }
 
+std::map<std::string, int> Site::executions() const {
+  return this->sumCounts("/executions");
+}
+
+bool Site::awaitStart(const std::string &Body) const {
+  return waitFor([&] { return this->sumCounts("/starts")[Body] > 0; });
+}
+
 std::uint16_t Site::targetPort(const std::string &Name) const {
   return this->portOf(Name + "-target");
 }
--- a/tests/harness/Site.h
+++ b/tests/harness/Site.h
@@ -8,8 +8,11 @@
 #include "FaultProxy.h"
 #include "Processes.h"
 
+#include "tanagerlanding/basics.h"
+
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace tanagerlanding::test {
@@ -97,11 +100,18 @@
   /// Returns the number of the entry that owns a program, as reported by entry
   /// Via. Throws std::runtime_error if the shard has no owner.
   unsigned ownerOf(const std::string &Program, unsigned Via) const;
+  /// Waits until all entries report the same owner of a program and returns its
+  /// number. All entries must be running. Throws std::runtime_error if they do
+  /// not agree.
+  unsigned awaitOwnerOf(const std::string &Program) const;
   /// Returns an entry's status as JSON.
   std::string status(unsigned Entry) const;
   /// Returns how often each body was run, summed over the running service
   /// targets.
   std::map<std::string, int> executions() const;
+  /// Waits until a running service target has begun to run a body. Returns
+  /// false on a timeout.
+  bool awaitStart(const std::string &Body) const;
   /// Returns the body of a target's response to GET Path, bypassing proxies;
   /// empty unless the status is 200.
   std::string queryTarget(const std::string &Name,
@@ -143,6 +153,11 @@
   void writeSettings();
   void start(const std::string &Name);
   std::uint16_t portOf(const std::string &Name) const;
+  /// Returns the owner that an entry reports for a shard, if any.
+  std::optional<unsigned> reportedOwner(ShardId Shard, unsigned Via) const;
+  /// Returns the counts that the running service targets report at Path, summed
+  /// by body.
+  std::map<std::string, int> sumCounts(const std::string &Path) const;
 
   const SiteOptions Options;
   std::string Folder;
--- a/tests/integration/Proof01AtMostOnce.cpp
+++ b/tests/integration/Proof01AtMostOnce.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint32_t Seed = 20261203;
 /// Upper bound of a takeover, with slack for a busy machine.
 constexpr std::chrono::seconds TakeoverLimit{30};
+/// Duration of calls that have to run on until a fault is injected after they
+/// were seen to begin. With 300 to 400 ms a fault on a busy machine can come
+/// too late, as processes are not scheduled for 100 ms and more there.
+const std::string RunMillis = "1000";
 
 std::future<Response> sendAsync(const Request &Call) {
   return std::async(std::launch::async, [Call] { return send(Call); });
@@ -27,22 +31,18 @@
 /// Returns an entry other than Other.
 unsigned otherEntry(unsigned Other) { return Other == 0 ? 1 : 0; }
 
-/// Waits long enough for the target to have begun to run a call.
-void awaitDispatch() {
-  std::this_thread::sleep_for(std::chrono::milliseconds(60));
-}
-
 } // namespace
 
 TEST_CASE("Proof01: the owner dies while the target runs the call") {
   Site Deployment;
   const Program Log{"log-1"};
-  const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+  const unsigned Owner = Deployment.awaitOwnerOf(Log.Id);
   const unsigned Via = otherEntry(Owner);
-  const Request Post = serviceRequest(Deployment.httpPort(Via), Log,
-                                      "/log?delay_ms=400", "find 1", "k1");
+  const Request Post =
+      serviceRequest(Deployment.httpPort(Via), Log,
+                     "/log?delay_ms=" + RunMillis, "find 1", "k1");
   auto First = sendAsync(Post);
-  awaitDispatch();
+  REQUIRE(Deployment.awaitStart("find 1"));
   Deployment.process(Site::entryName(Owner)).kill();
   const Response Lost = First.get();
   CHECK(Lost.errorRan() == "unknown");
@@ -60,7 +60,7 @@
   for (int Round = 0; Round < 8; ++Round) {
     const Program Log{"log-" + std::to_string(Round)};
     const std::string Body = "find " + std::to_string(Round);
-    const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+    const unsigned Owner = Deployment.awaitOwnerOf(Log.Id);
     const unsigned Via = otherEntry(Owner);
     const Request Post = serviceRequest(Deployment.httpPort(Via), Log,
                                         "/log?delay_ms=3", Body, "k");
@@ -81,10 +81,11 @@
 TEST_CASE("Proof01: the sidecar dies while its target runs the call") {
   Site Deployment(SiteOptions().withServices(1));
   const Program Log{"log-1"};
-  const Request Post = serviceRequest(Deployment.httpPort(0), Log,
-                                      "/log?delay_ms=300", "find 1", "k1");
+  const Request Post =
+      serviceRequest(Deployment.httpPort(0), Log, "/log?delay_ms=" + RunMillis,
+                     "find 1", "k1");
   auto First = sendAsync(Post);
-  awaitDispatch();
+  REQUIRE(Deployment.awaitStart("find 1"));
   Deployment.restart("service-0");
   const Response Result = First.get();
   CHECK(Result.errorRan() == "unknown");
@@ -98,10 +99,11 @@
 TEST_CASE("Proof01: the target dies while it runs the call") {
   Site Deployment;
   const Program Log{"log-1"};
-  const Request Post = serviceRequest(Deployment.httpPort(0), Log,
-                                      "/log?delay_ms=300", "find 1", "k1");
+  const Request Post =
+      serviceRequest(Deployment.httpPort(0), Log, "/log?delay_ms=" + RunMillis,
+                     "find 1", "k1");
   auto First = sendAsync(Post);
-  awaitDispatch();
+  REQUIRE(Deployment.awaitStart("find 1"));
   Deployment.process("service-0-target").kill();
   Deployment.process("service-1-target").kill();
   CHECK(First.get().errorRan() == "unknown");
@@ -114,10 +116,11 @@
 TEST_CASE("Proof01: the connection between target and sidecar is cut") {
   Site Deployment;
   const Program Log{"log-1"};
-  const Request Post = serviceRequest(Deployment.httpPort(0), Log,
-                                      "/log?linger_ms=300", "find 1", "k1");
+  const Request Post =
+      serviceRequest(Deployment.httpPort(0), Log, "/log?linger_ms=" + RunMillis,
+                     "find 1", "k1");
   auto First = sendAsync(Post);
-  awaitDispatch();
+  REQUIRE(Deployment.awaitStart("find 1"));
   Deployment.proxy("service-0-target").closeConnections();
   Deployment.proxy("service-1-target").closeConnections();
   CHECK(First.get().errorRan() == "unknown");
@@ -128,14 +131,17 @@
 TEST_CASE("Proof01: the response is lost between sidecar and owner") {
   Site Deployment;
   const Program Log{"log-1"};
-  const Request Post = serviceRequest(Deployment.httpPort(0), Log,
-                                      "/log?delay_ms=300", "find 1", "k1");
+  const Request Post =
+      serviceRequest(Deployment.httpPort(0), Log, "/log?delay_ms=" + RunMillis,
+                     "find 1", "k1");
   auto First = sendAsync(Post);
-  awaitDispatch();
+  REQUIRE(Deployment.awaitStart("find 1"));
   for (const char *Sidecar : {"service-0", "service-1"}) {
     Deployment.proxy(Sidecar).setDiscardingResponses(true);
   }
-  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  REQUIRE(waitFor([&] { return Deployment.executions()["find 1"] > 0; }));
+  // The run has ended; its response needs some time to reach the proxy.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
   for (const char *Sidecar : {"service-0", "service-1"}) {
     Deployment.proxy(Sidecar).setDiscardingResponses(false);
     Deployment.proxy(Sidecar).closeConnections();
@@ -170,7 +176,7 @@
   for (int Round = 0; Round < 3; ++Round) {
     const Program Log{"log-" + std::to_string(Round)};
     const std::string Body = "find " + std::to_string(Round);
-    const unsigned Owner = Deployment.ownerOf(Log.Id, 0);
+    const unsigned Owner = Deployment.awaitOwnerOf(Log.Id);
     const unsigned Via = otherEntry(Owner);
     const Request Post = serviceRequest(Deployment.httpPort(Via), Log,
                                         "/log?delay_ms=5", Body, "k");
--- a/tests/standins/service.cpp
+++ b/tests/standins/service.cpp
@@ -3,7 +3,8 @@
 ///
 /// A request to any path is counted as a run under its body; ?delay_ms=N delays
 /// the run before it is counted, ?linger_ms=N delays the response afterwards.
-/// GET /executions returns the counts; /crash ends the process.
+/// GET /executions returns the counts, GET /starts those of runs that have
+/// begun, delayed ones included; /crash ends the process.
 #include "StandinServer.h"
 
 #include <nlohmann/json.hpp>
@@ -20,9 +21,10 @@
 
 constexpr int ServerThreads = 32;
 
-/// How often each body was run.
+/// How often the run of each body was begun and counted.
 struct Executions {
   std::mutex Lock;
+  std::map<std::string, int> Starts;
   std::map<std::string, int> Counts;
 };
 
@@ -43,8 +45,17 @@
     sendJson(Response, 200, Json(State.Counts).dump());
     return;
   }
+  if (Request.resource() == "/starts") {
+    const std::lock_guard<std::mutex> Guard(State.Lock);
+    sendJson(Response, 200, Json(State.Starts).dump());
+    return;
+  }
   if (Request.resource() == "/crash")
     std::_Exit(1);
+  {
+    const std::lock_guard<std::mutex> Guard(State.Lock);
+    ++State.Starts[Request.body()];
+  }
   delay(Request, "delay_ms");
   int RunCount = 0;
   {
