Accuse a path at a relay that knows few paths if another relay accuses it

Cause: CrashingRequests, "have only their path in common", fails on a busy machine. A relay counts crashes against a path only after it has served 10 distinct paths itself. Others count them against each content, which is new each time. In a kept trace front-0, which the ordinary callers try first, counted 5 of the 25 crashes against the path within 4.3 s; the other five relays counted none, although they had its evidence 35 ms after the first crash. All nine workers crashed twice, seven a third time: 7 runs were later than 3 s after the third crash (3 allowed), and 6 ordinary requests were given up after 40 tries. How soon the path is convicted depends on the relays that the crashing requests go through.

Ruled out: more tries of the ordinary requests; the runs that are too late show a fault of the product.

Change: accusedContentOf() also accuses a path that is suspect by evidence from elsewhere, unless a request with it was answered here. RelayCrashTest plays a relay that knows no other path.

--- a/packages/decision/src/relay/RequestContent.cpp
+++ b/packages/decision/src/relay/RequestContent.cpp
@@ -22,6 +22,25 @@
   return Found == Generation.PathsOfTeam.end() ? 0 : Found->second;
 }
 
+/// Returns whether a request with the call's path was answered on its route.
+bool isAnsweredByRoute(const RelayState &State, const RelayCall &Call) {
+  const auto Found = State.PathsByRoute.find(Call.Route.Name);
+  return Found != State.PathsByRoute.end() &&
+         isAnswered(Found->second, Call.PathContent);
+}
+
+/// Returns whether the team's requests of the call's route have so many paths
+/// that these tell them apart.
+bool arePathsDistinct(const RelayState &State, const RelayCall &Call) {
+  const auto Found = State.PathsByRoute.find(Call.Route.Name);
+  if (Found == State.PathsByRoute.end())
+    return false;
+  const TeamId Team = Call.Team.value_or(TeamId());
+  return State.Options.MinDistinctPaths <=
+         pathsOf(Found->second.Newer, Team) +
+             pathsOf(Found->second.Older, Team);
+}
+
 void recordPath(RelayState &State, const RelayCall &Call, bool IsAnswered) {
   RoutePaths &Paths = State.PathsByRoute[Call.Route.Name];
   const bool WasAnswered = isAnswered(Paths, Call.PathContent);
@@ -54,17 +73,13 @@
 }
 
 Fingerprint accusedContentOf(const RelayState &State, const RelayCall &Call) {
-  const auto Found = State.PathsByRoute.find(Call.Route.Name);
-  if (Found == State.PathsByRoute.end())
+  if (isAnsweredByRoute(State, Call))
     return Call.Content;
-  const RoutePaths &Paths = Found->second;
-  const TeamId Team = Call.Team.value_or(TeamId());
-  const bool ArePathsDistinct =
-      State.Options.MinDistinctPaths <=
-      pathsOf(Paths.Newer, Team) + pathsOf(Paths.Older, Team);
-  return ArePathsDistinct && !isAnswered(Paths, Call.PathContent)
-             ? Call.PathContent
-             : Call.Content;
+  // Another relay may have served more paths of the route than this one.
+  const bool IsPathSuspect =
+      statusOf(State.Quarantine, Call.PathContent) != ContentStatus::Trusted;
+  return IsPathSuspect || arePathsDistinct(State, Call) ? Call.PathContent
+                                                        : Call.Content;
 }
 
 void recordRequestedPath(RelayState &State, const RelayCall &Call) {
--- a/packages/decision/src/relay/RequestContent.h
+++ b/packages/decision/src/relay/RequestContent.h
@@ -7,8 +7,8 @@
 ///
 /// Usually that is the whole content. Some requests that crash their targets
 /// have only their path in common. A path is accused as a whole only where
-/// requests of its route have many different paths, and none with this one has
-/// been answered.
+/// requests of its route have many different paths, here or at another relay
+/// that accuses the path, and none with this one has been answered.
 #ifndef TANAGERLANDING_DECISION_RELAY_REQUESTCONTENT_H
 #define TANAGERLANDING_DECISION_RELAY_REQUESTCONTENT_H
 
--- a/packages/decision/tests/RelayCrashTest.cpp
+++ b/packages/decision/tests/RelayCrashTest.cpp
@@ -349,6 +349,28 @@
   CHECK_FALSE(Fixture.isRefused("/once/y"));
 }
 
+// Guards against crashes that count only at the one relay that has served many
+// paths of a route, while the same path crashes targets through all relays.
+TEST_CASE(
+    "RelayCrash: a relay that knows few paths accuses a path that another "
+    "relay accuses") {
+  CrashFixture Fixture;
+  const Fingerprint Path =
+      fingerprintOfContent({"POST", "shop.example", "/once/x"});
+  SuspectNotice Notice;
+  Notice.Content = Path;
+  for (int Number = 1; Number <= 2; ++Number)
+    Notice.Crashes.push_back({TargetRun{TargetId("elsewhere"), Number},
+                              CrashExposure::BeforeOutput,
+                              Milliseconds(1000 * Number)});
+  Fixture.apply(ReplicaMessageReceived{HolderId("a"), Notice});
+  for (int Crash = 0; Crash < 2; ++Crash)
+    Fixture.crashOnce("/once/x?" + std::to_string(Crash));
+  CHECK(crashCountOf(Fixture.State.Quarantine, Path) == 4);
+  CHECK(Fixture.isRefused("/once/x?other"));
+  CHECK_FALSE(Fixture.isRefused("/once/y"));
+}
+
 TEST_CASE("RelayCrash: a path that serves many contents is not accused") {
   CrashFixture Fixture;
   for (int Content = 0; Content < 20; ++Content)
