Send the text of turns to the nearest f+1 replicas, off by default

Cause: a relay sends the whole text of a complete turn to all 2f+1 members of the view, in all zones. Copies beyond f+1 are not needed for durability.

With nearest, the text goes to a write quorum of each set of the view, live members of the own zone first, then in an order that differs by relay. The others get a stub under an operation id of its own. A further member gets the text for each one that does not confirm within 60 ms, refuses or disconnects, or if the view changes. Replicas store stubs as a new record type; a record with text replaces a stub, also in pulls. A stub reads as a missing turn in histories, and names the replicas that should have the text. A relay no longer asks the same replicas again for a turn of which they have only stubs. A page of a pull with a record of an unknown type is not decoded.

--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -52,6 +52,11 @@
   return Offered.IsSettled && !Present.IsSettled;
 }
 
+/// Returns whether a record has the text of a turn that is stored as a stub.
+bool addsText(const TurnIndexEntry &Present, const TurnRecord &Offered) {
+  return !Present.HasText && !Offered.Stub;
+}
+
 /// Adds the records of one batch to the index, with one overload for each type.
 /// The overloads return whether the batch has to be kept for the record.
 class RecordIndexer {
@@ -63,13 +68,19 @@
 
   bool operator()(const TurnRecord &Kept) {
     LedgerState &State = this->Context.State;
-    const bool IsNew =
-        State.Turns
-            .emplace(Kept.Turn, TurnIndexEntry{Kept.Previous, Kept.Target,
-                                               this->Batch, this->Expiry})
-            .second;
+    TurnIndexEntry Entry{Kept.Previous, Kept.Target, this->Batch,
+                         this->Expiry,  !Kept.Stub,  {}};
+    if (Kept.Stub)
+      Entry.TextHolders = Kept.Stub->TextHolders;
+    const auto [Present, IsNew] = State.Turns.emplace(Kept.Turn, Entry);
+    const bool IsReplaced = !IsNew && addsText(Present->second, Kept);
+    if (IsReplaced) {
+      releaseBatch(this->Context, Present->second.Batch);
+      extendExpiry(Entry.ExpiresAt, Present->second.ExpiresAt);
+      Present->second = std::move(Entry);
+    }
     extendChain(State, Kept.Turn, this->Expiry);
-    return IsNew;
+    return IsNew || IsReplaced;
   }
 
   bool operator()(const TokenClaimRecord &Claimed) {
@@ -123,8 +134,10 @@
 
 LedgerBatch withoutKnown(const LedgerState &State, LedgerBatch Batch) {
   const auto IsKnown = [&State](const LedgerRecord &Record) {
-    if (const auto *Turn = std::get_if<TurnRecord>(&Record))
-      return State.Turns.count(Turn->Turn) > 0;
+    if (const auto *Turn = std::get_if<TurnRecord>(&Record)) {
+      const auto Present = State.Turns.find(Turn->Turn);
+      return Present != State.Turns.end() && !addsText(Present->second, *Turn);
+    }
     const auto &Claimed = std::get<TokenClaimRecord>(Record);
     const auto Program = State.Programs.find(Claimed.Program);
     if (Program == State.Programs.end())
@@ -186,6 +199,11 @@
       Chain.MissingTurn = Next;
       break;
     }
+    if (!Found->second.HasText) {
+      Chain.MissingTurn = Next;
+      Chain.TextHolders = Found->second.TextHolders;
+      break;
+    }
     const StoredBatch &Batch = State.StoredBatches.at(Found->second.Batch);
     Chain.Turns.emplace_back(*Next, Batch.Place);
     Next = Found->second.Previous;
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -44,6 +44,7 @@
   /// the service above which none are sent.
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
+  TurnTextCopies TextCopies = TurnTextCopies::All;
 };
 
 /// Translations between a deployment's wire formats and the product's types.
