--- a/packages/decision/src/ledger/QuotaIssuing.cpp
+++ b/packages/decision/src/ledger/QuotaIssuing.cpp
@@ -184,9 +184,9 @@
     countSettledStarts(State, *Counts);
     returnStarts(*Counts, Row.ReturnedStarts);
   }
-  Budget.Available = std::min(
-      Capacity, Budget.Available +
-                    Row.ReturnedStarts * programCost(State, Issuer));
+  Budget.Available =
+      std::min(Capacity, Budget.Available +
+                             Row.ReturnedStarts * programCost(State, Issuer));
   if (Budget.Available < 1) {
     const double Seconds = (1 - Budget.Available) / Rate.PerSecond;
     Answer.NextIn =
@@ -266,8 +266,7 @@
   if (Known == State.Quotas.end())
     Answer.NextIn = UnknownTeamDelay;
   else if (Known->second.Quota && Row.IsProgramStart)
-    takeProgramStart(State, Notice.Team, *Known->second.Quota,
-                     Row, Answer);
+    takeProgramStart(State, Notice.Team, *Known->second.Quota, Row, Answer);
   else if (Known->second.Quota)
     takeQuotaPermits(State, Notice.Team, *Known->second.Quota, Answer);
   else
--- a/packages/decision/src/ledger/StartDecisions.cpp
+++ b/packages/decision/src/ledger/StartDecisions.cpp
@@ -138,8 +138,8 @@
     Relay.Unconfirmed.push_back(
         SentStartGrant{Answer.Sequence, State.Now, Answer.Count});
     Service.Granted.add(Answer.Count, State.Now, State.Options.RateHalfLife);
-    Context.add(CountMetric{"ledger_program_starts_total", "granted",
-                            Answer.Count});
+    Context.add(
+        CountMetric{"ledger_program_starts_total", "granted", Answer.Count});
   }
   if (waitingOf(Relay) > 0)
     Answer.NextIn = timeToNextStart(State, Service);
--- a/packages/decision/src/relay/CallQueue.cpp
+++ b/packages/decision/src/relay/CallQueue.cpp
@@ -221,9 +221,8 @@
   const RelayOptions &Options = State.Options;
   const Milliseconds Own =
       fractionOf(Call.Deadline - Call.Arrived, Options.MaxQueueTimeFraction);
-  const Milliseconds OfProgram =
-      fractionOf(*Call.InboundRequest.Program->TimeLeft,
-                 MaxLimitedStartDelayFraction);
+  const Milliseconds OfProgram = fractionOf(
+      *Call.InboundRequest.Program->TimeLeft, MaxLimitedStartDelayFraction);
   return std::min(Own, OfProgram);
 }
 
--- a/packages/decision/src/relay/LoadCurve.cpp
+++ b/packages/decision/src/relay/LoadCurve.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// The highest limit. It is above one turn per slot since targets are not loaded
-/// evenly: turns wait at some while others have free slots.
+/// The highest limit. It is above one turn per slot since targets are not
+/// loaded evenly: turns wait at some while others have free slots.
 constexpr double MaxTurnLoad = 1.1;
 /// Samples from which the time at a load counts as known.
 constexpr std::uint32_t MinSamples = 20;
@@ -18,7 +18,8 @@
 constexpr double MinWeight = 0.02;
 
 std::size_t binOf(double LoadPerSlot) {
-  const auto Bin = static_cast<std::size_t>(LoadPerSlot * LoadCurve::BinsPerSlot);
+  const auto Bin =
+      static_cast<std::size_t>(LoadPerSlot * LoadCurve::BinsPerSlot);
   return std::min(Bin, LoadCurve::BinCount - 1);
 }
 
@@ -60,8 +61,8 @@
     return;
   const double Load = static_cast<double>(Stated->Running + Stated->Waiting) /
                       slotsOf(State, Target->second);
-  const double Millis = millisOf(State.Now - Call.SentAt) / Events /
-                        Stated->Slowdown.value_or(1);
+  const double Millis =
+      millisOf(State.Now - Call.SentAt) / Events / Stated->Slowdown.value_or(1);
   LoadCurve::Bin &Bin = State.LoadCurves[Call.Service].Bins[binOf(Load)];
   ++Bin.Samples;
   updateMovingAverage(Bin.Millis, Millis,
--- a/packages/decision/src/relay/LoadCurve.h
+++ b/packages/decision/src/relay/LoadCurve.h
@@ -13,8 +13,8 @@
 void recordLoadSample(RelayState &State, const RelayCall &Call);
 
 /// Returns the load of a service, in turns per slot, up to which turns take no
-/// longer than RelayOptions::MaxTurnSlowdown allows. As long as no load is known
-/// to be too high, it is little more than one turn per slot.
+/// longer than RelayOptions::MaxTurnSlowdown allows. As long as no load is
+/// known to be too high, it is little more than one turn per slot.
 double turnLoadLimitOf(const RelayState &State, const ServiceName &Service);
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/ProgramStarts.cpp
+++ b/packages/decision/src/relay/ProgramStarts.cpp
@@ -123,8 +123,8 @@
 void replaceSilentDecider(RelayContext &Context, StartStock &Stock) {
   RelayState &State = Context.State;
   const bool IsSilent =
-      Stock.UnansweredSince && State.Options.QuotaAnswerTimeout <=
-                                   State.Now - *Stock.UnansweredSince;
+      Stock.UnansweredSince &&
+      State.Options.QuotaAnswerTimeout <= State.Now - *Stock.UnansweredSince;
   if (!IsSilent)
     return;
   markSilent(State, Stock.Decider);
@@ -139,14 +139,13 @@
   RelayState &State = Context.State;
   ProgramStartRequest Request;
   Request.Waiting = waitingStarts(State, Service);
-  Request.InFlight =
-      turnsInFlight(State, Service) + heldStarts(State, Stock);
+  Request.InFlight = turnsInFlight(State, Service) + heldStarts(State, Stock);
   const bool IsDue =
       State.Options.StartReportInterval <= State.Now - Stock.AskedAt &&
       (!Request.Waiting.empty() || Request.InFlight > 0 ||
        Stock.ReportedInFlight > 0);
-  const bool IsChanged = !Request.Waiting.empty() &&
-                         Request.InFlight != Stock.ReportedInFlight;
+  const bool IsChanged =
+      !Request.Waiting.empty() && Request.InFlight != Stock.ReportedInFlight;
   if (IsDue || IsChanged)
     sendRequest(Context, Service, Stock, std::move(Request));
 }
@@ -175,8 +174,7 @@
   StartStock &Stock = State.ProgramStarts[Service];
   ProgramStartRequest Request;
   Request.Waiting = waitingStarts(State, Service);
-  Request.InFlight =
-      turnsInFlight(State, Service) + heldStarts(State, Stock);
+  Request.InFlight = turnsInFlight(State, Service) + heldStarts(State, Stock);
   sendRequest(Context, Service, Stock, std::move(Request));
 }
 
@@ -184,9 +182,9 @@
                       const ProgramStartGrant &Grant) {
   RelayState &State = Context.State;
   const auto Found = State.ProgramStarts.find(Grant.Service);
-  const bool IsLate = Grant.AskedAt + State.Options.StartGrantLifetime <=
-                          State.Now ||
-                      State.Now < Grant.AskedAt;
+  const bool IsLate =
+      Grant.AskedAt + State.Options.StartGrantLifetime <= State.Now ||
+      State.Now < Grant.AskedAt;
   if (Found == State.ProgramStarts.end() || IsLate) {
     Context.add(
         CountMetric{"relay_program_starts_total", "unused", Grant.Count});
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -172,8 +172,13 @@
       ConfigurationVouch{Revision(6), Instant{Milliseconds(5)}},
       TargetLoadReport{{sampleLoadRow()}},
       TargetLoadView{{sampleLoadRow(), TargetLoadRow()}},
-      ProgramStartRequest{ServiceName("app"), Instant{Milliseconds(9)},
-                          {WaitingStarts{2, 3}}, 5, 40, 0.75, 6},
+      ProgramStartRequest{ServiceName("app"),
+                          Instant{Milliseconds(9)},
+                          {WaitingStarts{2, 3}},
+                          5,
+                          40,
+                          0.75,
+                          6},
       ProgramStartGrant{ServiceName("app"), Instant{Milliseconds(9)}, 2, 7,
                         Milliseconds(30)}};
 }
