Choose the copies of a turn's text by the tolerated losses

Any value but 0 keeps the copies at all replicas.

Change: with faultTolerance.machines of 2 or more and zones of 0, a relay sends the text to the nearest f+1 members, else to all. The option overrides the settings; it has no default of its own any more.

Not covered by a test: that the nearest copies are sent from a process with such a settings file. The settings of tests/harness have one tolerated loss and no zones, so they keep all copies.

Run (RelWithDebInfo): tl_platform_tests passed, 2,502 assertions in 45 cases, 28 of them in the new case; tanagerlandingd builds, and refuses other values of the option.

--- a/apps/tanagerlandingd.cpp
+++ b/apps/tanagerlandingd.cpp
@@ -51,7 +51,8 @@
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
   bool IsLoadShared = false;
-  std::string TextCopies = "all";
+  /// Empty if the settings file decides.
+  std::string TextCopies;
 };
 
 /// Largest share of extra sends that may be set.
@@ -77,9 +78,9 @@
   Relay
       .add_option("--turn-text-copies", Arguments.TextCopies,
                   "Replicas that are sent the text of a complete turn: all, or "
-                  "the nearest that make it durable")
-      ->check(CLI::IsMember({"nearest", "all"}))
-      ->capture_default_str();
+                  "the nearest that make it durable; overrides the settings "
+                  "file")
+      ->check(CLI::IsMember({"nearest", "all"}));
 }
 
 int runRelay(const platform::BootSettings &Boot,
@@ -92,8 +93,8 @@
   Settings.IsLoadShared = Arguments.IsLoadShared;
   Settings.HedgeShare = Arguments.HedgeShare;
   Settings.HedgeMaxLoad = Arguments.HedgeMaxLoad;
-  if (Arguments.TextCopies == "nearest")
-    Settings.TextCopies = TurnTextCopies::Nearest;
+  Settings.TextCopies =
+      platform::chooseTextCopies(Settings, Arguments.TextCopies);
   return report(RelayProcess(Settings, std::move(Protocols)).run());
 }
 
