--- a/packages/relay/include/tanagerlanding/relay.h
+++ b/packages/relay/include/tanagerlanding/relay.h
@@ -5,6 +5,7 @@
 #define TANAGERLANDING_RELAY_H
 
 #include "tanagerlanding/relay/AttemptClient.h"
+#include "tanagerlanding/relay/BufferBudget.h"
 #include "tanagerlanding/relay/CallerServer.h"
 #include "tanagerlanding/relay/RelayProcess.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_RELAY_ATTEMPTCLIENT_H
 #define TANAGERLANDING_RELAY_ATTEMPTCLIENT_H
 
+#include "tanagerlanding/relay/BufferBudget.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
 #include "tanagerlanding/runtime/EventLoop.h"
 
@@ -54,7 +55,7 @@
   };
 
   AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
-                Listener &Callbacks);
+                BufferBudget &Buffers, Listener &Callbacks);
   ~AttemptClient();
   AttemptClient(const AttemptClient &) = delete;
   AttemptClient &operator=(const AttemptClient &) = delete;
@@ -90,9 +91,12 @@
   void complete(const ConnectionPtr &Target);
   void fail(const ConnectionPtr &Target, AttemptEnded::Kind Outcome);
   void drop(const ConnectionPtr &Target);
+  /// Updates the budget to what a connection holds now.
+  void account(Connection &Target, std::size_t Sent, std::size_t Received);
 
   EventLoop &Loop;
   const RelayProtocol &Protocol;
+  BufferBudget &Buffers;
   Listener &Callbacks;
   std::map<RelayAttemptId, ConnectionPtr> Active;
   std::map<Endpoint, std::list<ConnectionPtr>> Idle;
--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/relay/include/tanagerlanding/relay/CallerServer.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_RELAY_CALLERSERVER_H
 #define TANAGERLANDING_RELAY_CALLERSERVER_H
 
+#include "tanagerlanding/relay/BufferBudget.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
 #include "tanagerlanding/runtime/EventLoop.h"
 
@@ -11,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace tanagerlanding {
 
@@ -33,8 +35,16 @@
     virtual void onCallerWritable(RequestId Id) = 0;
   };
 
+  /// A connection that was ended because the budget was full.
+  struct EndedConnection {
+    UnreadQueue Queue;
+    /// The request being served or, if its response was complete in the queue,
+    /// the last one.
+    CallerAttemptId Attempt;
+  };
+
   CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
-               Listener &Callbacks);
+               BufferBudget &Buffers, Listener &Callbacks);
   ~CallerServer();
   CallerServer(const CallerServer &) = delete;
   CallerServer &operator=(const CallerServer &) = delete;
@@ -55,10 +65,18 @@
   void sendBody(RequestId Request, const std::string &Bytes);
   /// Returns the number of bytes of a response that are not sent yet.
   std::size_t queuedBytes(RequestId Request) const;
+  /// Returns how long the oldest of those bytes has been queued.
+  Milliseconds unreadAge(RequestId Request) const;
   void finishResponse(RequestId Request);
   /// Closes the connection in the middle of a response.
   void abort(RequestId Request);
 
+  /// Resets the connections with the oldest unread bytes until the budget is no
+  /// longer full, so that none of their responses seems complete.
+  std::vector<EndedConnection> endOldestUnread();
+  /// Returns the requests whose responses are in progress.
+  std::vector<RequestId> requestsInProgress() const;
+
   /// While set, each connection is closed after its next response.
   void setDraining(bool ShouldDrain) { this->IsDraining = ShouldDrain; }
   /// Stops accepting connections and closes those without a request.
@@ -83,12 +101,18 @@
   void flush(const ConnectionPtr &Caller);
   void completeResponse(const ConnectionPtr &Caller);
   void close(const ConnectionPtr &Caller);
+  /// Makes the end of a connection an error for the caller.
+  void resetOnClose(Connection &Caller);
+  /// Updates the budget after a change of a connection's buffers.
+  void account(Connection &Caller);
+  void accountAs(Connection &Caller, std::size_t Received, std::size_t Queued);
   void checkTimeouts();
   ConnectionPtr findConnection(RequestId Request) const;
   bool shouldClose(const Connection &Caller) const;
 
   EventLoop &Loop;
   const RelayProtocol &Protocol;
+  BufferBudget &Buffers;
   Listener &Callbacks;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::steady_timer AcceptRetryTimer;
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,10 @@
   /// the service above which none are sent.
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
+  TurnTextCopies TextCopies = TurnTextCopies::All;
+  /// Bytes that all buffers to callers and from targets may hold together;
+  /// absent: no such limit.
+  std::optional<std::size_t> BufferBytes;
 };
 
 /// Translations between a deployment's wire formats and the product's types.
@@ -108,7 +113,19 @@
   /// Stops or continues reading from the target whose response is sent to a
   /// caller.
   void setTargetPaused(RequestId Request, bool ShouldPause);
+  void refuseForMemory(RequestId Id, const CallerRequest &Request);
+  /// Returns whether more is queued for a caller than its allowance.
+  bool isCallerBehind(RequestId Request) const;
+  /// Ends connections while the budget for buffers is full, and logs when it
+  /// becomes full or free.
+  void enforceBufferBudget();
+  /// Adds what the calls in progress hold to the budget.
+  void accountCalls();
+  /// Continues or pauses reading from targets by what their callers have not
+  /// read.
+  void reviewPausedTargets();
   void publishMetrics();
+  void publishBufferMetrics();
   void stopWhenFlushed();
 
   const RelaySettings Settings;
@@ -119,6 +136,11 @@
   ConnectionHub Hub;
   KeyValueClient Service;
   KeyWatcher Keys;
+  BufferBudget Buffers;
+  /// What the budget counts for calls in progress.
+  std::size_t CountedHistories = 0;
+  std::size_t CountedAnswers = 0;
+  bool IsFullLogged = false;
   CallerServer Callers;
   AttemptClient Targets;
   std::atomic<bool> IsReady{false};
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -79,13 +79,16 @@
   bool IsPaused = false;
   /// Whether the response being read belongs to another request.
   bool IsDiscarding = false;
+  /// What the budget counts for this connection.
+  std::size_t CountedSent = 0;
+  std::size_t CountedReceived = 0;
   Milliseconds KeepAlive = DefaultKeepAlive;
   Instant UnusedSince;
 };
 
 AttemptClient::AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
-                             Listener &Callbacks)
-    : Loop(Loop), Protocol(Protocol), Callbacks(Callbacks) {}
+                             BufferBudget &Buffers, Listener &Callbacks)
+    : Loop(Loop), Protocol(Protocol), Buffers(Buffers), Callbacks(Callbacks) {}
 
 AttemptClient::~AttemptClient() = default;
 
@@ -107,6 +110,7 @@
   Target->Remote = Remote;
   Target->Current = std::move(NewRequest);
   this->Active[Attempt] = Target;
+  this->account(*Target, Target->Current.Body.size(), 0);
   if (IsReused)
     this->start(Target);
   else
@@ -195,6 +199,8 @@
 }
 
 void AttemptClient::read(const ConnectionPtr &Target) {
+  if (Target->IsPaused && !Target->IsReading && Target->Input.size() == 0)
+    Target->Input.shrink_to_fit();
   if (Target->IsReading || Target->IsPaused)
     return;
   Target->IsReading = true;
@@ -229,8 +235,10 @@
       (!Target->HasHead && MaxBytesBeforeHead < Target->BytesBeforeHead);
   if (IsTooLong)
     this->fail(Target, AttemptEnded::Kind::Broken);
-  if (Target->IsOpen)
-    this->read(Target);
+  if (!Target->IsOpen)
+    return;
+  this->account(*Target, Target->CountedSent, Target->Input.size());
+  this->read(Target);
 }
 
 void AttemptClient::parse(const ConnectionPtr &Target) {
@@ -330,6 +338,7 @@
   this->Active.erase(Attempt);
   Target->Parser.reset();
   Target->Current = Request();
+  this->account(*Target, 0, 0);
   Target->IsPaused = false;
   std::list<ConnectionPtr> &IdleConnections = this->Idle[Target->Remote];
   if (IsReusable && IdleConnections.size() < IdleLimit) {
@@ -402,8 +411,18 @@
       });
 }
 
+void AttemptClient::account(Connection &Target, std::size_t Sent,
+                            std::size_t Received) {
+  this->Buffers.resize(BufferKind::Histories, Target.CountedSent, Sent);
+  this->Buffers.resize(BufferKind::TargetAnswers, Target.CountedReceived,
+                       Received);
+  Target.CountedSent = Sent;
+  Target.CountedReceived = Received;
+}
+
 void AttemptClient::drop(const ConnectionPtr &Target) {
   Target->IsOpen = false;
+  this->account(*Target, 0, 0);
   Target->Current.Attempt = RelayAttemptId();
   Target->ConnectTimer.cancel();
   boost::system::error_code Ignored;
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t ReadBytes = 16 * 1024;
 /// Maximum number of bytes buffered while a response is pending.
 constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
+/// Delay that a caller is asked for whose request body found the budget full;
+/// ending connections frees an eighth of the budget within one tick.
+constexpr Milliseconds FullRetryAfter{400};
 constexpr unsigned Http10 = 10;
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -71,17 +74,28 @@
   BodyFraming::Kind Framing = BodyFraming::Kind::None;
   std::string Writing;
   std::string Queued;
+  /// Since when the oldest bytes of Writing and Queued wait.
+  Instant WritingSince;
+  Instant QueuedSince;
+  /// Size of the body of the request being served.
+  std::size_t ServedBodyBytes = 0;
+  /// What the budget counts for this connection.
+  std::size_t CountedReceived = 0;
+  std::size_t CountedQueued = 0;
   bool IsWriting = false;
   bool ShouldCloseWhenWritten = false;
   bool IsLingering = false;
+  /// Whether the rest of a refused request's body is still being received,
+  /// which must not be taken for another request.
+  bool IsInputDiscarded = false;
   /// Start of the current wait: for a request, for the rest of its header, or
   /// for the end of the connection.
   Instant WaitStart;
 };
 
 CallerServer::CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
-                           Listener &Callbacks)
-    : Loop(Loop), Protocol(Protocol), Callbacks(Callbacks),
+                           BufferBudget &Buffers, Listener &Callbacks)
+    : Loop(Loop), Protocol(Protocol), Buffers(Buffers), Callbacks(Callbacks),
       Acceptor(Loop.context()), AcceptRetryTimer(Loop.context()),
       TimeoutTimer(Loop.context()) {
   this->checkTimeouts();
@@ -147,16 +161,17 @@
     this->close(Caller);
     return;
   }
-  if (Caller->IsLingering)
+  if (Caller->IsLingering || Caller->IsInputDiscarded)
     Caller->Input.consume(Caller->Input.size());
   else if (Caller->Current.Value == 0)
     this->parse(Caller);
+  this->account(*Caller);
   this->read(Caller);
 }
 
 void CallerServer::parse(const ConnectionPtr &Caller) {
   while (Caller->Input.size() > 0 && Caller->Current.Value == 0 &&
-         !Caller->IsLingering) {
+         !Caller->IsLingering && !Caller->IsInputDiscarded) {
     if (!Caller->Parser) {
       Caller->Parser =
           std::make_unique<http::request_parser<http::string_body>>();
@@ -185,6 +200,10 @@
       this->handleRequest(Caller);
       continue;
     }
+    if (Caller->Parser->is_header_done() && this->Buffers.isFull()) {
+      this->rejectRequest(Caller, RelayRefusalReason::Overloaded);
+      return;
+    }
     const bool IsContinueExpected =
         Caller->Parser->is_header_done() && !Caller->HasSentContinue &&
         boost::beast::iequals(Message[http::field::expect], "100-continue");
@@ -215,6 +234,8 @@
   }
   Caller->Current = RequestId(this->NextRequest++);
   Caller->CurrentAttempt = Decoded.value().Id;
+  Caller->ServedBodyBytes = Decoded.value().Body.size();
+  this->account(*Caller);
   this->Requests[Caller->Current] = Caller->Id;
   this->Callbacks.onCallerRequest(Caller->Current, std::move(Decoded.value()));
 }
@@ -225,7 +246,15 @@
                                {"connection", std::to_string(Caller->Id)}});
   Caller->IsCloseRequested = true;
   Caller->CurrentAttempt = CallerAttemptId();
-  this->writeRefusal(Caller, RelayRefusal{Reason, Execution::NotRun, {}});
+  const Milliseconds RetryAfter = Reason == RelayRefusalReason::Overloaded
+                                      ? FullRetryAfter
+                                      : Milliseconds(0);
+  if (Reason == RelayRefusalReason::Overloaded) {
+    Caller->Parser.reset();
+    Caller->IsInputDiscarded = true;
+  }
+  this->writeRefusal(Caller,
+                     RelayRefusal{Reason, Execution::NotRun, RetryAfter});
   this->completeResponse(Caller);
 }
 
@@ -293,14 +322,65 @@
   // A truncated chunked or fixed-length body is recognizably incomplete. A body
   // delimited by the end of the connection is so only if the connection is
   // reset.
-  if (Caller->Framing == BodyFraming::Kind::UntilClose) {
-    boost::system::error_code Ignored;
-    Caller->Socket.set_option(boost::asio::socket_base::linger(true, 0),
-                              Ignored);
-  }
+  if (Caller->Framing == BodyFraming::Kind::UntilClose)
+    this->resetOnClose(*Caller);
   this->close(Caller);
 }
 
+void CallerServer::resetOnClose(Connection &Caller) {
+  boost::system::error_code Ignored;
+  Caller.Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+}
+
+std::vector<CallerServer::EndedConnection> CallerServer::endOldestUnread() {
+  std::vector<EndedConnection> Ended;
+  if (!this->Buffers.isFull())
+    return Ended;
+  std::vector<UnreadQueue> Queues;
+  for (const auto &[Id, Caller] : this->Connections) {
+    if (Caller->IsWriting)
+      Queues.push_back({CallerConnectionId(Id), Caller->CountedQueued,
+                        Caller->WritingSince});
+  }
+  for (const CallerConnectionId Id : this->Buffers.selectEnded(Queues)) {
+    const auto Found = this->Connections.find(Id.Value);
+    if (Found == this->Connections.end())
+      continue;
+    const ConnectionPtr Caller = Found->second;
+    Ended.push_back({{Id, Caller->CountedQueued, Caller->WritingSince},
+                     Caller->CurrentAttempt});
+    this->resetOnClose(*Caller);
+    this->close(Caller);
+  }
+  return Ended;
+}
+
+std::vector<RequestId> CallerServer::requestsInProgress() const {
+  std::vector<RequestId> Found;
+  for (const auto &[Request, Connection] : this->Requests)
+    Found.push_back(Request);
+  return Found;
+}
+
+void CallerServer::account(Connection &Caller) {
+  // A closed connection is released by close().
+  if (this->Connections.count(Caller.Id) == 0)
+    return;
+  const std::size_t Parsed =
+      Caller.Parser ? Caller.Parser->get().body().capacity() : 0;
+  this->accountAs(Caller, Caller.Input.size() + Parsed + Caller.ServedBodyBytes,
+                  Caller.Queued.capacity() + Caller.Writing.capacity());
+}
+
+void CallerServer::accountAs(Connection &Caller, std::size_t Received,
+                             std::size_t Queued) {
+  this->Buffers.resize(BufferKind::RequestBodies, Caller.CountedReceived,
+                       Received);
+  this->Buffers.resize(BufferKind::QueuedAnswers, Caller.CountedQueued, Queued);
+  Caller.CountedReceived = Received;
+  Caller.CountedQueued = Queued;
+}
+
 bool CallerServer::shouldClose(const Connection &Caller) const {
   return Caller.IsCloseRequested || this->IsDraining;
 }
@@ -308,6 +388,8 @@
 void CallerServer::completeResponse(const ConnectionPtr &Caller) {
   this->Requests.erase(Caller->Current);
   Caller->Current = RequestId();
+  Caller->ServedBodyBytes = 0;
+  this->account(*Caller);
   Caller->WaitStart = this->Loop.now();
   if (this->shouldClose(*Caller)) {
     Caller->ShouldCloseWhenWritten = true;
@@ -326,8 +408,17 @@
 }
 
 void CallerServer::write(const ConnectionPtr &Caller, std::string Bytes) {
+  if (Caller->Queued.empty())
+    Caller->QueuedSince = this->Loop.now();
   Caller->Queued += Bytes;
   this->flush(Caller);
+  this->account(*Caller);
+}
+
+Milliseconds CallerServer::unreadAge(RequestId Request) const {
+  const ConnectionPtr Caller = this->findConnection(Request);
+  return Caller && Caller->IsWriting ? this->Loop.now() - Caller->WritingSince
+                                     : Milliseconds(0);
 }
 
 std::size_t CallerServer::queuedBytes(RequestId Request) const {
@@ -344,11 +435,13 @@
   if (!Caller->Queued.empty()) {
     Caller->IsWriting = true;
     Caller->Writing.swap(Caller->Queued);
-    Caller->Queued.clear();
+    Caller->WritingSince = Caller->QueuedSince;
     boost::asio::async_write(
         Caller->Socket, boost::asio::buffer(Caller->Writing),
         [this, Caller](const auto &Error, std::size_t) {
           Caller->IsWriting = false;
+          // Releases the memory, which an idle connection would keep.
+          Caller->Writing = std::string();
           if (this->Connections.count(Caller->Id) == 0)
             return;
           if (Error) {
@@ -356,6 +449,7 @@
             return;
           }
           this->flush(Caller);
+          this->account(*Caller);
           if (!Caller->IsWriting && Caller->Current.Value != 0)
             this->Callbacks.onCallerWritable(Caller->Current);
         });
@@ -373,6 +467,7 @@
 void CallerServer::close(const ConnectionPtr &Caller) {
   if (this->Connections.erase(Caller->Id) == 0)
     return;
+  this->accountAs(*Caller, 0, 0);
   boost::system::error_code Ignored;
   Caller->Socket.close(Ignored);
   const RequestId Disconnected = Caller->Current;
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -22,8 +22,11 @@
 /// its target once it was decided on, and for the precision of the clock.
 constexpr Milliseconds RevocationMargin{250};
 constexpr Milliseconds FlushPollInterval{5};
-/// Bytes queued for a caller at which reading from its target is paused.
-constexpr std::size_t MaxQueuedResponseBytes = 256 * 1024;
+/// Bounds the time spent on the sum over all calls.
+constexpr Milliseconds AccountInterval{100};
+/// Targets cut off unread answers after seconds, so a quarter of a second is
+/// soon enough to decide again whether to read from a paused one.
+constexpr Milliseconds PauseReviewInterval{250};
 /// Part of the grace period that is reserved for the shutdown itself.
 constexpr Milliseconds StopMargin{700};
 
@@ -54,8 +57,7 @@
   }
   void operator()(const ContinueAnswer &Effect) {
     this->Owner.Callers.sendBody(Effect.Request, Effect.Bytes);
-    if (MaxQueuedResponseBytes <
-        this->Owner.Callers.queuedBytes(Effect.Request))
+    if (this->Owner.isCallerBehind(Effect.Request))
       this->Owner.setTargetPaused(Effect.Request, true);
   }
   void operator()(const FinishAnswer &Effect) {
@@ -121,8 +123,9 @@
       Hub(Loop, *this, PeerIdleTimeout),
       Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
       Keys(Loop, Service, {{}, watchTimingFor(Settings).Timeout}, *this),
-      Callers(Loop, this->Protocols.Relay, *this),
-      Targets(Loop, this->Protocols.Relay, *this),
+      Buffers(Settings.BufferBytes),
+      Callers(Loop, this->Protocols.Relay, Buffers, *this),
+      Targets(Loop, this->Protocols.Relay, Buffers, *this),
       Status(Settings.Status.Address, Settings.Status.Port,
              {[this] { return this->IsReady.load(); },
               [this] { return this->ProcessMetrics.render(); }}),
@@ -161,8 +164,16 @@
     return Listening;
   if (auto Serving = this->Status.start(); !Serving)
     return Serving;
-  this->Timers.subscribe(TickInterval,
-                         [this](Instant Now) { this->apply(RelayTick{Now}); });
+  this->Timers.subscribe(TickInterval, [this](Instant Now) {
+    this->apply(RelayTick{Now});
+    this->enforceBufferBudget();
+  });
+  if (this->Buffers.isLimited()) {
+    this->Timers.subscribe(AccountInterval,
+                           [this](Instant) { this->accountCalls(); });
+    this->Timers.subscribe(PauseReviewInterval,
+                           [this](Instant) { this->reviewPausedTargets(); });
+  }
   this->Timers.subscribe(HeartbeatInterval, [this](Instant Now) {
     for (const auto &[Holder, Connection] : this->ReplicaConnections)
       this->Hub.send(Connection, heartbeatOf(this->State, Now));
@@ -191,6 +202,10 @@
 }
 
 void RelayProcess::onCallerRequest(RequestId Id, CallerRequest Request) {
+  if (this->Buffers.isFull()) {
+    this->refuseForMemory(Id, Request);
+    return;
+  }
   this->apply(CallerRequestReceived{Id, std::move(Request)});
 }
 
@@ -202,6 +217,77 @@
   this->setTargetPaused(Id, false);
 }
 
+void RelayProcess::refuseForMemory(RequestId Id, const CallerRequest &Request) {
+  const RelayRefusal Refusal{RelayRefusalReason::Overloaded, Execution::NotRun,
+                             this->State.Options.RetryAfter};
+  logEvent("request_refused",
+           {{"request", Request.Id.Value},
+            {"reason", toString(Refusal.Reason)},
+            {"cause", "memory"},
+            {"buffered_bytes", std::to_string(this->Buffers.total())}});
+  this->ProcessMetrics.count("relay_refusals_total", toString(Refusal.Reason));
+  this->Callers.refuse(Id, Refusal);
+}
+
+bool RelayProcess::isCallerBehind(RequestId Request) const {
+  return this->Buffers.queueAllowance(this->Callers.unreadAge(Request)) <
+         this->Callers.queuedBytes(Request);
+}
+
+void RelayProcess::reviewPausedTargets() {
+  for (const RequestId Request : this->Callers.requestsInProgress()) {
+    if (this->Callers.queuedBytes(Request) > 0)
+      this->setTargetPaused(Request, this->isCallerBehind(Request));
+  }
+}
+
+void RelayProcess::accountCalls() {
+  std::size_t Histories = 0;
+  std::size_t Answers = 0;
+  for (const auto &[Request, Call] : this->State.Calls) {
+    Histories += Call.Ledger.History.size();
+    Answers += Call.BufferedBody.size() + Call.Splitter.partialBytes() +
+               Call.Output.size();
+  }
+  for (const auto &[Operation, Close] : this->State.PendingCloses)
+    Histories += Close.Message.Input.size() + Close.Message.Output.size();
+  this->Buffers.resize(BufferKind::Histories, this->CountedHistories,
+                       Histories);
+  this->Buffers.resize(BufferKind::TargetAnswers, this->CountedAnswers,
+                       Answers);
+  this->CountedHistories = Histories;
+  this->CountedAnswers = Answers;
+}
+
+void RelayProcess::enforceBufferBudget() {
+  if (!this->Buffers.isLimited())
+    return;
+  const bool WasFull = this->Buffers.isFull();
+  const std::size_t Total = this->Buffers.total();
+  if (WasFull && !this->IsFullLogged)
+    logEvent("buffer_budget_full",
+             {{"buffered_bytes", std::to_string(Total)},
+              {"limit_bytes", std::to_string(*this->Settings.BufferBytes)}});
+  const auto EndedConnections = this->Callers.endOldestUnread();
+  for (const auto &Each : EndedConnections) {
+    const Milliseconds Age = this->Loop.now() - Each.Queue.Since;
+    logEvent("connection_ended_for_memory",
+             {{"request", Each.Attempt.Value},
+              {"connection", std::to_string(Each.Queue.Connection.Value)},
+              {"queued_bytes", std::to_string(Each.Queue.Bytes)},
+              {"unread_ms", std::to_string(Age.count())}});
+    this->ProcessMetrics.count("relay_connections_ended_total", "memory");
+  }
+  if (!EndedConnections.empty())
+    this->accountCalls();
+  this->IsFullLogged = this->IsFullLogged || WasFull;
+  if (!this->IsFullLogged || this->Buffers.isFull())
+    return;
+  this->IsFullLogged = false;
+  logEvent("buffer_budget_free",
+           {{"buffered_bytes", std::to_string(this->Buffers.total())}});
+}
+
 void RelayProcess::setTargetPaused(RequestId Request, bool ShouldPause) {
   const auto Call = this->State.Calls.find(Request);
   if (Call != this->State.Calls.end())
@@ -215,6 +301,10 @@
 
 void RelayProcess::onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) {
   this->apply(AttemptBytesReceived{Attempt, std::move(Bytes)});
+  // Targets can send more than the rest of the budget within one tick. If
+  // nothing could be ended, the next ticks try again.
+  if (this->Buffers.isFull() && !this->IsFullLogged)
+    this->enforceBufferBudget();
 }
 
 void RelayProcess::onAttemptEnd(RelayAttemptId Attempt,
@@ -374,7 +464,18 @@
     this->apply(OutdatedTargetObserved{Decoded.value()});
 }
 
+void RelayProcess::publishBufferMetrics() {
+  std::map<std::string, double> ByKind;
+  for (const BufferKind Kind :
+       {BufferKind::RequestBodies, BufferKind::Histories,
+        BufferKind::TargetAnswers, BufferKind::QueuedAnswers})
+    ByKind[toString(Kind)] = static_cast<double>(this->Buffers.bytes(Kind));
+  this->ProcessMetrics.replaceSeries("relay_buffered_bytes", "kind", ByKind);
+}
+
 void RelayProcess::publishMetrics() {
+  if (this->Buffers.isLimited())
+    this->publishBufferMetrics();
   if (this->Settings.IsRevocationStrict)
     this->ProcessMetrics.set(
         "relay_configuration_proof_age_ms",
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -12,7 +12,7 @@
 class TargetFixture : public AttemptClient::Listener {
 public:
   TargetFixture()
-      : Protocol(makeTestProtocol()), Client(Loop, Protocol, *this),
+      : Protocol(makeTestProtocol()), Client(Loop, Protocol, Buffers, *this),
         Acceptor(Loop.context(), {boost::asio::ip::address_v4::loopback(), 0}) {
     this->accept();
   }
@@ -77,6 +77,7 @@
 
   EventLoop Loop;
   const RelayProtocol Protocol;
+  BufferBudget Buffers{std::nullopt};
   AttemptClient Client;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::vector<std::unique_ptr<RawPeer>> Targets;
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -8,11 +8,14 @@
 
 namespace {
 
+/// More than the buffers of any test that does not fill it on purpose.
+constexpr std::size_t BudgetBytes = 32 * 1024 * 1024;
+
 /// A server that records its requests and the callers' disconnections.
 class CallerFixture : public CallerServer::Listener {
 public:
   CallerFixture()
-      : Protocol(makeTestProtocol()), Server(Loop, Protocol, *this) {
+      : Protocol(makeTestProtocol()), Server(Loop, Protocol, Buffers, *this) {
     this->Port = freeTestPort(this->Loop);
     REQUIRE(this->Server.listen("127.0.0.1", this->Port));
   }
@@ -42,6 +45,7 @@
 
   EventLoop Loop;
   const RelayProtocol Protocol;
+  BufferBudget Buffers{BudgetBytes};
   CallerServer Server;
   std::uint16_t Port = 0;
   std::vector<RequestId> Ids;
@@ -265,3 +269,77 @@
                  [&] { return Fixture.Server.queuedBytes(Id) == 0; }));
   CHECK(Fixture.WritableCount > 0);
 }
+
+TEST_CASE("Callers: buffered bytes are released with their connection") {
+  // Guards against a budget that is used up by connections that are gone.
+  CallerFixture Fixture;
+  {
+    RawPeer Caller(Fixture.Loop);
+    Caller.connect(Fixture.Port);
+    Caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                "Content-Length: 4000\r\n\r\n" +
+                std::string(3000, 'x'));
+    REQUIRE(runUntil(Fixture.Loop, [&] {
+      return Fixture.Buffers.bytes(BufferKind::RequestBodies) >= 3000;
+    }));
+    Caller.send(std::string(1000, 'x'));
+    REQUIRE(Fixture.awaitRequests(1));
+    CHECK(Fixture.Buffers.bytes(BufferKind::RequestBodies) >= 4000);
+    Fixture.answer(0, std::string(8 * 1024 * 1024, 'y'));
+    CHECK(Fixture.Buffers.bytes(BufferKind::QueuedAnswers) >= 8 * 1024 * 1024);
+    CHECK(Fixture.Buffers.bytes(BufferKind::RequestBodies) < 4000);
+    boost::system::error_code Ignored;
+    Caller.Socket.close(Ignored);
+  }
+  CHECK(runUntil(Fixture.Loop, [&] { return Fixture.Buffers.total() == 0; }));
+}
+
+TEST_CASE("Callers: while the budget is full, arriving bodies are refused") {
+  // Guards against bodies that grow while nothing can be ended, and against
+  // the rest of a refused body being read as another request.
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  Fixture.Buffers.resize(BufferKind::Histories, 0, BudgetBytes);
+  Caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+              "Content-Length: 100\r\n\r\n");
+  Caller.send(Plain);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Caller.has("503"); }));
+  Fixture.Buffers.resize(BufferKind::Histories, BudgetBytes, 0);
+  Caller.send(Plain);
+  CHECK(runUntil(Fixture.Loop, [&] { return Caller.IsClosed; }));
+  CHECK(Fixture.Requests.empty());
+}
+
+TEST_CASE("Callers: at a full budget the oldest unread response is reset") {
+  // Guards against ending a caller that reads, and against an end that looks
+  // like that of a complete response.
+  CallerFixture Fixture;
+  const std::string Large(16 * 1024 * 1024, 'x');
+  boost::asio::ip::tcp::socket Slow(Fixture.Loop.context());
+  Slow.connect({boost::asio::ip::address_v4::loopback(), Fixture.Port});
+  boost::asio::write(Slow, boost::asio::buffer(Plain));
+  REQUIRE(Fixture.awaitRequests(1));
+  TargetAnswerHead Head;
+  Head.Status = 200;
+  Fixture.Server.beginResponse(Fixture.Ids[0], Head, std::nullopt);
+  Fixture.Server.sendBody(Fixture.Ids[0], Large);
+  CHECK(Fixture.Server.endOldestUnread().empty());
+  RawPeer Other(Fixture.Loop);
+  Other.connect(Fixture.Port);
+  Other.send("GET /b HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n");
+  REQUIRE(Fixture.awaitRequests(2));
+  Fixture.Buffers.resize(BufferKind::Histories, 0, BudgetBytes - 1024);
+  const auto Ended = Fixture.Server.endOldestUnread();
+  REQUIRE(Ended.size() == 1);
+  CHECK(Ended[0].Attempt == CallerAttemptId("1"));
+  REQUIRE(Fixture.Disconnected.size() == 1);
+  CHECK(Fixture.Disconnected[0] == Fixture.Ids[0]);
+  Fixture.Buffers.resize(BufferKind::Histories, BudgetBytes - 1024, 0);
+  Fixture.answer(1, "answer");
+  CHECK(runUntil(Fixture.Loop, [&] { return Other.has("answer"); }));
+  std::string Received;
+  boost::system::error_code Error;
+  boost::asio::read(Slow, boost::asio::dynamic_buffer(Received), Error);
+  CHECK(Error == boost::asio::error::connection_reset);
+}
--- a/packages/relay/tests/RawPeer.h
+++ b/packages/relay/tests/RawPeer.h
@@ -64,6 +64,9 @@
     case RelayRefusalReason::HeaderTimeout:
       Head.Status = 408;
       break;
+    case RelayRefusalReason::Overloaded:
+      Head.Status = 503;
+      break;
     default:
       Head.Status = 400;
     }
--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -63,8 +63,10 @@
 
 } // namespace
 
-PlatformSite::PlatformSite(std::size_t RelayCount, bool IsRevocationStrict)
-    : IsRevocationStrict(IsRevocationStrict), Folder(newFolderPath()),
+PlatformSite::PlatformSite(std::size_t RelayCount, bool IsRevocationStrict,
+                           unsigned RelayMemoryMegabytes)
+    : IsRevocationStrict(IsRevocationStrict),
+      RelayMemoryMegabytes(RelayMemoryMegabytes), Folder(newFolderPath()),
       FirstWorker("i-1"), SecondWorker("i-2"), Relays(RelayCount) {
   fs::remove_all(this->Folder);
   fs::create_directories(this->Folder);
@@ -133,6 +135,8 @@
   Json Boot = bootSettings(*this, Name);
   Boot["listenAddresses"] = {{"front", loopback(this->CallerPorts[Number])},
                              {"ready", loopback(this->StatusPorts[Number])}};
+  if (this->RelayMemoryMegabytes > 0)
+    Boot["limits"] = {{"memoryMb", this->RelayMemoryMegabytes}};
   this->Relays[Number] = this->start(Name, "relay", Boot.dump());
 }
 
--- a/tests/harness/PlatformSite.h
+++ b/tests/harness/PlatformSite.h
@@ -38,8 +38,10 @@
 
   /// Starts all processes and waits until the relays are ready. Throws
   /// std::runtime_error if a relay does not become ready.
+  /// RelayMemoryMegabytes is stated in the relays' settings, unless it is 0.
   explicit PlatformSite(std::size_t RelayCount = 1,
-                        bool IsRevocationStrict = false);
+                        bool IsRevocationStrict = false,
+                        unsigned RelayMemoryMegabytes = 0);
   ~PlatformSite();
   PlatformSite(const PlatformSite &) = delete;
   PlatformSite &operator=(const PlatformSite &) = delete;
@@ -71,6 +73,7 @@
 
   /// Whether relays accept keys only with a proof of their configuration.
   const bool IsRevocationStrict;
+  const unsigned RelayMemoryMegabytes;
   const std::filesystem::path Folder;
   StoreStandin Store;
   WorkerStandin FirstWorker;
