--- a/apps/tanagerlandingd.cpp
+++ b/apps/tanagerlandingd.cpp
@@ -51,8 +51,7 @@
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
   bool IsLoadShared = false;
-  /// Empty if the settings file decides.
-  std::string TextCopies;
+  std::string TextCopies = "all";
 };
 
 /// Largest share of extra sends that may be set.
@@ -78,9 +77,9 @@
   Relay
       .add_option("--turn-text-copies", Arguments.TextCopies,
                   "Replicas that are sent the text of a complete turn: all, or "
-                  "the nearest that make it durable; overrides the settings "
-                  "file")
-      ->check(CLI::IsMember({"nearest", "all"}));
+                  "the nearest that make it durable")
+      ->check(CLI::IsMember({"nearest", "all"}))
+      ->capture_default_str();
 }
 
 int runRelay(const platform::BootSettings &Boot,
@@ -93,8 +92,8 @@
   Settings.IsLoadShared = Arguments.IsLoadShared;
   Settings.HedgeShare = Arguments.HedgeShare;
   Settings.HedgeMaxLoad = Arguments.HedgeMaxLoad;
-  Settings.TextCopies =
-      platform::chooseTextCopies(Settings, Arguments.TextCopies);
+  if (Arguments.TextCopies == "nearest")
+    Settings.TextCopies = TurnTextCopies::Nearest;
   return report(RelayProcess(Settings, std::move(Protocols)).run());
 }
 
