--- a/packages/ledger/tests/LedgerFolderTest.cpp
+++ b/packages/ledger/tests/LedgerFolderTest.cpp
@@ -31,8 +31,8 @@
 LedgerBatch batchOf(const std::string &Turn) {
   LedgerBatch Batch;
   Batch.Retention = Milliseconds(60000);
-  Batch.Records = {TurnRecord{
-      TurnId(Turn), std::nullopt, "in-" + Turn, "out-" + Turn, {}, {}}};
+  Batch.Records = {
+      TurnRecord{TurnId(Turn), std::nullopt, "in-" + Turn, "out-" + Turn, {}}};
   return Batch;
 }
 
