Revert the text of turns at nearby replicas

Ruled out: keeping it as an option that is off, as a known fault would wait there. Not traced: which histories were joined wrongly.

--- a/apps/tanagerlandingd.cpp
+++ b/apps/tanagerlandingd.cpp
@@ -51,7 +51,6 @@
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
   bool IsLoadShared = false;
-  std::string TextCopies = "all";
 };
 
 /// Largest share of extra sends that may be set.
@@ -73,15 +72,6 @@
       ->capture_default_str();
 }
 
-void addTextCopiesOption(CLI::App &Relay, RelayArguments &Arguments) {
-  Relay
-      .add_option("--turn-text-copies", Arguments.TextCopies,
-                  "Replicas that are sent the text of a complete turn: all, or "
-                  "the nearest that make it durable")
-      ->check(CLI::IsMember({"nearest", "all"}))
-      ->capture_default_str();
-}
-
 int runRelay(const platform::BootSettings &Boot,
              const RelayArguments &Arguments) {
   DeploymentProtocols Protocols;
@@ -92,8 +82,6 @@
   Settings.IsLoadShared = Arguments.IsLoadShared;
   Settings.HedgeShare = Arguments.HedgeShare;
   Settings.HedgeMaxLoad = Arguments.HedgeMaxLoad;
-  if (Arguments.TextCopies == "nearest")
-    Settings.TextCopies = TurnTextCopies::Nearest;
   return report(RelayProcess(Settings, std::move(Protocols)).run());
 }
 
@@ -130,7 +118,6 @@
       "ledger", "Store turns and budgets on the users' platform");
   RelayArguments RelayOptions;
   addHedgeOptions(*Relay, RelayOptions);
-  addTextCopiesOption(*Relay, RelayOptions);
   Relay->add_flag("--share-load", RelayOptions.IsLoadShared,
                   "Share the loads and speeds of targets among relays");
   CLI11_PARSE(App, Count, Arguments);
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -27,14 +27,6 @@
 /// Returns the hash that identifies a turn in claims.
 Fingerprint fingerprintOf(const TurnId &Turn);
 
-/// What a replica stores of a turn whose text other replicas have.
-struct TurnTextStub {
-  /// Hash of the turn's input and output.
-  Fingerprint Text;
-  /// The replicas to which the relay had sent the text.
-  std::vector<HolderId> TextHolders;
-};
-
 /// Record of a turn whose answer is complete.
 struct TurnRecord {
   TurnId Turn;
@@ -44,8 +36,6 @@
   std::string Output;
   /// The target that ran the turn and has its prompt cached.
   TargetId Target;
-  /// Set if this record lacks the text; Input and Output are then empty.
-  std::optional<TurnTextStub> Stub;
 };
 
 /// Record of a claim on a program's budget.
@@ -121,9 +111,6 @@
   /// The newest turn of the chain that the replica lacks; History starts after
   /// it. Absent if History is complete.
   std::optional<TurnId> MissingTurn;
-  /// Replicas that should have the text of MissingTurn, if the replica has a
-  /// stub of it.
-  std::vector<HolderId> MissingTextHolders;
   /// All claims of the program that the replica has.
   std::vector<TokenClaim> Claims;
   /// The origin of the streams that ResumedAttempt or attempts with
@@ -151,9 +138,6 @@
   std::string Output;
   TargetId Target;
   Milliseconds Retention{0};
-  /// Set if the turn is stored without its text; Input and Output are then
-  /// empty.
-  std::optional<TurnTextStub> Stub;
 };
 
 /// Reply to CloseTurn, sent once its records are durable.
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -112,10 +112,6 @@
   TargetId Target;
   std::uint64_t Batch = 0;
   Instant ExpiresAt;
-  /// Whether the batch has the turn's text, and otherwise the replicas that
-  /// should have it.
-  bool HasText = true;
-  std::vector<HolderId> TextHolders;
 };
 
 /// A claim and the number of the batch that holds it; 0 while it is not
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -23,15 +23,6 @@
 
 namespace tanagerlanding {
 
-/// The replicas that are sent the text of a complete turn.
-enum class TurnTextCopies : std::uint8_t {
-  /// All members of the view.
-  All,
-  /// As many of the nearest members as make the turn durable. The others get a
-  /// stub.
-  Nearest,
-};
-
 /// Timeouts, limits and cost weights of a relay.
 struct RelayOptions {
   /// Whether this relay reports the loads of targets to the replicas and places
@@ -205,10 +196,6 @@
   /// Number of targets of a service for which a relay asks for permits, unless
   /// it needs as many permits. Relays ask for different ones.
   std::size_t MinPermitTargets = 16;
-  TurnTextCopies TextCopies = TurnTextCopies::All;
-  /// How long a replica may take to confirm a turn's text before the text is
-  /// sent to a further one.
-  Milliseconds TextConfirmTimeout{60};
   /// Hedges as a share of the requests of a service; 0 if none are sent.
   double HedgeShare = 0;
   /// Requests per slot over a service above which no hedges are sent.
@@ -478,8 +465,6 @@
   /// missing older part ends with turn LastMissingTurn; nothing if complete.
   std::string History;
   std::optional<TurnId> LastMissingTurn;
-  /// Replicas that should have the text of LastMissingTurn, if they are known.
-  std::vector<HolderId> MissingTextHolders;
 };
 
 /// A call's claim on its team's quota.
@@ -598,17 +583,7 @@
 /// A close that a quorum of replicas has not confirmed yet.
 struct PendingClose {
   CloseTurn Message;
-  /// Replicas that have stored the message, with the text if it has one.
   std::set<HolderId> ConfirmedBy;
-  /// The operation of the stubs that members without the text are sent; absent
-  /// if all members are sent the message. Replies to both can thus be told
-  /// apart.
-  std::optional<LedgerOperationId> StubOperation;
-  std::set<HolderId> StubConfirmedBy;
-  /// When the text was first sent to each chosen replica, and those that have
-  /// refused it.
-  std::map<HolderId, Instant> TextSentAt;
-  std::set<HolderId> TextRefusedBy;
   /// The call whose answer is completed once the close is durable, if any.
   std::optional<RequestId> WaitingCall;
   Instant Since;
--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -52,11 +52,6 @@
   return Offered.IsSettled && !Present.IsSettled;
 }
 
-/// Returns whether a record has the text of a turn that is stored as a stub.
-bool addsText(const TurnIndexEntry &Present, const TurnRecord &Offered) {
-  return !Present.HasText && !Offered.Stub;
-}
-
 /// Adds the records of one batch to the index, with one overload for each type.
 /// The overloads return whether the batch has to be kept for the record.
 class RecordIndexer {
@@ -68,19 +63,13 @@
 
   bool operator()(const TurnRecord &Kept) {
     LedgerState &State = this->Context.State;
-    TurnIndexEntry Entry{Kept.Previous, Kept.Target, this->Batch,
-                         this->Expiry,  !Kept.Stub,  {}};
-    if (Kept.Stub)
-      Entry.TextHolders = Kept.Stub->TextHolders;
-    const auto [Present, IsNew] = State.Turns.emplace(Kept.Turn, Entry);
-    const bool IsReplaced = !IsNew && addsText(Present->second, Kept);
-    if (IsReplaced) {
-      releaseBatch(this->Context, Present->second.Batch);
-      extendExpiry(Entry.ExpiresAt, Present->second.ExpiresAt);
-      Present->second = std::move(Entry);
-    }
+    const bool IsNew =
+        State.Turns
+            .emplace(Kept.Turn, TurnIndexEntry{Kept.Previous, Kept.Target,
+                                               this->Batch, this->Expiry})
+            .second;
     extendChain(State, Kept.Turn, this->Expiry);
-    return IsNew || IsReplaced;
+    return IsNew;
   }
 
   bool operator()(const TokenClaimRecord &Claimed) {
@@ -134,10 +123,8 @@
 
 LedgerBatch withoutKnown(const LedgerState &State, LedgerBatch Batch) {
   const auto IsKnown = [&State](const LedgerRecord &Record) {
-    if (const auto *Turn = std::get_if<TurnRecord>(&Record)) {
-      const auto Present = State.Turns.find(Turn->Turn);
-      return Present != State.Turns.end() && !addsText(Present->second, *Turn);
-    }
+    if (const auto *Turn = std::get_if<TurnRecord>(&Record))
+      return State.Turns.count(Turn->Turn) > 0;
     const auto &Claimed = std::get<TokenClaimRecord>(Record);
     const auto Program = State.Programs.find(Claimed.Program);
     if (Program == State.Programs.end())
@@ -199,11 +186,6 @@
       Chain.MissingTurn = Next;
       break;
     }
-    if (!Found->second.HasText) {
-      Chain.MissingTurn = Next;
-      Chain.TextHolders = Found->second.TextHolders;
-      break;
-    }
     const StoredBatch &Batch = State.StoredBatches.at(Found->second.Batch);
     Chain.Turns.emplace_back(*Next, Batch.Place);
     Next = Found->second.Previous;
--- a/packages/decision/src/ledger/LedgerRecords.h
+++ b/packages/decision/src/ledger/LedgerRecords.h
@@ -32,8 +32,6 @@
   std::vector<std::pair<TurnId, BatchLocation>> Turns;
   /// The newest turn of the chain that is not in the index, if any.
   std::optional<TurnId> MissingTurn;
-  /// The replicas that should have the text of MissingTurn, if they are known.
-  std::vector<HolderId> TextHolders;
 };
 
 /// Returns the chain that ends with Last, which must be in the index.
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -40,7 +40,6 @@
   }
   TurnChain Chain = chainOf(State, *Request.Previous);
   Reply.MissingTurn = Chain.MissingTurn;
-  Reply.MissingTextHolders = std::move(Chain.TextHolders);
   Context.add(SendHistory{Peer, std::move(Reply), std::move(Chain.Turns)});
 }
 
@@ -103,7 +102,7 @@
     if (Request.IsKept)
       Records.push_back(TurnRecord{Request.Turn, Request.Previous,
                                    Request.Input, Request.Output,
-                                   Request.Target, Request.Stub});
+                                   Request.Target});
     this->persist(Request, Request.View, Request.Retention, std::move(Records));
   }
 
--- a/packages/decision/src/relay/TurnCloses.h
+++ b/packages/decision/src/relay/TurnCloses.h
@@ -23,17 +23,6 @@
 /// Resends to a newly connected replica the closes that it has not confirmed.
 void resendClosesTo(RelayContext &Context, const HolderId &Holder);
 
-/// Resends a close to a replica that refused it for its view.
-void resendRefusedClose(RelayContext &Context, const HolderId &Holder,
-                        LedgerOperationId Operation);
-/// Records that a replica can't store a turn's text, and sends the text to a
-/// further one.
-void handleCloseRefused(RelayContext &Context, const HolderId &Holder,
-                        LedgerOperationId Operation);
-/// Sends the texts of pending closes to further replicas in place of those that
-/// have not confirmed in time, have refused or are disconnected.
-void sendMissingTexts(RelayContext &Context);
-
 /// Drops pending closes that have reached their timeout.
 void dropExpiredCloses(RelayState &State);
 
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -23,23 +23,17 @@
 
 /// Returns an untried replica to read history from, preferably in this zone,
 /// where the transfer is cheapest.
-/// Replicas that should have the text go before the others.
-std::optional<HolderId>
-pickHistorySource(const RelayState &State, const std::set<HolderId> &Tried,
-                  const std::vector<HolderId> &TextHolders = {}) {
+std::optional<HolderId> pickHistorySource(const RelayState &State,
+                                          const std::set<HolderId> &Tried) {
   std::optional<HolderId> Best;
-  int BestRank = 0;
   for (const LedgerMember &Each : State.View.Current) {
     if (State.ConnectedReplicas.count(Each.Holder) == 0 ||
         Tried.count(Each.Holder) > 0)
       continue;
-    const bool HasText =
-        std::count(TextHolders.begin(), TextHolders.end(), Each.Holder) > 0;
-    const int Rank = (HasText ? 2 : 0) + (Each.Zone == State.Zone ? 1 : 0);
-    if (!Best || BestRank < Rank) {
+    if (Each.Zone == State.Zone)
+      return Each.Holder;
+    if (!Best)
       Best = Each.Holder;
-      BestRank = Rank;
-    }
   }
   return Best;
 }
@@ -90,7 +84,6 @@
     Ledger.LastMissingTurn = Open.Previous;
     Ledger.TriedHistorySources = {Ledger.HistorySource};
     Ledger.History.clear();
-    Ledger.MissingTextHolders.clear();
   }
   for (const LedgerMember &Each : State.View.allMembers()) {
     if (State.ConnectedReplicas.count(Each.Holder) > 0)
@@ -142,8 +135,7 @@
   RelayState &State = Context.State;
   TurnLedger &Ledger = Call.Ledger;
   Call.Phase = RelayPhase::CollectingHistory;
-  const auto Source = pickHistorySource(State, Ledger.TriedHistorySources,
-                                        Ledger.MissingTextHolders);
+  const auto Source = pickHistorySource(State, Ledger.TriedHistorySources);
   if (!Source) {
     refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
     return;
@@ -278,12 +270,9 @@
       !(Reply.Holder == Ledger.HistorySource))
     return;
   Ledger.History = *Reply.History + Ledger.History;
-  Ledger.MissingTextHolders = Reply.MissingTextHolders;
-  // A replica that has only a stub of the turn adds nothing. The replicas
-  // tried before it must not be asked for the same turn again.
-  if (Reply.MissingTurn && !(Reply.MissingTurn == Ledger.LastMissingTurn))
-    Ledger.TriedHistorySources = {Reply.Holder};
   Ledger.LastMissingTurn = Reply.MissingTurn;
+  if (Reply.MissingTurn)
+    Ledger.TriedHistorySources = {Reply.Holder};
 }
 
 void handleOpened(RelayContext &Context, const HolderId &Holder,
@@ -329,7 +318,9 @@
   const auto Open = State.PendingOpens.find(Reply.Operation);
   if (Open != State.PendingOpens.end())
     sendOpenTo(Context, State.Calls.at(Open->second).Ledger, Holder);
-  resendRefusedClose(Context, Holder, Reply.Operation);
+  const auto Close = State.PendingCloses.find(Reply.Operation);
+  if (Close != State.PendingCloses.end())
+    Context.send(Holder, Close->second.Message);
 }
 
 void handleRefused(RelayContext &Context, const HolderId &Holder,
@@ -343,7 +334,6 @@
     resendWithViewOffer(Context, Holder, Reply);
     return;
   }
-  handleCloseRefused(Context, Holder, Reply.Operation);
   const auto Request = State.PendingOpens.find(Reply.Operation);
   if (Request == State.PendingOpens.end())
     return;
@@ -503,7 +493,6 @@
   State.ReplicasWithoutKeyValueService.erase(Holder);
   State.LastMessageAt.erase(Holder);
   Context.log("replica_disconnected", {{"holder", Holder.Value}});
-  sendMissingTexts(Context);
   for (const RequestId Request : callsAwaitingLedger(State)) {
     const auto Found = State.Calls.find(Request);
     if (Found == State.Calls.end())
@@ -574,7 +563,6 @@
       requestMissingHistory(Context, Call);
   }
   dropExpiredCloses(State);
-  sendMissingTexts(Context);
 }
 
 } // namespace tanagerlanding
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -45,7 +45,6 @@
   /// the service above which none are sent.
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
-  TurnTextCopies TextCopies = TurnTextCopies::All;
   /// Bytes that all buffers to callers and from targets may hold together;
   /// absent: no such limit.
   std::optional<std::size_t> BufferBytes;
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -145,7 +145,6 @@
   this->State.Options.DrainTimeout = Settings.StopGracePeriod - StopMargin;
   this->State.Options.HedgeShare = Settings.HedgeShare;
   this->State.Options.HedgeMaxLoad = Settings.HedgeMaxLoad;
-  this->State.Options.TextCopies = Settings.TextCopies;
 }
 
 RelayProcess::~RelayProcess() = default;
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -1,6 +1,5 @@
 #include "LedgerConversions.h"
 
-#include <algorithm>
 #include <memory>
 
 namespace tanagerlanding {
@@ -84,51 +83,9 @@
   return StreamOrigin{ServiceName(Row.service), SoftwareVersion(Row.version)};
 }
 
-std::vector<std::string> toTexts(const std::vector<HolderId> &Holders) {
-  std::vector<std::string> Texts;
-  for (const HolderId &Each : Holders)
-    Texts.push_back(Each.Value);
-  return Texts;
-}
-
-std::vector<HolderId> fromTexts(const std::vector<std::string> &Texts) {
-  std::vector<HolderId> Holders;
-  for (const std::string &Each : Texts)
-    Holders.emplace_back(Each);
-  return Holders;
-}
-
-/// Returns the stub of a turn. It is a table of its own, not a flag of
-/// RecordTurn, so that earlier versions do not read it as a turn with an empty
-/// text.
-wire::RecordTurnStubT toStub(const TurnRecord &Kept) {
-  wire::RecordTurnStubT Table;
-  Table.turn = Kept.Turn.Value;
-  Table.has_previous = Kept.Previous.has_value();
-  Table.previous = turnText(Kept.Previous);
-  Table.target = Kept.Target.Value;
-  Table.text = Kept.Stub->Text.Value;
-  Table.text_holders = toTexts(Kept.Stub->TextHolders);
-  return Table;
-}
-
-TurnRecord fromStub(const wire::RecordTurnStubT &Table) {
-  TurnRecord Kept;
-  Kept.Turn = TurnId(Table.turn);
-  Kept.Previous = makeOptionalTurn(Table.has_previous, Table.previous);
-  Kept.Target = TargetId(Table.target);
-  Kept.Stub =
-      TurnTextStub{Fingerprint(Table.text), fromTexts(Table.text_holders)};
-  return Kept;
-}
-
 /// Visitor that fills a row from a ledger record.
 struct RecordEncoder {
   void operator()(const TurnRecord &Kept) const {
-    if (Kept.Stub) {
-      this->Row.body.Set(toStub(Kept));
-      return;
-    }
     wire::RecordTurnT Table;
     Table.turn = Kept.Turn.Value;
     Table.has_previous = Kept.Previous.has_value();
@@ -153,33 +110,15 @@
   if (const auto *Turn = Row.body.AsRecordTurn())
     return TurnRecord{TurnId(Turn->turn),
                       makeOptionalTurn(Turn->has_previous, Turn->previous),
-                      Turn->input,
-                      Turn->output,
-                      TargetId(Turn->target),
-                      {}};
-  if (const auto *Stub = Row.body.AsRecordTurnStub())
-    return fromStub(*Stub);
+                      Turn->input, Turn->output, TargetId(Turn->target)};
   const auto *Claim = Row.body.AsRecordClaim();
   if (Claim && Claim->claim)
     return TokenClaimRecord{ProgramId(Claim->program), fromRow(*Claim->claim)};
   return std::nullopt;
 }
 
-bool hasUnknownRecord(const wire::LedgerBatchT &Table) {
-  return std::any_of(
-      Table.records.begin(), Table.records.end(), [](const auto &Row) {
-        return !Row->body.AsRecordTurn() && !Row->body.AsRecordClaim() &&
-               !Row->body.AsRecordTurnStub();
-      });
-}
-
 } // namespace
 
-bool hasUnknownRecord(const wire::RecordsPageT &Table) {
-  return std::any_of(Table.batches.begin(), Table.batches.end(),
-                     [](const auto &Each) { return hasUnknownRecord(*Each); });
-}
-
 wire::LedgerBatchT toTable(const LedgerBatch &Body) {
   wire::LedgerBatchT Table;
   Table.written_at_ms = Body.WrittenAtMillis;
@@ -273,7 +212,6 @@
   if (Body.ResumedOrigin)
     Table.resumed_origin = toRow(*Body.ResumedOrigin);
   Table.streams_kept_ms = Body.StreamsKeptFor.count();
-  Table.missing_text_holders = toTexts(Body.MissingTextHolders);
   return Table;
 }
 
@@ -291,7 +229,6 @@
   if (Table.resumed_origin)
     Body.ResumedOrigin = fromRow(*Table.resumed_origin);
   Body.StreamsKeptFor = Milliseconds(Table.streams_kept_ms);
-  Body.MissingTextHolders = fromTexts(Table.missing_text_holders);
   return Body;
 }
 
@@ -303,17 +240,13 @@
   Table.has_used = Body.Used.has_value();
   Table.used = Body.Used.value_or(TokenCount{}).Value;
   Table.turn = Body.Turn.Value;
-  // An earlier replica ignores the stub and so settles only the claim.
-  Table.kept = Body.IsKept && !Body.Stub;
+  Table.kept = Body.IsKept;
   Table.has_previous = Body.Previous.has_value();
   Table.previous = turnText(Body.Previous);
   Table.input = Body.Input;
   Table.output = Body.Output;
   Table.target = Body.Target.Value;
   Table.retention_ms = Body.Retention.count();
-  if (Body.Stub)
-    Table.stub = std::make_unique<wire::RecordTurnStubT>(toStub(
-        TurnRecord{Body.Turn, Body.Previous, {}, {}, Body.Target, Body.Stub}));
   return Table;
 }
 
@@ -331,10 +264,6 @@
   Body.Output = Table.output;
   Body.Target = TargetId(Table.target);
   Body.Retention = Milliseconds(Table.retention_ms);
-  if (Table.stub) {
-    Body.IsKept = true;
-    Body.Stub = fromStub(*Table.stub).Stub;
-  }
   return Body;
 }
 
--- a/packages/wire/src/LedgerConversions.h
+++ b/packages/wire/src/LedgerConversions.h
@@ -9,8 +9,6 @@
 
 namespace tanagerlanding {
 
-/// Returns whether a page has records of a type that only later versions know.
-bool hasUnknownRecord(const wire::RecordsPageT &Table);
 wire::LedgerBatchT toTable(const LedgerBatch &Body);
 LedgerBatch fromTable(const wire::LedgerBatchT &Table);
 wire::StreamStartedT toTable(const StreamStarted &Body);
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -526,9 +526,6 @@
   case wire::Body::PullRecords:
     return fromTable(*Body.AsPullRecords());
   case wire::Body::RecordsPage:
-    // A pull that left out records would complete without them.
-    if (hasUnknownRecord(*Body.AsRecordsPage()))
-      return std::nullopt;
     return fromTable(*Body.AsRecordsPage());
   case wire::Body::DirectoryChanges:
     return fromTable(*Body.AsDirectoryChanges());
--- a/packages/wire/src/SegmentIndexCodec.cpp
+++ b/packages/wire/src/SegmentIndexCodec.cpp
@@ -24,19 +24,6 @@
     Kept.Target = TargetId(readText(Turn->target()));
     return Kept;
   }
-  if (const auto *Stub = Row.body_as_RecordTurnStub()) {
-    TurnRecord Kept;
-    Kept.Turn = TurnId(readText(Stub->turn()));
-    if (Stub->has_previous())
-      Kept.Previous = TurnId(readText(Stub->previous()));
-    Kept.Target = TargetId(readText(Stub->target()));
-    Kept.Stub = TurnTextStub{Fingerprint(Stub->text()), {}};
-    if (Stub->text_holders()) {
-      for (const flatbuffers::String *Each : *Stub->text_holders())
-        Kept.Stub->TextHolders.emplace_back(readText(Each));
-    }
-    return Kept;
-  }
   const auto *Claim = Row.body_as_RecordClaim();
   if (!Claim || !Claim->claim())
     return std::nullopt;
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -65,12 +65,10 @@
   Batch.WrittenAtMillis = 12;
   Batch.Retention = Milliseconds(60000);
   Batch.Records = {
-      TurnRecord{
-          TurnId("t"), TurnId("before"), "in", "out", TargetId("target"), {}},
+      TurnRecord{TurnId("t"), TurnId("before"), "in", "out",
+                 TargetId("target")},
       TokenClaimRecord{ProgramId("p"),
-                       TokenClaim{Fingerprint(3), TokenCount{4}, true}},
-      TurnRecord{TurnId("u"), TurnId("t"), "", "", TargetId("target"),
-                 TurnTextStub{Fingerprint(5), {HolderId("h")}}}};
+                       TokenClaim{Fingerprint(3), TokenCount{4}, true}}};
   return Batch;
 }
 
@@ -85,7 +83,6 @@
   Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
   Reply.ResumedOrigin = StreamOrigin{ServiceName("s"), SoftwareVersion("v1")};
   Reply.StreamsKeptFor = Milliseconds(6);
-  Reply.MissingTextHolders = {HolderId("h")};
   return Reply;
 }
 
@@ -142,18 +139,9 @@
                ProgramId("p"), TokenCount{5}, TurnId("before"), true,
                Milliseconds(9), CallerAttemptId("resumed"), Fingerprint(5)},
       sampleOpened(),
-      CloseTurn{LedgerOperationId(1),
-                ViewVersion(2),
-                ProgramId("p"),
-                TokenCount{4},
-                TurnId("t"),
-                true,
-                TurnId("before"),
-                "in",
-                "out",
-                TargetId("target"),
-                Milliseconds(9),
-                {}},
+      CloseTurn{LedgerOperationId(1), ViewVersion(2), ProgramId("p"),
+                TokenCount{4}, TurnId("t"), true, TurnId("before"), "in", "out",
+                TargetId("target"), Milliseconds(9)},
       TurnClosed{LedgerOperationId(1), HolderId("h")},
       LedgerRefused{LedgerOperationId(1), HolderId("h"), sampleView()},
       ViewOffer{sampleView()},
@@ -210,30 +198,6 @@
   }
 }
 
-// An earlier replica ignores the stub. It must then not store the turn with an
-// empty text, and a later one must not take the stub for the text.
-TEST_CASE("Codec: the stub of a turn stays one") {
-  CloseTurn Close;
-  Close.Turn = TurnId("t");
-  Close.IsKept = true;
-  Close.Previous = TurnId("before");
-  Close.Target = TargetId("target");
-  Close.Stub = TurnTextStub{Fingerprint(5), {HolderId("h"), HolderId("i")}};
-  const auto Decoded = decodeMessage(encodeMessage(Close));
-  REQUIRE(Decoded);
-  const auto &Read = std::get<CloseTurn>(Decoded.value());
-  CHECK(Read.IsKept);
-  CHECK(Read.Previous == Close.Previous);
-  REQUIRE(Read.Stub);
-  CHECK(Read.Stub->Text == Fingerprint(5));
-  CHECK(Read.Stub->TextHolders == Close.Stub->TextHolders);
-  const auto Batch = decodeMessage(encodeMessage(sampleBatch()));
-  REQUIRE(Batch);
-  const auto &Records = std::get<LedgerBatch>(Batch.value()).Records;
-  CHECK_FALSE(std::get<TurnRecord>(Records.front()).Stub);
-  CHECK(std::get<TurnRecord>(Records.back()).Stub);
-}
-
 TEST_CASE("Codec: a heartbeat keeps its time, and has none if it is absent or "
           "negative") {
   const auto SentAtOf = [](std::optional<Instant> SentAt) {
