--- a/apps/tanagerlandingd.cpp
+++ b/apps/tanagerlandingd.cpp
@@ -51,6 +51,7 @@
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
   bool IsLoadShared = false;
+  bool AreBuffersLimited = false;
 };
 
 /// Largest share of extra sends that may be set.
@@ -80,6 +81,8 @@
   Protocols.KeyValue = platform::makeStoreDialect();
   RelaySettings Settings = platform::makeRelaySettings(Boot);
   Settings.IsLoadShared = Arguments.IsLoadShared;
+  if (!Arguments.AreBuffersLimited)
+    Settings.BufferBytes.reset();
   Settings.HedgeShare = Arguments.HedgeShare;
   Settings.HedgeMaxLoad = Arguments.HedgeMaxLoad;
   return report(RelayProcess(Settings, std::move(Protocols)).run());
@@ -120,6 +123,9 @@
   addHedgeOptions(*Relay, RelayOptions);
   Relay->add_flag("--share-load", RelayOptions.IsLoadShared,
                   "Share the loads and speeds of targets among relays");
+  Relay->add_flag("--limit-buffers", RelayOptions.AreBuffersLimited,
+                  "Limit all buffers to a third of the memory that the "
+                  "settings file states");
   CLI11_PARSE(App, Count, Arguments);
   startLog(Arguments[0]);
   if (*Relay)
--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -146,7 +146,10 @@
   const fs::path File = this->Folder / (Name + ".json");
   std::ofstream(File) << Settings;
   ::setenv("TANAGERLANDING_BOOT", File.c_str(), 1);
-  return ChildProcess("tanagerlandingd", {Role},
+  std::vector<std::string> Arguments = {Role};
+  if (Role == "relay" && this->RelayMemoryMegabytes > 0)
+    Arguments.push_back("--limit-buffers");
+  return ChildProcess("tanagerlandingd", Arguments,
                       (this->Folder / (Name + ".log")).string());
 }
 
