--- a/tools/install.sh
+++ b/tools/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs missing packages that the build and the tests need.
 set -euo pipefail
-packages=(cmake ninja-build g++ pkg-config clang-format clang-tidy python3
+packages=(cmake ninja-build ccache g++ pkg-config clang-format clang-tidy python3
   libpistache-dev libflatbuffers-dev libcli11-dev libgoogle-glog-dev catch2
   libboost-dev nlohmann-json3-dev libxxhash-dev librapidcheck-dev
   libcurl4-openssl-dev libsodium-dev curl)
