Put the file operations of data folders behind an interface

SegmentFolder called the system directly, so no test could lose power, fail a write or end the process between two calls. FileSystem has these calls, and PosixFileSystem performs them. Nothing else changes: the same calls in the same order, but for the sync of a new folder's parent, and small files are synced by fdatasync.

--- a/packages/journal/include/tanagerlanding/journal.h
+++ b/packages/journal/include/tanagerlanding/journal.h
@@ -4,6 +4,7 @@
 #ifndef TANAGERLANDING_JOURNAL_H
 #define TANAGERLANDING_JOURNAL_H
 
+#include "tanagerlanding/journal/FileSystem.h"
 #include "tanagerlanding/journal/JournalFolder.h"
 #include "tanagerlanding/journal/JournalWriter.h"
 #include "tanagerlanding/journal/SegmentFolder.h"
--- a/packages/journal/include/tanagerlanding/journal/JournalFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/JournalFolder.h
@@ -20,7 +20,8 @@
 /// batch or fence is needed any more. Not thread-safe; see JournalWriter.
 class JournalFolder {
 public:
-  explicit JournalFolder(std::string Path);
+  explicit JournalFolder(std::string Path,
+                         FileSystem &Files = hostFileSystem());
   JournalFolder(const JournalFolder &) = delete;
   JournalFolder &operator=(const JournalFolder &) = delete;
 
--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -4,9 +4,11 @@
 #define TANAGERLANDING_JOURNAL_SEGMENTFOLDER_H
 
 #include "tanagerlanding/decision/ledger/SegmentIndex.h"
+#include "tanagerlanding/journal/FileSystem.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -29,7 +31,8 @@
   using IndexLoader = std::function<bool(std::uint64_t Segment)>;
 
   /// A segment is closed once it has SegmentBytes.
-  SegmentFolder(std::string Path, std::uint64_t SegmentBytes);
+  SegmentFolder(std::string Path, std::uint64_t SegmentBytes,
+                FileSystem &Files = hostFileSystem());
   ~SegmentFolder();
   SegmentFolder(const SegmentFolder &) = delete;
   SegmentFolder &operator=(const SegmentFolder &) = delete;
@@ -82,13 +85,21 @@
   Result<void, SystemError> truncateSegment(const std::string &Name,
                                             std::uint64_t Bytes) const;
   Result<void, SystemError> startSegment(std::uint64_t Number);
+  Result<void, SystemError> writeAll(FileHandle Target,
+                                     std::string_view Bytes) const;
+  Result<void, SystemError> overwrite(const std::string &File,
+                                      const std::string &Bytes) const;
   Result<void, SystemError> syncFolder() const;
+  void closeCurrent();
+  std::string filePath(const std::string &Name) const;
   std::string segmentPath(std::uint64_t Number) const;
 
   const std::string Path;
   const std::uint64_t SegmentBytes;
+  FileSystem &Files;
   HolderId Holder;
-  int File = -1;
+  /// The current segment.
+  std::optional<FileHandle> File;
   std::uint64_t Current = 0;
   std::uint64_t CurrentBytes = 0;
   std::set<std::uint64_t> Segments;
--- a/packages/journal/src/JournalFolder.cpp
+++ b/packages/journal/src/JournalFolder.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-JournalFolder::JournalFolder(std::string Path)
-    : Folder(std::move(Path), SegmentBytes) {}
+JournalFolder::JournalFolder(std::string Path, FileSystem &Files)
+    : Folder(std::move(Path), SegmentBytes, Files) {}
 
 Result<HolderState, SystemError> JournalFolder::open() {
   const auto Opened =
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -2,34 +2,22 @@
 
 #include <boost/uuid/random_generator.hpp>
 #include <boost/uuid/uuid_io.hpp>
-#include <fcntl.h>
 #include <flatbuffers/base.h>
-#include <unistd.h>
 
 #include <cerrno>
 #include <charconv>
-#include <filesystem>
-#include <fstream>
 #include <optional>
-#include <sstream>
 
 namespace tanagerlanding {
 
 namespace {
 
-namespace fs = std::filesystem;
-
 /// A frame: payload length (4 bytes), payload hash (8 bytes), payload.
 constexpr std::size_t HeaderBytes = 12;
 constexpr std::size_t HashOffset = 4;
 constexpr const char *HolderFile = "holder-id";
 constexpr const char *SegmentPrefix = "segment-";
 constexpr const char *TemporarySuffix = ".new";
-constexpr int FileMode = 0644;
-
-SystemError lastError(const std::string &Operation) {
-  return SystemError{Operation, errno};
-}
 
 /// Returns the number in the file name of a segment; absent for other files.
 std::optional<std::uint64_t> segmentNumberOf(const std::string &Name) {
@@ -69,49 +57,32 @@
   return Payload;
 }
 
-Result<void, SystemError> writeAll(int File, const std::string &Bytes) {
-  std::size_t Done = 0;
-  while (Done < Bytes.size()) {
-    const ssize_t Count =
-        ::write(File, Bytes.data() + Done, Bytes.size() - Done);
-    if (Count < 0 && errno == EINTR)
-      continue;
-    if (Count < 0)
-      return lastError("write segment");
-    Done += static_cast<std::size_t>(Count);
-  }
-  return success();
-}
+} // namespace
 
-std::optional<std::string> readWhole(const std::string &Path) {
-  std::ifstream File(Path, std::ios::binary);
-  if (!File)
-    return std::nullopt;
-  std::ostringstream Bytes;
-  Bytes << File.rdbuf();
-  return Bytes.str();
-}
+SegmentFolder::SegmentFolder(std::string Path, std::uint64_t SegmentBytes,
+                             FileSystem &Files)
+    : Path(std::move(Path)), SegmentBytes(SegmentBytes), Files(Files) {}
 
-} // namespace
+SegmentFolder::~SegmentFolder() { this->closeCurrent(); }
 
-SegmentFolder::SegmentFolder(std::string Path, std::uint64_t SegmentBytes)
-    : Path(std::move(Path)), SegmentBytes(SegmentBytes) {}
+void SegmentFolder::closeCurrent() {
+  if (this->File)
+    this->Files.close(*this->File);
+  this->File.reset();
+}
 
-SegmentFolder::~SegmentFolder() {
-  if (this->File >= 0)
-    ::close(this->File);
+std::string SegmentFolder::filePath(const std::string &Name) const {
+  return this->Path + "/" + Name;
 }
 
 std::string SegmentFolder::segmentPath(std::uint64_t Number) const {
-  return this->Path + "/" + SegmentPrefix + std::to_string(Number);
+  return this->filePath(SegmentPrefix + std::to_string(Number));
 }
 
 Result<void, SystemError> SegmentFolder::open(const Visitor &Visit,
                                               const IndexLoader &LoadIndex) {
-  std::error_code Error;
-  fs::create_directories(this->Path, Error);
-  if (Error)
-    return SystemError{"create " + this->Path, Error.value()};
+  if (auto Created = this->Files.createFolder(this->Path); !Created)
+    return Created;
   if (auto Read = this->readHolderId(); !Read)
     return Read.error();
 
@@ -131,15 +102,13 @@
 }
 
 Result<void, SystemError> SegmentFolder::listSegments() {
-  std::error_code Error;
-  for (const fs::directory_entry &Entry :
-       fs::directory_iterator(this->Path, Error)) {
-    const auto Number = segmentNumberOf(Entry.path().filename().string());
-    if (Number)
+  const auto Names = this->Files.list(this->Path);
+  if (!Names)
+    return Names.error();
+  for (const std::string &Name : Names.value()) {
+    if (const auto Number = segmentNumberOf(Name))
       this->Segments.insert(*Number);
   }
-  if (Error)
-    return SystemError{"list " + this->Path, Error.value()};
   return success();
 }
 
@@ -158,25 +127,46 @@
 }
 
 std::string SegmentFolder::readFile(const std::string &Name) const {
-  return readWhole(this->Path + "/" + Name).value_or(std::string());
+  auto Bytes = this->Files.read(this->filePath(Name));
+  return Bytes ? std::move(Bytes.value()) : std::string();
+}
+
+Result<void, SystemError>
+SegmentFolder::writeAll(FileHandle Target, std::string_view Bytes) const {
+  while (!Bytes.empty()) {
+    const auto Count = this->Files.write(Target, Bytes);
+    if (!Count)
+      return Count.error();
+    Bytes.remove_prefix(Count.value());
+  }
+  return success();
+}
+
+/// Replaces the contents of a file durably; its name is not synced.
+Result<void, SystemError>
+SegmentFolder::overwrite(const std::string &File,
+                         const std::string &Bytes) const {
+  const auto Target = this->Files.openForAppend(File);
+  if (!Target)
+    return Target.error();
+  auto Done = this->Files.truncate(Target.value(), 0);
+  if (Done)
+    Done = this->writeAll(Target.value(), Bytes);
+  if (Done)
+    Done = this->Files.sync(Target.value());
+  this->Files.close(Target.value());
+  return Done;
 }
 
 Result<void, SystemError>
 SegmentFolder::writeFile(const std::string &Name,
                          const std::string &Bytes) const {
-  const std::string Final = this->Path + "/" + Name;
+  const std::string Final = this->filePath(Name);
   const std::string Temporary = Final + TemporarySuffix;
-  const int Handle =
-      ::open(Temporary.c_str(), O_CREAT | O_WRONLY | O_TRUNC, FileMode);
-  if (Handle < 0)
-    return lastError("create " + Temporary);
-  const auto Written = writeAll(Handle, Bytes);
-  const bool IsSynced = ::fsync(Handle) == 0;
-  ::close(Handle);
-  if (!Written)
-    return Written.error();
-  if (!IsSynced || ::rename(Temporary.c_str(), Final.c_str()) != 0)
-    return lastError("write " + Final);
+  if (auto Written = this->overwrite(Temporary, Bytes); !Written)
+    return Written;
+  if (auto Renamed = this->Files.rename(Temporary, Final); !Renamed)
+    return Renamed;
   return this->syncFolder();
 }
 
@@ -186,19 +176,19 @@
 }
 
 void SegmentFolder::removeFile(const std::string &Name) const {
-  ::unlink((this->Path + "/" + Name).c_str());
+  (void)this->Files.remove(this->filePath(Name));
 }
 
 Result<void, SystemError> SegmentFolder::readSegment(std::uint64_t Number,
                                                      bool IsLast,
                                                      const Visitor &Visit) {
   const std::string Name = this->segmentPath(Number);
-  const auto Bytes = readWhole(Name);
+  const auto Bytes = this->Files.read(Name);
   if (!Bytes)
-    return lastError("read " + Name);
+    return Bytes.error();
   std::size_t Offset = 0;
-  while (Offset < Bytes->size()) {
-    const auto Payload = payloadAt(*Bytes, Offset);
+  while (Offset < Bytes.value().size()) {
+    const auto Payload = payloadAt(Bytes.value(), Offset);
     const auto Length =
         Payload ? static_cast<std::uint32_t>(Payload->size()) : 0;
     const BatchLocation At{Number, Offset + HeaderBytes, Length};
@@ -218,28 +208,26 @@
 Result<void, SystemError>
 SegmentFolder::truncateSegment(const std::string &Name,
                                std::uint64_t Bytes) const {
-  const int Handle = ::open(Name.c_str(), O_WRONLY);
-  if (Handle < 0)
-    return lastError("open " + Name);
-  const bool IsCut = ::ftruncate(Handle, static_cast<off_t>(Bytes)) == 0 &&
-                     ::fsync(Handle) == 0;
-  ::close(Handle);
-  if (!IsCut)
-    return lastError("truncate " + Name);
-  return success();
+  const auto Segment = this->Files.openForAppend(Name);
+  if (!Segment)
+    return Segment.error();
+  auto Done = this->Files.truncate(Segment.value(), Bytes);
+  if (Done)
+    Done = this->Files.sync(Segment.value());
+  this->Files.close(Segment.value());
+  return Done;
 }
 
 Result<void, SystemError> SegmentFolder::startSegment(std::uint64_t Number) {
-  if (this->File >= 0) {
-    if (::fdatasync(this->File) != 0)
-      return lastError("sync segment");
-    ::close(this->File);
-    this->File = -1;
+  if (this->File) {
+    if (auto Synced = this->Files.sync(*this->File); !Synced)
+      return Synced;
+    this->closeCurrent();
   }
-  const std::string Name = this->segmentPath(Number);
-  this->File = ::open(Name.c_str(), O_CREAT | O_WRONLY | O_APPEND, FileMode);
-  if (this->File < 0)
-    return lastError("create " + Name);
+  const auto Opened = this->Files.openForAppend(this->segmentPath(Number));
+  if (!Opened)
+    return Opened.error();
+  this->File = Opened.value();
   this->Segments.insert(Number);
   this->Current = Number;
   this->CurrentBytes = 0;
@@ -251,28 +239,20 @@
 }
 
 Result<void, SystemError> SegmentFolder::syncFolder() const {
-  const int Handle = ::open(this->Path.c_str(), O_RDONLY | O_DIRECTORY);
-  if (Handle < 0)
-    return lastError("open " + this->Path);
-  const bool IsSynced = ::fsync(Handle) == 0;
-  ::close(Handle);
-  if (!IsSynced)
-    return lastError("sync " + this->Path);
-  return success();
+  return this->Files.syncFolder(this->Path);
 }
 
 Result<BatchLocation, SystemError>
 SegmentFolder::append(const std::string &Payload) {
-  if (this->CurrentBytes >= this->SegmentBytes || this->File < 0) {
+  if (this->CurrentBytes >= this->SegmentBytes || !this->File) {
     if (auto Started = this->rotate(); !Started)
       return Started.error();
   }
-  if (auto Written = writeAll(this->File, encodeFrame(Payload)); !Written) {
+  if (auto Written = this->writeAll(*this->File, encodeFrame(Payload));
+      !Written) {
     // Part of the frame may have been written; no later frame may follow it.
-    if (::ftruncate(this->File, static_cast<off_t>(this->CurrentBytes)) != 0) {
-      ::close(this->File);
-      this->File = -1;
-    }
+    if (!this->Files.truncate(*this->File, this->CurrentBytes))
+      this->closeCurrent();
     return Written.error();
   }
   const BatchLocation At{this->Current, this->CurrentBytes + HeaderBytes,
@@ -282,45 +262,43 @@
 }
 
 Result<void, SystemError> SegmentFolder::sync() {
-  if (::fdatasync(this->File) != 0)
-    return lastError("sync segment");
-  return success();
+  if (!this->File)
+    return SystemError{"sync segment", EBADF};
+  return this->Files.sync(*this->File);
 }
 
 Result<std::string, SystemError> SegmentFolder::read(BatchLocation At) const {
   const std::string Name = this->segmentPath(At.Segment);
-  std::ifstream File(Name, std::ios::binary);
-  std::string Payload(At.Length, '\0');
-  File.seekg(static_cast<std::streamoff>(At.Offset));
-  if (!File.read(Payload.data(), At.Length))
-    return lastError("read " + Name);
+  auto Payload = this->Files.readPart(Name, At.Offset, At.Length);
+  if (Payload && Payload.value().size() < At.Length)
+    return SystemError{"read " + Name, 0};
   return Payload;
 }
 
 Result<SegmentIdentity, SystemError>
 SegmentFolder::identify(std::uint64_t Segment) const {
   const std::string Name = this->segmentPath(Segment);
-  std::ifstream File(Name, std::ios::binary);
   SegmentIdentity Identity;
-  File.seekg(0, std::ios::end);
-  if (!File)
-    return lastError("read " + Name);
-  Identity.Bytes = static_cast<std::uint64_t>(File.tellg());
+  const auto Size = this->Files.size(Name);
+  if (!Size)
+    return Size.error();
+  Identity.Bytes = Size.value();
   if (Identity.Bytes == 0)
     return Identity;
-  std::string Header(HeaderBytes, '\0');
-  File.seekg(0);
-  if (!File.read(Header.data(), static_cast<std::streamsize>(Header.size())))
-    return lastError("read " + Name);
-  Identity.FirstPayload = Fingerprint(
-      flatbuffers::ReadScalar<std::uint64_t>(Header.data() + HashOffset));
+  const auto Header = this->Files.readPart(Name, 0, HeaderBytes);
+  if (!Header)
+    return Header.error();
+  if (Header.value().size() < HeaderBytes)
+    return SystemError{"read " + Name, 0};
+  Identity.FirstPayload = Fingerprint(flatbuffers::ReadScalar<std::uint64_t>(
+      Header.value().data() + HashOffset));
   return Identity;
 }
 
 void SegmentFolder::remove(std::uint64_t Segment) {
   if (Segment >= this->Current)
     return;
-  ::unlink(this->segmentPath(Segment).c_str());
+  (void)this->Files.remove(this->segmentPath(Segment));
   this->Segments.erase(Segment);
 }
 
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -25,7 +25,8 @@
 /// other functions on the event loop's thread.
 class LedgerFolder {
 public:
-  explicit LedgerFolder(const std::string &Path);
+  explicit LedgerFolder(const std::string &Path,
+                        FileSystem &Files = hostFileSystem());
   LedgerFolder(const LedgerFolder &) = delete;
   LedgerFolder &operator=(const LedgerFolder &) = delete;
 
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -35,8 +35,8 @@
 
 } // namespace
 
-LedgerFolder::LedgerFolder(const std::string &Path)
-    : Folder(Path, SegmentBytes) {}
+LedgerFolder::LedgerFolder(const std::string &Path, FileSystem &Files)
+    : Folder(Path, SegmentBytes, Files) {}
 
 Result<void, SystemError> LedgerFolder::open(
     const std::function<void(LedgerBatch, BatchLocation)> &Visit) {
