Log what a start finds in a data folder and what it cuts off

So a cut of a torn frame and one that removes stored frames looked the same. data_folder_opened has the number of segments and segment, offset and bytes of a cut, for replicas and entries; ledger_folder_cut_bytes_total counts the bytes; the error of a damaged segment has offset and bytes. No change of logic.

--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -149,6 +149,7 @@
   auto Opened = this->Folder->open();
   if (!Opened)
     return Opened.error();
+  logEvent("data_folder_opened", this->Folder->recovery().logFields());
   this->Holder = Opened.value();
   this->State.Holder = this->Holder->Self;
   this->Writer = std::make_unique<JournalWriter>(
--- a/packages/journal/include/tanagerlanding/journal/JournalFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/JournalFolder.h
@@ -30,6 +30,9 @@
   /// does.
   Result<HolderState, SystemError> open();
 
+  /// Returns what open() found.
+  const FolderRecovery &recovery() const { return this->Folder.recovery(); }
+
   /// Writes a batch, which may have no records.
   Result<void, SystemError> appendBatch(const AppendRecords &Batch);
 
--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -11,9 +11,28 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace tanagerlanding {
 
+/// What a start found in a data folder.
+struct FolderRecovery {
+  /// The end of the last segment that was cut off, since it held no whole
+  /// frame.
+  struct Cut {
+    std::uint64_t Segment = 0;
+    std::uint64_t Offset = 0;
+    std::uint64_t Bytes = 0;
+  };
+
+  std::size_t Segments = 0;
+  std::optional<Cut> TornEnd;
+
+  /// Returns the names and values of a log line.
+  std::vector<std::pair<std::string, std::string>> logFields() const;
+};
+
 /// Stores payloads in frames with checksums, and the id of the folder.
 ///
 /// open() reads the existing segments and truncates a torn end; append()
@@ -45,6 +64,9 @@
       const Visitor &Visit,
       const IndexLoader &LoadIndex = [](std::uint64_t) { return false; });
 
+  /// Returns what open() found.
+  const FolderRecovery &recovery() const { return this->Recovery; }
+
   /// Reads one closed segment.
   Result<void, SystemError> visitSegment(std::uint64_t Segment,
                                          const Visitor &Visit);
@@ -98,6 +120,7 @@
   const std::uint64_t SegmentBytes;
   FileSystem &Files;
   HolderId Holder;
+  FolderRecovery Recovery;
   /// The current segment.
   std::optional<FileHandle> File;
   std::uint64_t Current = 0;
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -59,6 +59,18 @@
 
 } // namespace
 
+std::vector<std::pair<std::string, std::string>>
+FolderRecovery::logFields() const {
+  std::vector<std::pair<std::string, std::string>> Fields = {
+      {"segments", std::to_string(this->Segments)}};
+  if (!this->TornEnd)
+    return Fields;
+  Fields.emplace_back("cut_segment", std::to_string(this->TornEnd->Segment));
+  Fields.emplace_back("cut_offset", std::to_string(this->TornEnd->Offset));
+  Fields.emplace_back("cut_bytes", std::to_string(this->TornEnd->Bytes));
+  return Fields;
+}
+
 SegmentFolder::SegmentFolder(std::string Path, std::uint64_t SegmentBytes,
                              FileSystem &Files)
     : Path(std::move(Path)), SegmentBytes(SegmentBytes), Files(Files) {}
@@ -89,6 +101,7 @@
   if (auto Listed = this->listSegments(); !Listed)
     return Listed;
   const std::set<std::uint64_t> Found = this->Segments;
+  this->Recovery.Segments = Found.size();
   for (const std::uint64_t Number : Found) {
     const bool IsLast = Number == *Found.rbegin();
     if (!IsLast && LoadIndex(Number))
@@ -194,8 +207,13 @@
     const BatchLocation At{Number, Offset + HeaderBytes, Length};
     if (!Payload || !Visit(*Payload, At)) {
       // A torn frame at the end of the last segment was never acknowledged.
+      const std::uint64_t Left = Bytes.value().size() - Offset;
       if (!IsLast)
-        return SystemError{"damaged " + Name, 0};
+        return SystemError{"damaged " + Name + " at " + std::to_string(Offset) +
+                               ", " + std::to_string(Left) +
+                               " bytes to its end",
+                           0};
+      this->Recovery.TornEnd = {Number, Offset, Left};
       return this->truncateSegment(Name, Offset);
     }
     Offset += HeaderBytes + Length;
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -36,6 +36,9 @@
   Result<void, SystemError>
   open(const std::function<void(LedgerBatch, BatchLocation)> &Visit);
 
+  /// Returns what open() found.
+  const FolderRecovery &recovery() const { return this->Folder.recovery(); }
+
   const HolderId &holder() const { return this->Folder.holder(); }
   /// Returns the view that was last written, or an empty one.
   LedgerView readView() const;
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -132,6 +132,10 @@
       });
   if (!Opened)
     return Opened;
+  logEvent("data_folder_opened", this->Folder.recovery().logFields());
+  if (const auto &Cut = this->Folder.recovery().TornEnd)
+    this->ProcessMetrics.count("ledger_folder_cut_bytes_total", "torn_end",
+                               Cut->Bytes);
   // Segments are deleted only after all are read: one that temporarily had no
   // live records may have gained some from a later batch.
   std::set<std::uint64_t> Needed;
