Replace a damaged data folder in place of ending at each start

Callers saw: nothing but refusals while a second replica was lost, since the one with a damaged segment ended with code 1 at each start, for ever. A loss of one replica within the tolerance became a loss of two.

Cause: damage had no way back. A start returned an error, and the platform started the process again. Of the same kind: a frame with a correct checksum that the program could not decode was cut off silently, with all stored frames behind it; an id or a view that could not be read, for lack of descriptors for instance, was taken for none, so that the id was replaced, or an outdated view could be adopted.

Change: open() reports what is damaged (file, offset, bytes, reason). The files are then renamed, the folder gets a new id, and the process starts with an empty one; the others replace it in the view as after the loss of a disk, which copies all records. An error of the disk on reading counts as damage, any other error of the system ends the start as before. Entries do the same.

--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -149,6 +149,8 @@
   auto Opened = this->Folder->open();
   if (!Opened)
     return Opened.error();
+  if (const auto &Damage = this->Folder->damage())
+    logEvent("data_folder_damaged", Damage->logFields());
   logEvent("data_folder_opened", this->Folder->recovery().logFields());
   this->Holder = Opened.value();
   this->State.Holder = this->Holder->Self;
--- a/packages/journal/include/tanagerlanding/journal/JournalFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/JournalFolder.h
@@ -27,10 +27,12 @@
   JournalFolder &operator=(const JournalFolder &) = delete;
 
   /// Reads the folder, or creates it with a new holder id if it is empty.
-  /// Returns the initial state of its holder. Fails as SegmentFolder::open()
-  /// does.
+  /// Returns the initial state of its holder. A damaged folder is set aside and
+  /// replaced by an empty one with a new holder id; see damage().
   Result<HolderState, SystemError> open();
 
+  /// Returns the damage for which open() has replaced the folder.
+  const std::optional<FolderDamage> &damage() const { return this->Damage; }
   /// Returns what open() found.
   const FolderRecovery &recovery() const { return this->Folder.recovery(); }
 
@@ -62,6 +64,7 @@
 
   SegmentFolder Folder;
   HolderState Recovered;
+  std::optional<FolderDamage> Damage;
   /// The first failure to write. Nothing is written after it, since a start
   /// would take the batches behind a missing one for a complete epoch.
   std::optional<SystemError> Failure;
--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -12,10 +12,37 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 namespace tanagerlanding {
 
+/// A file of a data folder that can't be read back as it was stored.
+struct FolderDamage {
+  enum class Kind {
+    /// A frame is incomplete or does not match its checksum.
+    Corrupt,
+    /// The contents are intact, but this version of the program can't decode
+    /// them.
+    Undecodable,
+    /// The disk reports an error.
+    Unreadable,
+  };
+
+  Kind Reason = Kind::Corrupt;
+  std::string File;
+  /// The place of the damage, and the number of bytes from there to the end of
+  /// the file.
+  std::uint64_t Offset = 0;
+  std::uint64_t Bytes = 0;
+
+  /// Returns the names and values of a log line.
+  std::vector<std::pair<std::string, std::string>> logFields() const;
+};
+
+/// Why a data folder can't be opened.
+using OpenFailure = std::variant<SystemError, FolderDamage>;
+
 /// What a start found in a data folder.
 struct FolderRecovery {
   /// The end of the last segment that was cut off, since it held no whole
@@ -57,19 +84,24 @@
   SegmentFolder(const SegmentFolder &) = delete;
   SegmentFolder &operator=(const SegmentFolder &) = delete;
 
-  /// Reads the folder, or creates it with a new id if it is empty. Fails if a
-  /// system call fails, and with ErrorNumber 0 if a segment other than the last
-  /// is damaged. The last segment is always read as a whole, others only if
-  /// LoadIndex returns false.
-  Result<void, SystemError> open(
+  /// Reads the folder, or creates it with a new id if it is empty. Fails with
+  /// FolderDamage if a file other than the torn end of the last segment is
+  /// damaged; the payloads that were visited are then incomplete. The last
+  /// segment is always read as a whole, others only if LoadIndex returns false.
+  Result<void, OpenFailure> open(
       const Visitor &Visit,
       const IndexLoader &LoadIndex = [](std::uint64_t) { return false; });
 
+  /// Prepares a damaged folder for another open(), which finds it empty and
+  /// with a new id, as after the loss of the disk. The files are kept under
+  /// names that begin with "damaged-" and replace earlier ones.
+  Result<void, SystemError> setAside(const FolderDamage &Damage);
+
   /// Returns what open() found.
   const FolderRecovery &recovery() const { return this->Recovery; }
 
   /// Reads one closed segment.
-  Result<void, SystemError> visitSegment(std::uint64_t Segment,
+  Result<void, OpenFailure> visitSegment(std::uint64_t Segment,
                                          const Visitor &Visit);
 
   /// Returns the folder's id, which open() creates if the folder is empty.
@@ -79,6 +111,7 @@
   /// Makes all payloads durable that were appended. Fails if one of those since
   /// the last call was lost, also if later ones are durable.
   Result<void, SystemError> sync();
+  /// Returns a payload. Fails with ErrorNumber 0 if it is damaged.
   Result<std::string, SystemError> read(BatchLocation At) const;
   /// Returns the identity of a closed segment, which distinguishes it from
   /// others with the same number.
@@ -87,8 +120,8 @@
   /// Replaces a small file of the folder atomically and durably.
   Result<void, SystemError> writeFile(const std::string &Name,
                                       const std::string &Bytes) const;
-  /// Returns the bytes of a small file, or an empty string if it can't be read.
-  std::string readFile(const std::string &Name) const;
+  /// Returns the bytes of a small file, which are empty if it doesn't exist.
+  Result<std::string, OpenFailure> readFile(const std::string &Name) const;
   /// Deletes a small file of the folder if it exists.
   void removeFile(const std::string &Name) const;
 
@@ -104,9 +137,13 @@
 
 private:
   Result<void, SystemError> listSegments();
-  Result<void, SystemError> readHolderId();
-  Result<void, SystemError> readSegment(std::uint64_t Number, bool IsLast,
+  Result<void, OpenFailure> readHolderId();
+  Result<void, SystemError> createHolderId();
+  Result<void, OpenFailure> readSegment(std::uint64_t Number, bool IsLast,
                                         const Visitor &Visit);
+  Result<std::string, OpenFailure> readStored(const std::string &Name) const;
+  Result<void, SystemError> moveFilesAside();
+  Result<void, OpenFailure> resumeSettingAside();
   Result<void, SystemError> settleLastSegment(std::uint64_t Number,
                                               std::uint64_t IntactBytes,
                                               std::uint64_t TornBytes);
--- a/packages/journal/src/JournalFolder.cpp
+++ b/packages/journal/src/JournalFolder.cpp
@@ -20,14 +20,24 @@
     : Folder(std::move(Path), SegmentBytes, Files) {}
 
 Result<HolderState, SystemError> JournalFolder::open() {
+  this->Recovered = HolderState();
+  this->Batches.clear();
+  this->Fences.clear();
   const auto Opened =
       this->Folder.open([this](const std::string &Payload, BatchLocation At) {
         return this->recoverPayload(Payload, At);
       });
-  if (!Opened)
-    return Opened.error();
-  this->Recovered.Self = this->Folder.holder();
-  return this->Recovered;
+  if (Opened) {
+    this->Recovered.Self = this->Folder.holder();
+    return this->Recovered;
+  }
+  const auto *Found = std::get_if<FolderDamage>(&Opened.error());
+  if (!Found)
+    return std::get<SystemError>(Opened.error());
+  this->Damage = *Found;
+  if (auto Moved = this->Folder.setAside(*Found); !Moved)
+    return Moved.error();
+  return this->open();
 }
 
 bool JournalFolder::recoverPayload(const std::string &Payload,
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -18,11 +18,33 @@
 constexpr const char *HolderFile = "holder-id";
 constexpr const char *SegmentPrefix = "segment-";
 constexpr const char *TemporarySuffix = ".new";
+constexpr const char *AsidePrefix = "damaged-";
+constexpr const char *AsideMarker = "setting-aside";
+
+bool startsWith(const std::string &Text, const std::string &Start) {
+  return Text.compare(0, Start.size(), Start) == 0;
+}
+
+std::string segmentName(std::uint64_t Number) {
+  return SegmentPrefix + std::to_string(Number);
+}
+
+const char *toString(FolderDamage::Kind Reason) {
+  switch (Reason) {
+  case FolderDamage::Kind::Corrupt:
+    return "corrupt";
+  case FolderDamage::Kind::Undecodable:
+    return "undecodable";
+  case FolderDamage::Kind::Unreadable:
+    return "unreadable";
+  }
+  return "";
+}
 
 /// Returns the number in the file name of a segment; absent for other files.
 std::optional<std::uint64_t> segmentNumberOf(const std::string &Name) {
   const std::string Start(SegmentPrefix);
-  if (Name.compare(0, Start.size(), Start) != 0)
+  if (!startsWith(Name, Start))
     return std::nullopt;
   std::uint64_t Number = 0;
   const char *End = Name.data() + Name.size();
@@ -71,6 +93,14 @@
   return Fields;
 }
 
+std::vector<std::pair<std::string, std::string>>
+FolderDamage::logFields() const {
+  return {{"file", this->File},
+          {"reason", toString(this->Reason)},
+          {"offset", std::to_string(this->Offset)},
+          {"bytes", std::to_string(this->Bytes)}};
+}
+
 SegmentFolder::SegmentFolder(std::string Path, std::uint64_t SegmentBytes,
                              FileSystem &Files)
     : Path(std::move(Path)), SegmentBytes(SegmentBytes), Files(Files) {}
@@ -88,18 +118,21 @@
 }
 
 std::string SegmentFolder::segmentPath(std::uint64_t Number) const {
-  return this->filePath(SegmentPrefix + std::to_string(Number));
+  return this->filePath(segmentName(Number));
 }
 
-Result<void, SystemError> SegmentFolder::open(const Visitor &Visit,
+Result<void, OpenFailure> SegmentFolder::open(const Visitor &Visit,
                                               const IndexLoader &LoadIndex) {
+  this->Recovery = FolderRecovery();
   if (auto Created = this->Files.createFolder(this->Path); !Created)
-    return Created;
+    return Created.error();
+  if (auto Resumed = this->resumeSettingAside(); !Resumed)
+    return Resumed;
   if (auto Read = this->readHolderId(); !Read)
-    return Read.error();
-
+    return Read;
   if (auto Listed = this->listSegments(); !Listed)
-    return Listed;
+    return Listed.error();
+
   const std::set<std::uint64_t> Found = this->Segments;
   this->Recovery.Segments = Found.size();
   for (const std::uint64_t Number : Found) {
@@ -107,16 +140,18 @@
     if (!IsLast && LoadIndex(Number))
       continue;
     if (auto Read = this->readSegment(Number, IsLast, Visit); !Read)
-      return Read.error();
+      return Read;
   }
-  const std::uint64_t Next =
-      this->Segments.empty() ? 1 : *this->Segments.rbegin() + 1;
+  const std::uint64_t Next = Found.empty() ? 1 : *Found.rbegin() + 1;
   if (auto Started = this->startSegment(Next); !Started)
-    return Started;
-  return this->makeDurable();
+    return Started.error();
+  if (auto Synced = this->makeDurable(); !Synced)
+    return Synced.error();
+  return success();
 }
 
 Result<void, SystemError> SegmentFolder::listSegments() {
+  this->Segments.clear();
   const auto Names = this->Files.list(this->Path);
   if (!Names)
     return Names.error();
@@ -127,12 +162,20 @@
   return success();
 }
 
-Result<void, SystemError> SegmentFolder::readHolderId() {
-  const std::string Known = this->readFile(HolderFile);
-  if (!Known.empty()) {
-    this->Holder = HolderId(Known);
+Result<void, OpenFailure> SegmentFolder::readHolderId() {
+  const auto Known = this->readFile(HolderFile);
+  if (!Known)
+    return Known.error();
+  if (Known.value().empty()) {
+    if (auto Created = this->createHolderId(); !Created)
+      return Created.error();
     return success();
   }
+  this->Holder = HolderId(Known.value());
+  return success();
+}
+
+Result<void, SystemError> SegmentFolder::createHolderId() {
   const std::string Fresh =
       boost::uuids::to_string(boost::uuids::random_generator()());
   if (auto Written = this->writeFile(HolderFile, Fresh); !Written)
@@ -141,9 +184,68 @@
   return success();
 }
 
-std::string SegmentFolder::readFile(const std::string &Name) const {
+Result<void, SystemError> SegmentFolder::setAside(const FolderDamage &Damage) {
+  if (auto Marked = this->writeFile(AsideMarker, Damage.File); !Marked)
+    return Marked;
+  return this->moveFilesAside();
+}
+
+/// The marker is there until all files are moved and the new id is durable, so
+/// that no start takes the files that are left for the whole folder.
+Result<void, SystemError> SegmentFolder::moveFilesAside() {
+  const auto Names = this->Files.list(this->Path);
+  if (!Names)
+    return Names.error();
+  for (const std::string &Name : Names.value()) {
+    const bool IsKept = Name == HolderFile || Name == AsideMarker ||
+                        startsWith(Name, AsidePrefix);
+    if (IsKept)
+      continue;
+    const auto Moved = this->Files.rename(this->filePath(Name),
+                                          this->filePath(AsidePrefix + Name));
+    if (!Moved)
+      return Moved;
+  }
+  if (auto Synced = this->syncFolder(); !Synced)
+    return Synced;
+  if (auto Created = this->createHolderId(); !Created)
+    return Created;
+  if (auto Removed = this->Files.remove(this->filePath(AsideMarker)); !Removed)
+    return Removed;
+  return this->syncFolder();
+}
+
+/// Completes a setAside() during which the process ended.
+Result<void, OpenFailure> SegmentFolder::resumeSettingAside() {
+  const auto Marker = this->readFile(AsideMarker);
+  if (!Marker)
+    return Marker.error();
+  if (Marker.value().empty())
+    return success();
+  if (auto Moved = this->moveFilesAside(); !Moved)
+    return Moved.error();
+  return success();
+}
+
+/// Reads a file; an error of the disk counts as damage.
+Result<std::string, OpenFailure>
+SegmentFolder::readStored(const std::string &Name) const {
   auto Bytes = this->Files.read(this->filePath(Name));
-  return Bytes ? std::move(Bytes.value()) : std::string();
+  if (Bytes)
+    return std::move(Bytes.value());
+  if (Bytes.error().ErrorNumber == EIO)
+    return FolderDamage{FolderDamage::Kind::Unreadable, Name, 0, 0};
+  return Bytes.error();
+}
+
+Result<std::string, OpenFailure>
+SegmentFolder::readFile(const std::string &Name) const {
+  auto Bytes = this->readStored(Name);
+  const auto *Failed =
+      Bytes ? nullptr : std::get_if<SystemError>(&Bytes.error());
+  if (Failed && Failed->ErrorNumber == ENOENT)
+    return std::string();
+  return Bytes;
 }
 
 Result<void, SystemError>
@@ -185,7 +287,7 @@
   return this->syncFolder();
 }
 
-Result<void, SystemError> SegmentFolder::visitSegment(std::uint64_t Segment,
+Result<void, OpenFailure> SegmentFolder::visitSegment(std::uint64_t Segment,
                                                       const Visitor &Visit) {
   return this->readSegment(Segment, false, Visit);
 }
@@ -194,30 +296,32 @@
   (void)this->Files.remove(this->filePath(Name));
 }
 
-Result<void, SystemError> SegmentFolder::readSegment(std::uint64_t Number,
+Result<void, OpenFailure> SegmentFolder::readSegment(std::uint64_t Number,
                                                      bool IsLast,
                                                      const Visitor &Visit) {
-  const std::string Name = this->segmentPath(Number);
-  const auto Bytes = this->Files.read(Name);
+  const auto Bytes = this->readStored(segmentName(Number));
   if (!Bytes)
     return Bytes.error();
+  const std::size_t Size = Bytes.value().size();
   std::size_t Offset = 0;
-  while (Offset < Bytes.value().size()) {
+  while (Offset < Size) {
     const auto Payload = payloadAt(Bytes.value(), Offset);
-    const auto Length =
-        Payload ? static_cast<std::uint32_t>(Payload->size()) : 0;
-    const BatchLocation At{Number, Offset + HeaderBytes, Length};
-    if (!Payload || !Visit(*Payload, At))
+    if (!Payload)
       break;
+    const auto Length = static_cast<std::uint32_t>(Payload->size());
+    if (!Visit(*Payload, BatchLocation{Number, Offset + HeaderBytes, Length}))
+      return FolderDamage{FolderDamage::Kind::Undecodable, segmentName(Number),
+                          Offset, Size - Offset};
     Offset += HeaderBytes + Length;
   }
-  const std::uint64_t Left = Bytes.value().size() - Offset;
-  if (IsLast)
-    return this->settleLastSegment(Number, Offset, Left);
-  if (Left > 0)
-    return SystemError{"damaged " + Name + " at " + std::to_string(Offset) +
-                           ", " + std::to_string(Left) + " bytes to its end",
-                       0};
+  if (!IsLast && Offset < Size)
+    return FolderDamage{FolderDamage::Kind::Corrupt, segmentName(Number),
+                        Offset, Size - Offset};
+  if (!IsLast)
+    return success();
+  if (auto Settled = this->settleLastSegment(Number, Offset, Size - Offset);
+      !Settled)
+    return Settled.error();
   return success();
 }
 
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -32,24 +32,28 @@
 
   /// Reads the folder and calls Visit with each batch and its location.
   /// Batches of indexed segments lack the text of their turns; see
-  /// IndexedBatch.
-  Result<void, SystemError>
+  /// IndexedBatch. Fails as SegmentFolder::open() does.
+  Result<void, OpenFailure>
   open(const std::function<void(LedgerBatch, BatchLocation)> &Visit);
 
+  /// Replaces a damaged folder by an empty one with a new holder id, which has
+  /// to be opened again; see SegmentFolder::setAside().
+  Result<void, SystemError> setAside(const FolderDamage &Damage);
   /// Returns what open() found.
   const FolderRecovery &recovery() const { return this->Folder.recovery(); }
 
   const HolderId &holder() const { return this->Folder.holder(); }
-  /// Returns the view that was last written, or an empty one.
-  LedgerView readView() const;
+  /// Returns the view that open() has read, or an empty one.
+  const LedgerView &view() const { return this->View; }
   Result<void, SystemError> writeView(const LedgerView &View) const;
 
-  /// Returns the directory that was last written, or an empty one.
+  /// Returns the directory that was last written, or an empty one if there is
+  /// none or it can't be read.
   DirectoryChanges readDirectory() const;
   Result<void, SystemError> writeDirectory(const DirectoryChanges &Items) const;
 
   /// Returns the evidence against contents that was last written, or an empty
-  /// list.
+  /// list if there is none or it can't be read.
   SuspectList readSuspects() const;
   Result<void, SystemError> writeSuspects(const SuspectList &Suspects) const;
 
@@ -72,6 +76,8 @@
   void removeOthers(const std::set<std::uint64_t> &Needed);
 
 private:
+  Result<void, OpenFailure> readView();
+  template <typename Content> Content readCache(const std::string &Name) const;
   bool readIndex(std::uint64_t Segment,
                  const std::function<void(LedgerBatch, BatchLocation)> &Visit);
   Result<std::string, SystemError> makeIndex(std::uint64_t Segment);
@@ -79,6 +85,7 @@
   void removeSegment(std::uint64_t Segment);
 
   SegmentFolder Folder;
+  LedgerView View;
   /// Segments that have an index or for which none could be written.
   std::set<std::uint64_t> Indexed;
   /// Guards the list of segments: the writer's thread adds segments and the
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -81,6 +81,7 @@
   void applyLedgerKey(const KeyChange &Change);
 
   Result<void, SystemError> openFolder();
+  Result<void, SystemError> readFolder(std::int64_t PresentMillis);
   void connectPeers();
   void apply(const LedgerEvent &Event);
   void writeView(const WriteLedgerView &Effect);
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -1,6 +1,7 @@
 #include "tanagerlanding/ledger/LedgerFolder.h"
 
 #include "tanagerlanding/decision/ledger/SegmentIndex.h"
+#include "tanagerlanding/runtime/Log.h"
 #include "tanagerlanding/wire.h"
 
 #include <algorithm>
@@ -26,6 +27,13 @@
   return IndexPrefix + std::to_string(Segment);
 }
 
+SystemError asSystemError(const OpenFailure &Failure) {
+  if (const auto *Damage = std::get_if<FolderDamage>(&Failure))
+    return SystemError{
+        "damaged " + Damage->File + " at " + std::to_string(Damage->Offset), 0};
+  return std::get<SystemError>(Failure);
+}
+
 std::optional<LedgerBatch> batchIn(const std::string &Payload) {
   auto Body = decodeMessage(Payload);
   if (!Body || !std::holds_alternative<LedgerBatch>(Body.value()))
@@ -38,17 +46,26 @@
 LedgerFolder::LedgerFolder(const std::string &Path, FileSystem &Files)
     : Folder(Path, SegmentBytes, Files) {}
 
-Result<void, SystemError> LedgerFolder::open(
+Result<void, OpenFailure> LedgerFolder::open(
     const std::function<void(LedgerBatch, BatchLocation)> &Visit) {
+  this->Indexed.clear();
   const auto VisitPayload = [&](const std::string &Payload, BatchLocation At) {
     auto Batch = batchIn(Payload);
     if (Batch)
       Visit(std::move(*Batch), At);
     return Batch.has_value();
   };
-  return this->Folder.open(VisitPayload, [&](std::uint64_t Segment) {
-    return this->readIndex(Segment, Visit);
-  });
+  if (auto Opened = this->Folder.open(VisitPayload,
+                                      [&](std::uint64_t Segment) {
+                                        return this->readIndex(Segment, Visit);
+                                      });
+      !Opened)
+    return Opened;
+  return this->readView();
+}
+
+Result<void, SystemError> LedgerFolder::setAside(const FolderDamage &Damage) {
+  return this->Folder.setAside(Damage);
 }
 
 bool LedgerFolder::readIndex(
@@ -57,9 +74,11 @@
   const auto Identity = this->Folder.identify(Segment);
   if (!Identity)
     return false;
-  const std::string Bytes = this->Folder.readFile(indexName(Segment));
+  const auto Bytes = this->Folder.readFile(indexName(Segment));
+  if (!Bytes)
+    return false;
   const bool IsRead = decodeSegmentIndex(
-      Bytes, Segment, Identity.value(),
+      Bytes.value(), Segment, Identity.value(),
       [&](IndexedBatch Each) { Visit(std::move(Each.Batch), Each.Place); });
   if (IsRead)
     this->Indexed.insert(Segment);
@@ -90,7 +109,7 @@
         return Batch.has_value();
       });
   if (!Read)
-    return Read.error();
+    return asSystemError(Read.error());
   Index.Batches = withoutSuperseded(std::move(Index.Batches));
   return encodeSegmentIndex(Index);
 }
@@ -117,10 +136,22 @@
   return true;
 }
 
-LedgerView LedgerFolder::readView() const {
-  const auto Body = decodeMessage(this->Folder.readFile(ViewFile));
+/// A replica must not take a view that it can't read for none: it might then
+/// adopt and serve under an outdated one.
+Result<void, OpenFailure> LedgerFolder::readView() {
+  this->View = LedgerView();
+  const auto Bytes = this->Folder.readFile(ViewFile);
+  if (!Bytes)
+    return Bytes.error();
+  if (Bytes.value().empty())
+    return success();
+  const auto Body = decodeMessage(Bytes.value());
   const auto *Offer = Body ? std::get_if<ViewOffer>(&Body.value()) : nullptr;
-  return Offer ? Offer->View : LedgerView();
+  if (!Offer)
+    return FolderDamage{FolderDamage::Kind::Undecodable, ViewFile, 0,
+                        Bytes.value().size()};
+  this->View = Offer->View;
+  return success();
 }
 
 Result<void, SystemError>
@@ -128,11 +159,24 @@
   return this->Folder.writeFile(ViewFile, encodeMessage(ViewOffer{View}));
 }
 
+/// Reads a file that others can provide again.
+template <typename Content>
+Content LedgerFolder::readCache(const std::string &Name) const {
+  const auto Bytes = this->Folder.readFile(Name);
+  if (Bytes && Bytes.value().empty())
+    return Content();
+  if (Bytes) {
+    auto Body = decodeMessage(Bytes.value());
+    auto *Read = Body ? std::get_if<Content>(&Body.value()) : nullptr;
+    if (Read)
+      return std::move(*Read);
+  }
+  logEvent("data_folder_file_ignored", {{"file", Name}});
+  return Content();
+}
+
 DirectoryChanges LedgerFolder::readDirectory() const {
-  const auto Body = decodeMessage(this->Folder.readFile(DirectoryFile));
-  const auto *Items =
-      Body ? std::get_if<DirectoryChanges>(&Body.value()) : nullptr;
-  return Items ? *Items : DirectoryChanges();
+  return this->readCache<DirectoryChanges>(DirectoryFile);
 }
 
 Result<void, SystemError>
@@ -141,10 +185,7 @@
 }
 
 SuspectList LedgerFolder::readSuspects() const {
-  const auto Body = decodeMessage(this->Folder.readFile(SuspectsFile));
-  const auto *Suspects =
-      Body ? std::get_if<SuspectList>(&Body.value()) : nullptr;
-  return Suspects ? *Suspects : SuspectList();
+  return this->readCache<SuspectList>(SuspectsFile);
 }
 
 Result<void, SystemError>
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -121,17 +121,37 @@
 
 LedgerProcess::~LedgerProcess() = default;
 
-Result<void, SystemError> LedgerProcess::openFolder() {
-  const std::int64_t Present = wallClockMillis();
+/// Reads the records. A replica whose folder is damaged starts without any and
+/// under another holder id, so that the others replace it like one that has
+/// lost its disk, and it copies the records from them.
+Result<void, SystemError>
+LedgerProcess::readFolder(std::int64_t PresentMillis) {
+  this->State = LedgerState();
   this->State.Now = this->Loop.now();
   const auto Opened =
       this->Folder.open([&](LedgerBatch Batch, BatchLocation Place) {
         const Milliseconds Age(
-            std::max<std::int64_t>(0, Present - Batch.WrittenAtMillis));
+            std::max<std::int64_t>(0, PresentMillis - Batch.WrittenAtMillis));
         this->apply(LedgerBatchRecovered{Place, std::move(Batch), Age});
       });
-  if (!Opened)
-    return Opened;
+  if (Opened)
+    return success();
+  const auto *Damage = std::get_if<FolderDamage>(&Opened.error());
+  if (!Damage)
+    return std::get<SystemError>(Opened.error());
+  LogFields Fields = Damage->logFields();
+  Fields.emplace_back("holder", this->Folder.holder().Value);
+  logEvent("data_folder_damaged", Fields);
+  this->ProcessMetrics.count("ledger_folder_replaced_total", "damaged");
+  if (auto Moved = this->Folder.setAside(*Damage); !Moved)
+    return Moved;
+  return this->readFolder(PresentMillis);
+}
+
+Result<void, SystemError> LedgerProcess::openFolder() {
+  const std::int64_t Present = wallClockMillis();
+  if (auto Read = this->readFolder(Present); !Read)
+    return Read;
   logEvent("data_folder_opened", this->Folder.recovery().logFields());
   if (const auto &Cut = this->Folder.recovery().TornEnd)
     this->ProcessMetrics.count("ledger_folder_cut_bytes_total", "torn_end",
@@ -142,7 +162,7 @@
   for (const auto &[Segment, Batches] : this->State.BatchesInSegment)
     Needed.insert(Segment);
   this->Folder.removeOthers(Needed);
-  this->State.View = this->Folder.readView();
+  this->State.View = this->Folder.view();
   this->State.ToleratedFailures = this->Settings.ToleratedFailures;
   this->State.Self = LedgerMember{
       this->Folder.holder(), this->Settings.Host, this->Settings.Peers.Address,
--- a/packages/ledger/tests/LedgerPowerLossTest.cpp
+++ b/packages/ledger/tests/LedgerPowerLossTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cerrno>
+
 using namespace tanagerlanding;
 
 namespace {
@@ -88,6 +90,40 @@
 
 } // namespace
 
+TEST_CASE("Ledger folder: a view that can't be read is not taken for none") {
+  SimulatedDisk Disk(1);
+  {
+    LedgerFolder Folder("data", Disk);
+    REQUIRE(Folder.open([](const LedgerBatch &, BatchLocation) {}));
+    LedgerView View;
+    View.Version = ViewVersion(4);
+    REQUIRE(Folder.writeView(View));
+  }
+  LedgerFolder Folder("data", Disk);
+  const auto Open = [&Folder] {
+    return Folder.open([](const LedgerBatch &, BatchLocation) {});
+  };
+  SECTION("for lack of descriptors") {
+    Disk.failReads("data/view", EMFILE);
+    const auto Opened = Open();
+    REQUIRE_FALSE(Opened);
+    CHECK(std::get<SystemError>(Opened.error()).ErrorNumber == EMFILE);
+    Disk.failReads("data/view", 0);
+    REQUIRE(Open());
+    CHECK(Folder.view().Version == ViewVersion(4));
+  }
+  SECTION("as it is damaged") {
+    Disk.damage("data/view", 0);
+    const auto Opened = Open();
+    REQUIRE_FALSE(Opened);
+    const HolderId Before = Folder.holder();
+    REQUIRE(Folder.setAside(std::get<FolderDamage>(Opened.error())));
+    REQUIRE(Open());
+    CHECK(Folder.view().Version == ViewVersion(0));
+    CHECK_FALSE(Folder.holder() == Before);
+  }
+}
+
 TEST_CASE("Ledger folder: nothing stored or read is lost by kills and losses "
           "of power") {
   CHECK(firstViolation(0) == "");
--- a/tests/integration/PlatformPath.cpp
+++ b/tests/integration/PlatformPath.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <sstream>
 #include <thread>
 
 using namespace tanagerlanding::test;
@@ -33,6 +34,12 @@
   return Count;
 }
 
+std::string contentsOf(const fs::path &Path) {
+  std::ostringstream Text;
+  Text << std::ifstream(Path).rdbuf();
+  return Text.str();
+}
+
 /// Returns a configuration with one team that has one key.
 std::string keyedConfiguration(int Version, const std::string &Key) {
   Json Document = Json::parse(PlatformSite::configuration(Version));
@@ -95,6 +102,36 @@
   CHECK(Site.sendTurnUntilServed("t3", First, "in3;").Status == 200);
 }
 
+TEST_CASE("Platform path: a replica whose folder is damaged starts again and "
+          "copies the records of the others") {
+  PlatformSite Site;
+  std::string First;
+  int Attempt = 0;
+  REQUIRE(waitFor([&] {
+    First = "t1-" + std::to_string(++Attempt);
+    return Site.sendTurn(First, "", "in1;").Status == 200;
+  }));
+  const fs::path Replica = Site.ledgerFolder(0);
+  const std::string Before = contentsOf(Replica / "holder-id");
+  // Another start makes the segment a closed one.
+  Site.Ledgers[0].kill();
+  Site.startLedger(0);
+  REQUIRE(waitFor([&] { return fs::exists(Replica / "segment-2"); }));
+  Site.Ledgers[0].kill();
+  fs::remove(Replica / "index-1");
+  fs::resize_file(Replica / "segment-1",
+                  fs::file_size(Replica / "segment-1") - 3);
+  Site.startLedger(0);
+  REQUIRE(waitFor([&] {
+    const Json View = Json::parse(Site.Store.get("tanagerlanding/ledger/view"));
+    return View["version"] > 1 && View["next"].empty();
+  }));
+  CHECK_FALSE(contentsOf(Replica / "holder-id") == Before);
+  CHECK(fs::exists(Replica / "damaged-segment-1"));
+  Site.Ledgers[1].kill();
+  CHECK(Site.sendTurnUntilServed("t2", First, "in2;").Status == 200);
+}
+
 TEST_CASE("Platform path: all killed while the store is down") {
   PlatformSite Site;
   CHECK(Site.sendTurn("t1", "", "in1;").Status == 200);
