Read back only payloads that match their checksum

A history was read at the place that an index or the start had noted, and only its length was checked. Of a segment that was torn in the middle and kept its length, other bytes could be decoded and sent to a target as the text of a turn. read() compares the frame's length and checksum now and fails if they differ; the replica then answers without a history, and the relay asks the next one. The test changes a byte of a stored payload.

--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -435,10 +435,15 @@
 
 Result<std::string, SystemError> SegmentFolder::read(BatchLocation At) const {
   const std::string Name = this->segmentPath(At.Segment);
-  auto Payload = this->Files.readPart(Name, At.Offset, At.Length);
-  if (Payload && Payload.value().size() < At.Length)
-    return SystemError{"read " + Name, 0};
-  return Payload;
+  const auto Frame = this->Files.readPart(Name, At.Offset - HeaderBytes,
+                                          HeaderBytes + At.Length);
+  if (!Frame)
+    return Frame.error();
+  auto Payload = payloadAt(Frame.value(), 0);
+  if (!Payload || Payload->size() != At.Length)
+    return SystemError{"damaged " + Name + " at " + std::to_string(At.Offset),
+                       0};
+  return std::move(*Payload);
 }
 
 Result<SegmentIdentity, SystemError>
--- a/packages/journal/tests/PowerLossTest.cpp
+++ b/packages/journal/tests/PowerLossTest.cpp
@@ -247,6 +247,18 @@
   CHECK(Disk.read("data/segment-1").value() == Before);
 }
 
+TEST_CASE("Segments: a payload that changed on the disk is not returned") {
+  SimulatedDisk Disk(1);
+  SegmentFolder Folder("data", SmallSegment, Disk);
+  REQUIRE(Folder.open(acceptAll));
+  const auto At = Folder.append("stored");
+  REQUIRE(At);
+  REQUIRE(Folder.sync());
+  CHECK(Folder.read(At.value()).value() == "stored");
+  Disk.damage("data/segment-1", At.value().Offset);
+  CHECK(Folder.read(At.value()).error().ErrorNumber == 0);
+}
+
 TEST_CASE("Segments: an id that can't be read is not replaced") {
   SimulatedDisk Disk(1);
   const std::string Before = writeThreeSegments(Disk);
