Let the simulated disk lose at a later loss of power what no sync covers

DEPLOY.md promises only what the last sync of a file covered. What one loss of power left of the writes behind it may still be lost by the next, so a start that takes such frames over has to sync them just like those of a killed process.

--- a/tests/simulation/SimulatedDisk.cpp
+++ b/tests/simulation/SimulatedDisk.cpp
@@ -79,34 +79,38 @@
   this->LeftUntilEnd.reset();
 }
 
-std::string SimulatedDisk::contentsAfterPowerLoss(const Node &Each) {
-  std::string Contents = Each.Durable;
+/// Keeps, tears or drops the changes that no sync covers. Those that are left
+/// are still not covered.
+void SimulatedDisk::loseChanges(Node &Target) {
+  std::vector<Change> Left;
   const bool AreAllGone = this->draw() < 0.25;
-  for (const Change &Pending : Each.Pending) {
+  for (Change &Each : Target.Pending) {
     const double Fate = this->draw();
     if (AreAllGone || Fate < 0.3)
       continue;
-    Change Kept = Pending;
-    if (Kept.Bytes && Fate < 0.6)
-      Kept.Bytes->resize(this->drawBelow(Kept.Bytes->size() + 1));
-    apply(Contents, Kept);
+    if (Each.Bytes && Fate < 0.6)
+      Each.Bytes->resize(this->drawBelow(Each.Bytes->size() + 1));
+    Left.push_back(std::move(Each));
   }
-  return Contents;
+  Target.Pending = std::move(Left);
+  Target.Cached = Target.Durable;
+  for (const Change &Each : Target.Pending)
+    apply(Target.Cached, Each);
 }
 
 void SimulatedDisk::losePower() {
   this->kill();
-  for (Node &Each : this->Nodes) {
-    Each.Durable = this->contentsAfterPowerLoss(Each);
-    Each.Cached = Each.Durable;
-    Each.Pending.clear();
-  }
-  for (const NameChange &Each : this->PendingNames) {
+  for (Node &Each : this->Nodes)
+    this->loseChanges(Each);
+  std::vector<NameChange> Left;
+  this->CachedNames = this->DurableNames;
+  for (NameChange &Each : this->PendingNames) {
     if (this->draw() < 0.5)
-      apply(this->DurableNames, Each);
+      continue;
+    apply(this->CachedNames, Each);
+    Left.push_back(std::move(Each));
   }
-  this->PendingNames.clear();
-  this->CachedNames = this->DurableNames;
+  this->PendingNames = std::move(Left);
 }
 
 std::vector<std::string> SimulatedDisk::names() const {
--- a/tests/simulation/SimulatedDisk.h
+++ b/tests/simulation/SimulatedDisk.h
@@ -19,7 +19,8 @@
 /// A file system with the guarantees of POSIX and no others. After a loss of
 /// power a file holds what its last sync covered; each later write is present,
 /// missing or torn, and each name that was created, renamed or removed since
-/// its folder was synced is kept or lost by itself. A kill loses nothing.
+/// its folder was synced is kept or lost by itself. What is left without a sync
+/// may be lost by the next loss of power. A kill loses nothing.
 ///
 /// The same seed and operations give the same result.
 class SimulatedDisk : public FileSystem {
@@ -101,7 +102,7 @@
   static void apply(Names &Target, const NameChange &Each);
   void change(NodeId Target, Change Each);
   void changeName(NameChange Each);
-  std::string contentsAfterPowerLoss(const Node &Each);
+  void loseChanges(Node &Target);
   /// Counts an operation; may end the process. Returns whether it fails.
   bool isFailing();
   double draw();
