Test the writers and the small files of data folders on the simulated disk

Found by a review: with the sync of either writer removed, or its result ignored, no test failed, nor with the folder's sync behind a renamed view; and one section of 'a later sync does not cover frames whose sync failed' closed the segment by accident, so that nothing noticed a missing cut. The replaced section is covered by the two new cases.

--- a/packages/journal/tests/PowerLossTest.cpp
+++ b/packages/journal/tests/PowerLossTest.cpp
@@ -157,35 +157,58 @@
   CHECK(Disk.isDurable());
 }
 
-TEST_CASE("Segments: a later sync does not cover frames whose sync failed") {
-  SimulatedDisk Disk(1);
-  std::vector<std::string> Read;
-  const auto Visit = [&Read](const std::string &Payload, BatchLocation) {
-    Read.push_back(Payload);
-    return true;
-  };
-  SegmentFolder Folder("data", SmallSegment, Disk);
-  REQUIRE(Folder.open(Visit));
-  REQUIRE(Folder.append("stored"));
-  REQUIRE(Folder.sync());
-  REQUIRE(Folder.append(std::string(SmallSegment, 'x')));
-  SECTION("in the same segment") {
-    Disk.failNextSync();
-    CHECK_FALSE(Folder.sync());
-    REQUIRE(Folder.append("later"));
-    CHECK(Folder.sync());
+TEST_CASE("Segments: a sync reports frames that were lost as their segment was "
+          "closed") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SimulatedDisk Disk(Seed);
+    {
+      SegmentFolder Folder("data", SmallSegment, Disk);
+      REQUIRE(Folder.open(acceptAll));
+      REQUIRE(Folder.append("stored"));
+      REQUIRE(Folder.sync());
+      REQUIRE(Folder.append(std::string(SmallSegment, 'x')));
+      Disk.failNextSync();
+      CHECK_FALSE(Folder.append("refused"));
+      CHECK(Folder.append("later"));
+      CHECK_FALSE(Folder.sync());
+      CHECK(Folder.sync());
+    }
+    Disk.losePower();
+    std::vector<std::string> Read;
+    SegmentFolder Folder("data", SmallSegment, Disk);
+    REQUIRE(Folder.open([&Read](const std::string &Payload, BatchLocation) {
+      Read.push_back(Payload);
+      return true;
+    }));
+    CHECK(Read == std::vector<std::string>{"stored", "later"});
   }
-  SECTION("as the segment is closed within a group") {
-    Disk.failNextSync();
-    CHECK_FALSE(Folder.append("refused"));
-    CHECK(Folder.append("later"));
-    CHECK_FALSE(Folder.sync());
-    CHECK(Folder.sync());
+}
+
+TEST_CASE("Segments: frames of a failed sync are cut before others follow") {
+  const std::string Lost(GENERATE(std::size_t(20), std::size_t(SmallSegment)),
+                         'x');
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SimulatedDisk Disk(Seed);
+    {
+      SegmentFolder Folder("data", SmallSegment, Disk);
+      REQUIRE(Folder.open(acceptAll));
+      REQUIRE(Folder.append("stored"));
+      REQUIRE(Folder.sync());
+      REQUIRE(Folder.append(Lost));
+      Disk.failNextSync();
+      CHECK_FALSE(Folder.sync());
+      REQUIRE(Folder.append("later"));
+      REQUIRE(Folder.sync());
+    }
+    Disk.losePower();
+    std::vector<std::string> Read;
+    SegmentFolder Folder("data", SmallSegment, Disk);
+    CHECK(Folder.open([&Read](const std::string &Payload, BatchLocation) {
+      Read.push_back(Payload);
+      return true;
+    }));
+    CHECK(Read == std::vector<std::string>{"stored", "later"});
   }
-  Disk.losePower();
-  SegmentFolder Again("data", SmallSegment, Disk);
-  REQUIRE(Again.open(Visit));
-  CHECK(Read == std::vector<std::string>{"stored", "later"});
 }
 
 TEST_CASE("Segments: a damaged folder is set aside and starts empty with "
@@ -329,6 +352,47 @@
   CHECK(firstViolation<Batches>(0.1) == None);
 }
 
+TEST_CASE("Journal writer: reports a batch and sends a sealed log only once "
+          "they are durable") {
+  SimulatedDisk Disk(1);
+  JournalFolder Folder("data", Disk);
+  REQUIRE(Folder.open());
+  std::uint64_t Index = 0;
+  std::size_t Answers = 0;
+  std::size_t Failures = 0;
+  bool AreDurable = true;
+  const auto Store = [&] {
+    JournalWriter Writer(
+        Folder,
+        [&](const HolderEvent &Event) {
+          if (std::holds_alternative<DataFolderFailed>(Event)) {
+            ++Failures;
+            return;
+          }
+          ++Answers;
+          AreDurable = AreDurable && Disk.isDurable();
+        },
+        [&](const HostId &, const Message &) {
+          ++Answers;
+          AreDurable = AreDurable && Disk.isDurable();
+        });
+    Writer.submit(PersistBatch{
+        HostId("h"),
+        AppendRecords{
+            ShardId(1), Epoch(5), ++Index, {ProgramEnded{ProgramId("p")}}},
+        {}});
+    Writer.submit(PersistFenceAndSend{
+        HostId("h"), SealLog{ShardId(2), Epoch(5), Epoch(6)}, {}});
+  };
+  Store();
+  CHECK(Answers == 2);
+  CHECK(AreDurable);
+  Disk.failNextSync();
+  Store();
+  CHECK(Answers == 2);
+  CHECK(Failures > 0);
+}
+
 TEST_CASE("Segments and journal: the same with many seeds",
           "[.power-loss-by-hand]") {
   for (const double Failures : {0.0, 0.02, 0.1}) {
--- a/packages/ledger/tests/LedgerPowerLossTest.cpp
+++ b/packages/ledger/tests/LedgerPowerLossTest.cpp
@@ -2,11 +2,12 @@
 /// fail.
 #include "FolderLives.h"
 
-#include "tanagerlanding/ledger/LedgerFolder.h"
+#include "tanagerlanding/ledger/LedgerWriter.h"
 
 #include <catch2/catch.hpp>
 
 #include <cerrno>
+#include <future>
 
 using namespace tanagerlanding;
 
@@ -69,8 +70,10 @@
     this->Items.erase(Oldest);
   }
 
-private:
+protected:
   LedgerFolder Folder;
+
+private:
   std::map<std::uint64_t, std::set<std::string>> Items;
 };
 
@@ -90,8 +93,135 @@
   return {};
 }
 
+/// The last version of a small file that was written durably or read.
+struct KnownVersion {
+  std::uint64_t Durable = 0;
+  std::uint64_t Written = 0;
+
+  /// Returns whether a start may find this version.
+  bool read(std::uint64_t Version) {
+    const bool IsAllowed = this->Durable <= Version && Version <= this->Written;
+    this->Durable = Version;
+    return IsAllowed;
+  }
+};
+
+/// What has to be found again of the small files, over all lives of a folder.
+struct KnownFiles {
+  KnownVersion View;
+  KnownVersion Directory;
+  KnownVersion Suspects;
+  std::string Holder;
+};
+
+/// Writes the view, the directory and the suspects, besides turns.
+class SmallFiles : public Turns {
+public:
+  SmallFiles(SimulatedDisk &Disk, KnownFiles &Known)
+      : Turns(Disk), Known(Known) {}
+
+  bool open(std::vector<std::string> &Read) override {
+    if (!Turns::open(Read))
+      return false;
+    const std::string Holder = this->Folder.holder().Value;
+    const bool IsSameHolder =
+        this->Known.Holder.empty() || this->Known.Holder == Holder;
+    this->Known.Holder = Holder;
+    const DirectoryChanges Directory = this->Folder.readDirectory();
+    return IsSameHolder &&
+           this->Known.View.read(this->Folder.view().Version.Value) &&
+           this->Known.Directory.read(
+               Directory.Items.empty()
+                   ? 0
+                   : Directory.Items[0].ModRevision.Value) &&
+           this->Known.Suspects.read(static_cast<std::uint64_t>(
+               this->Folder.readSuspects().WrittenAtMillis));
+  }
+
+  void maintain(std::uint64_t Choice, std::set<std::string> &Dropped) override {
+    if (Choice < 2 || Choice == 3)
+      Turns::maintain(Choice, Dropped);
+    if (Choice == 2) {
+      LedgerView View;
+      View.Version = ViewVersion(++this->Known.View.Written);
+      if (this->Folder.writeView(View))
+        this->Known.View.Durable = this->Known.View.Written;
+    }
+    if (Choice == 4) {
+      DirectoryChanges Items;
+      Items.Items.push_back(DirectoryItem{
+          "key", std::string(200, 'v'),
+          Revision(static_cast<std::int64_t>(++this->Known.Directory.Written)),
+          false});
+      if (this->Folder.writeDirectory(Items))
+        this->Known.Directory.Durable = this->Known.Directory.Written;
+    }
+    if (Choice == 5) {
+      SuspectList Suspects;
+      Suspects.WrittenAtMillis =
+          static_cast<std::int64_t>(++this->Known.Suspects.Written);
+      if (this->Folder.writeSuspects(Suspects))
+        this->Known.Suspects.Durable = this->Known.Suspects.Written;
+    }
+  }
+
+private:
+  KnownFiles &Known;
+};
+
+std::string firstViolationOfSmallFiles(double Failures) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    FolderLives::Options Options;
+    Options.Failures = Failures;
+    KnownFiles Known;
+    const std::string Found =
+        FolderLives(
+            Seed,
+            [&Known](SimulatedDisk &Disk) {
+              return std::make_unique<SmallFiles>(Disk, Known);
+            },
+            Options)
+            .run();
+    if (!Found.empty())
+      return "seed " + std::to_string(Seed) + ": " + Found;
+  }
+  return {};
+}
+
 } // namespace
 
+TEST_CASE("Ledger folder: no view, directory, suspects or id that were written "
+          "or read are lost") {
+  CHECK(firstViolationOfSmallFiles(0) == None);
+  CHECK(firstViolationOfSmallFiles(0.1) == None);
+}
+
+TEST_CASE("Ledger writer: reports a batch as stored only once it is durable") {
+  SimulatedDisk Disk(1);
+  LedgerFolder Folder("data", Disk);
+  REQUIRE(Folder.open([](const LedgerBatch &, BatchLocation) {}));
+  const auto Store = [&] {
+    std::promise<std::pair<bool, bool>> Reported;
+    {
+      LedgerWriter Writer(Folder, [&](const std::vector<LedgerEvent> &Events) {
+        Reported.set_value(
+            {std::holds_alternative<LedgerBatchStored>(Events.at(0)),
+             Disk.isDurable()});
+      });
+      LedgerBatch Batch;
+      Batch.Records = {TurnRecord{TurnId("t"), std::nullopt, "in", "out", {}}};
+      Writer.submit(PersistLedgerBatch{1, std::move(Batch)});
+    }
+    return Reported.get_future().get();
+  };
+  const auto [IsStored, IsDurable] = Store();
+  CHECK(IsStored);
+  CHECK(IsDurable);
+  SECTION("sync fails") { Disk.failNextSync(); }
+  SECTION("write fails") { Disk.failNextChanges(2); }
+  CHECK_FALSE(Store().first);
+}
+
 TEST_CASE("Ledger folder: a view that can't be read is not taken for none") {
   SimulatedDisk Disk(1);
   {
