Do not delete a segment with stored batches that the replica does not know yet

What callers could see: a turn that was answered and is gone after a restart of its replicas, on a slow disk or while records are copied.

Cause: remove() kept the last two segments, as the batches that the writer has appended but not yet reported were taken to lie in them. Then the segment was deleted with batches that were reported as stored afterwards.

Evidence: found by a review; the new case fails before and passes now.

Change: the folder counts the appended batches of each segment until their owner has applied the report, and keeps the segment until there is none.

--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -7,6 +7,7 @@
 #include "tanagerlanding/journal/SegmentFolder.h"
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -57,8 +58,12 @@
   SuspectList readSuspects() const;
   Result<void, SystemError> writeSuspects(const SuspectList &Suspects) const;
 
-  /// Writes a batch, which is durable after sync().
+  /// Writes a batch, which is durable after sync(). Its segment is not deleted
+  /// before release().
   Result<BatchLocation, SystemError> append(const LedgerBatch &Batch);
+  /// States that the owner of the folder knows an appended batch, or that it
+  /// has failed.
+  void release(BatchLocation Place);
   Result<void, SystemError> sync();
 
   /// Writes the index of one closed segment that has none. Returns whether
@@ -70,7 +75,8 @@
   Result<std::string, SystemError>
   readHistory(const std::vector<std::pair<TurnId, BatchLocation>> &Turns) const;
 
-  /// Deletes a segment, unless it is one of the last two.
+  /// Deletes a segment, unless it is the current one or has batches that were
+  /// not released.
   void remove(std::uint64_t Segment);
   /// Deletes all segments that are not in Needed.
   void removeOthers(const std::set<std::uint64_t> &Needed);
@@ -88,8 +94,10 @@
   LedgerView View;
   /// Segments that have an index or for which none could be written.
   std::set<std::uint64_t> Indexed;
-  /// Guards the list of segments: the writer's thread adds segments and the
-  /// loop's thread deletes them.
+  /// Number of appended batches in each segment that were not released.
+  std::map<std::uint64_t, std::size_t> Unreported;
+  /// Guards the segments and Unreported: the writer's thread adds segments and
+  /// the loop's thread deletes them.
   std::mutex Lock;
 };
 
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -84,6 +84,8 @@
   Result<void, SystemError> readFolder(std::int64_t PresentMillis);
   void connectPeers();
   void apply(const LedgerEvent &Event);
+  /// Applies an event of the writer.
+  void applyWritten(const LedgerEvent &Event);
   void writeView(const WriteLedgerView &Effect);
   void reportRetirement(const ReportRetirement &Effect);
 
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -15,9 +15,6 @@
 /// once none of its records are needed, and because the last segment has no
 /// index and is read as a whole at start-up.
 constexpr std::uint64_t SegmentBytes = 2 * 1024 * 1024;
-/// Number of latest segments that remove() keeps: the current one, and the one
-/// before it, which may hold batches that are written but not yet reported.
-constexpr std::uint64_t SegmentsKept = 2;
 constexpr const char *ViewFile = "view";
 constexpr const char *DirectoryFile = "directory";
 constexpr const char *SuspectsFile = "suspects";
@@ -197,7 +194,17 @@
 LedgerFolder::append(const LedgerBatch &Batch) {
   const std::string Payload = encodeMessage(Batch);
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  return this->Folder.append(Payload);
+  const auto Place = this->Folder.append(Payload);
+  if (Place)
+    ++this->Unreported[Place.value().Segment];
+  return Place;
+}
+
+void LedgerFolder::release(BatchLocation Place) {
+  const std::lock_guard<std::mutex> Guard(this->Lock);
+  const auto Found = this->Unreported.find(Place.Segment);
+  if (Found != this->Unreported.end() && --Found->second == 0)
+    this->Unreported.erase(Found);
 }
 
 Result<void, SystemError> LedgerFolder::sync() { return this->Folder.sync(); }
@@ -231,13 +238,15 @@
 
 void LedgerFolder::remove(std::uint64_t Segment) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
-  if (Segment + SegmentsKept <= this->Folder.currentSegment())
+  if (this->Unreported.count(Segment) == 0)
     this->removeSegment(Segment);
 }
 
 /// Deletes the index first, since an index without its segment would never be
 /// deleted.
 void LedgerFolder::removeSegment(std::uint64_t Segment) {
+  if (Segment == this->Folder.currentSegment())
+    return;
   this->Folder.removeFile(indexName(Segment));
   this->Folder.remove(Segment);
   this->Indexed.erase(Segment);
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -172,13 +172,19 @@
       this->Folder, [this](std::vector<LedgerEvent> Events) {
         this->Loop.post([this, Events = std::move(Events)] {
           for (const LedgerEvent &Each : Events)
-            this->apply(Each);
+            this->applyWritten(Each);
         });
       });
   this->readDirectory();
   return success();
 }
 
+void LedgerProcess::applyWritten(const LedgerEvent &Event) {
+  this->apply(Event);
+  if (const auto *Stored = std::get_if<LedgerBatchStored>(&Event))
+    this->Folder.release(Stored->Place);
+}
+
 Result<void, SystemError> LedgerProcess::run() {
   // The settings of this role can't change while it runs.
   this->Loop.onReload([this] {
--- a/packages/ledger/src/LedgerWriter.cpp
+++ b/packages/ledger/src/LedgerWriter.cpp
@@ -94,6 +94,10 @@
   if (Synced)
     return Events;
   logFailure(Synced.error());
+  for (const LedgerEvent &Each : Events) {
+    if (const auto *Lost = std::get_if<LedgerBatchStored>(&Each))
+      this->Folder.release(Lost->Place);
+  }
   Events.clear();
   for (const PersistLedgerBatch &Each : this->Group)
     Events.push_back(LedgerBatchFailed{Each.Ticket});
--- a/packages/ledger/tests/LedgerPowerLossTest.cpp
+++ b/packages/ledger/tests/LedgerPowerLossTest.cpp
@@ -256,6 +256,41 @@
   }
 }
 
+TEST_CASE("Ledger folder: a segment with batches that are not reported yet is "
+          "not deleted") {
+  SimulatedDisk Disk(1);
+  const auto BatchOf = [](const std::string &Turn, std::size_t Bytes) {
+    LedgerBatch Batch;
+    Batch.Retention = Milliseconds(60000);
+    Batch.Records = {TurnRecord{
+        TurnId(Turn), std::nullopt, std::string(Bytes, 'x'), "", {}}};
+    return Batch;
+  };
+  constexpr std::size_t MoreThanSegment = 3 * 1024 * 1024;
+  std::set<std::string> Found;
+  {
+    LedgerFolder Folder("data", Disk);
+    REQUIRE(Folder.open([](const LedgerBatch &, BatchLocation) {}));
+    REQUIRE(Folder.append(BatchOf("expired", 10)));
+    REQUIRE(Folder.sync());
+    // One group of the writer. Meanwhile the event loop drops the segment,
+    // whose reported batches have expired.
+    const auto First = Folder.append(BatchOf("t1", 10));
+    REQUIRE(First);
+    REQUIRE(Folder.append(BatchOf("t2", MoreThanSegment)));
+    REQUIRE(Folder.append(BatchOf("t3", MoreThanSegment)));
+    REQUIRE(Folder.append(BatchOf("t4", 10)));
+    Folder.remove(First.value().Segment);
+    REQUIRE(Folder.sync());
+  }
+  LedgerFolder Folder("data", Disk);
+  REQUIRE(Folder.open([&Found](const LedgerBatch &Batch, BatchLocation) {
+    Found.insert(std::get<TurnRecord>(Batch.Records.at(0)).Turn.Value);
+  }));
+  for (const char *Turn : {"t1", "t2", "t3", "t4"})
+    CHECK(Found.count(Turn) == 1);
+}
+
 TEST_CASE("Ledger folder: nothing stored or read is lost by kills and losses "
           "of power") {
   CHECK(firstViolation(0) == None);
