Write the last segment's frames anew at a start

Cause, of the same class as the refused segment: if the sync of the taken-over frames failed at a start, the next start found them in the page cache, and its sync succeeded without covering them. They were served, and a loss of power tore a segment that was no longer the last.

Change: the intact frames are written to a new file that replaces the segment. A full disk falls back to the sync of the file itself, so that a start is still possible; that case is tested, too. The simulated disk judges durability by the files that have a name.

--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -145,8 +145,7 @@
   Result<void, SystemError> moveFilesAside();
   Result<void, OpenFailure> resumeSettingAside();
   Result<void, SystemError> settleLastSegment(std::uint64_t Number,
-                                              std::uint64_t IntactBytes,
-                                              std::uint64_t TornBytes);
+                                              const std::string &Frames);
   Result<void, SystemError> startSegment(std::uint64_t Number);
   Result<void, SystemError> writeAll(FileHandle Target,
                                      std::string_view Bytes) const;
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -319,7 +319,10 @@
                         Offset, Size - Offset};
   if (!IsLast)
     return success();
-  if (auto Settled = this->settleLastSegment(Number, Offset, Size - Offset);
+  if (Offset < Size)
+    this->Recovery.TornEnd = {Number, Offset, Size - Offset};
+  if (auto Settled =
+          this->settleLastSegment(Number, Bytes.value().substr(0, Offset));
       !Settled)
     return Settled.error();
   return success();
@@ -329,16 +332,20 @@
 /// before it durable: the process that wrote them may have ended before it had
 /// synced them. Both have to happen before another segment is started, since a
 /// torn end in any segment but the last counts as damage.
-Result<void, SystemError> SegmentFolder::settleLastSegment(
-    std::uint64_t Number, std::uint64_t IntactBytes, std::uint64_t TornBytes) {
+///
+/// The frames are written anew, since a sync of the file does not cover what an
+/// earlier one has failed to write. Only if there is no room for them, the file
+/// itself is synced.
+Result<void, SystemError>
+SegmentFolder::settleLastSegment(std::uint64_t Number,
+                                 const std::string &Frames) {
+  const auto Written = this->writeFile(segmentName(Number), Frames);
+  if (Written || Written.error().ErrorNumber != ENOSPC)
+    return Written;
   const auto Segment = this->Files.openForAppend(this->segmentPath(Number));
   if (!Segment)
     return Segment.error();
-  Result<void, SystemError> Done = success();
-  if (TornBytes > 0) {
-    this->Recovery.TornEnd = {Number, IntactBytes, TornBytes};
-    Done = this->Files.truncate(Segment.value(), IntactBytes);
-  }
+  auto Done = this->Files.truncate(Segment.value(), Frames.size());
   if (Done)
     Done = this->Files.sync(Segment.value());
   this->Files.close(Segment.value());
--- a/packages/journal/tests/PowerLossTest.cpp
+++ b/packages/journal/tests/PowerLossTest.cpp
@@ -211,6 +211,56 @@
   }
 }
 
+TEST_CASE("Segments: frames whose sync failed at a start are not taken over by "
+          "the next start") {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    SimulatedDisk Disk(Seed);
+    {
+      SegmentFolder Folder("data", SmallSegment, Disk);
+      REQUIRE(Folder.open(acceptAll));
+      REQUIRE(Folder.append("not synced"));
+    }
+    Disk.kill();
+    Disk.failNextSync();
+    {
+      SegmentFolder Folder("data", SmallSegment, Disk);
+      CHECK_FALSE(Folder.open(acceptAll));
+    }
+    Disk.kill();
+    std::size_t Served = 0;
+    {
+      SegmentFolder Folder("data", SmallSegment, Disk);
+      REQUIRE(Folder.open([&Served](const std::string &, BatchLocation) {
+        ++Served;
+        return true;
+      }));
+    }
+    Disk.losePower();
+    SegmentFolder Folder("data", SmallSegment, Disk);
+    std::size_t Found = 0;
+    CHECK(Folder.open([&Found](const std::string &, BatchLocation) {
+      ++Found;
+      return true;
+    }));
+    CHECK(Served <= Found);
+  }
+}
+
+TEST_CASE("Segments: a folder without room opens, and its frames are durable") {
+  SimulatedDisk Disk(1);
+  {
+    SegmentFolder Folder("data", SmallSegment, Disk);
+    REQUIRE(Folder.open(acceptAll));
+    REQUIRE(Folder.append("not synced"));
+  }
+  Disk.kill();
+  // The first change is the creation of the new copy.
+  Disk.failNextChanges(1);
+  SegmentFolder Folder("data", SmallSegment, Disk);
+  REQUIRE(Folder.open(acceptAll));
+  CHECK(Disk.isDurable());
+}
+
 TEST_CASE("Segments: a damaged folder is set aside and starts empty with "
           "another id") {
   constexpr std::uint64_t MoreThanNeeded = 25;
