Set a folder aside only for what the disk has lost, and once a start

Cause: a payload with a correct checksum that the program can't decode was handled like damage. It depends on the version of the program, so that rolling a release back could have replaced all replicas at once, which no tolerance covers. And an id that stays unreadable let a start set the folder aside without end.

Evidence: found by a review. 'a disk that can't be read ends the start with an error' did not end within 500 operations before; the cases of undecodable frames and views expected the damage and now expect an error that leaves the files as they are.

Change: what can't be decoded ends the start with an error that names file and offset; the version that wrote it can read it. A second damage in one start is an error, too.

--- a/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
+++ b/packages/journal/include/tanagerlanding/journal/SegmentFolder.h
@@ -22,9 +22,6 @@
   enum class Kind {
     /// A frame is incomplete or does not match its checksum.
     Corrupt,
-    /// The contents are intact, but this version of the program can't decode
-    /// them.
-    Undecodable,
     /// The disk reports an error.
     Unreadable,
   };
@@ -43,6 +40,9 @@
 /// Why a data folder can't be opened.
 using OpenFailure = std::variant<SystemError, FolderDamage>;
 
+/// Returns the failure as one of a system call, with ErrorNumber 0 for damage.
+SystemError asSystemError(const OpenFailure &Failure);
+
 /// What a start found in a data folder.
 struct FolderRecovery {
   /// The end of the last segment that was cut off, since it held no whole
@@ -69,7 +69,8 @@
 /// define the payloads.
 class SegmentFolder {
 public:
-  /// Receives a payload that was read. Returns false if it can't be decoded.
+  /// Receives a payload that was read. Returns false if it can't be decoded,
+  /// which ends open() with an error and changes nothing.
   using Visitor =
       std::function<bool(const std::string &Payload, BatchLocation At)>;
 
--- a/packages/journal/src/JournalFolder.cpp
+++ b/packages/journal/src/JournalFolder.cpp
@@ -34,6 +34,8 @@
   const auto *Found = std::get_if<FolderDamage>(&Opened.error());
   if (!Found)
     return std::get<SystemError>(Opened.error());
+  if (this->Damage)
+    return asSystemError(*Found);
   this->Damage = *Found;
   if (auto Moved = this->Folder.setAside(*Found); !Moved)
     return Moved.error();
--- a/packages/journal/src/SegmentFolder.cpp
+++ b/packages/journal/src/SegmentFolder.cpp
@@ -33,8 +33,6 @@
   switch (Reason) {
   case FolderDamage::Kind::Corrupt:
     return "corrupt";
-  case FolderDamage::Kind::Undecodable:
-    return "undecodable";
   case FolderDamage::Kind::Unreadable:
     return "unreadable";
   }
@@ -101,6 +99,15 @@
           {"bytes", std::to_string(this->Bytes)}};
 }
 
+SystemError asSystemError(const OpenFailure &Failure) {
+  if (const auto *Damage = std::get_if<FolderDamage>(&Failure))
+    return SystemError{std::string(toString(Damage->Reason)) + " " +
+                           Damage->File + " at " +
+                           std::to_string(Damage->Offset),
+                       0};
+  return std::get<SystemError>(Failure);
+}
+
 SegmentFolder::SegmentFolder(std::string Path, std::uint64_t SegmentBytes,
                              FileSystem &Files)
     : Path(std::move(Path)), SegmentBytes(SegmentBytes), Files(Files) {}
@@ -309,9 +316,11 @@
     if (!Payload)
       break;
     const auto Length = static_cast<std::uint32_t>(Payload->size());
+    // It was written by another version, which can still read it.
     if (!Visit(*Payload, BatchLocation{Number, Offset + HeaderBytes, Length}))
-      return FolderDamage{FolderDamage::Kind::Undecodable, segmentName(Number),
-                          Offset, Size - Offset};
+      return SystemError{"decode " + this->segmentPath(Number) + " at " +
+                             std::to_string(Offset),
+                         0};
     Offset += HeaderBytes + Length;
   }
   if (!IsLast && Offset < Size)
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -99,6 +99,8 @@
   KeyWatcher Keys;
   ReplicaRegistration Registration;
   LedgerFolder Folder;
+  /// Whether this start has set a damaged folder aside, which it does once.
+  bool IsFolderReplaced = false;
   std::unique_ptr<LedgerWriter> Writer;
   LedgerState State;
   const InstanceId Instance;
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -24,13 +24,6 @@
   return IndexPrefix + std::to_string(Segment);
 }
 
-SystemError asSystemError(const OpenFailure &Failure) {
-  if (const auto *Damage = std::get_if<FolderDamage>(&Failure))
-    return SystemError{
-        "damaged " + Damage->File + " at " + std::to_string(Damage->Offset), 0};
-  return std::get<SystemError>(Failure);
-}
-
 std::optional<LedgerBatch> batchIn(const std::string &Payload) {
   auto Body = decodeMessage(Payload);
   if (!Body || !std::holds_alternative<LedgerBatch>(Body.value()))
@@ -145,8 +138,7 @@
   const auto Body = decodeMessage(Bytes.value());
   const auto *Offer = Body ? std::get_if<ViewOffer>(&Body.value()) : nullptr;
   if (!Offer)
-    return FolderDamage{FolderDamage::Kind::Undecodable, ViewFile, 0,
-                        Bytes.value().size()};
+    return SystemError{std::string("decode ") + ViewFile, 0};
   this->View = Offer->View;
   return success();
 }
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -137,8 +137,9 @@
   if (Opened)
     return success();
   const auto *Damage = std::get_if<FolderDamage>(&Opened.error());
-  if (!Damage)
-    return std::get<SystemError>(Opened.error());
+  if (!Damage || this->IsFolderReplaced)
+    return asSystemError(Opened.error());
+  this->IsFolderReplaced = true;
   LogFields Fields = Damage->logFields();
   Fields.emplace_back("holder", this->Folder.holder().Value);
   logEvent("data_folder_damaged", Fields);
