Start a copy of records again if one of its batches could not be stored

What callers could see: a view that changes for ever after one failed write at a replica that copies, so that the next loss makes two.

Cause: the ticket of the failed batch stayed among those that the pull waits for, and sources that had sent everything were not asked again.

Evidence: found by a review; 'a replica whose disk fails for a moment while it copies becomes a member' failed before and passes now, with all cases of Ledger* (19).

Change: such a pull takes no more pages and starts anew after the retry interval.

--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -278,6 +278,9 @@
   Instant RequestedAt;
   /// Tickets of pulled batches that are not durable yet.
   std::set<std::uint64_t> PendingTickets;
+  /// Whether a pulled batch could not be stored, so that the pull has to start
+  /// again.
+  bool HasFailed = false;
   bool IsComplete = false;
 };
 
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -404,6 +404,11 @@
     return;
   if (State.Now - State.Pull->RequestedAt < State.Options.RetryInterval)
     return;
+  if (State.Pull->HasFailed) {
+    if (State.Pull->PendingTickets.empty())
+      startPull(Context);
+    return;
+  }
   State.Pull->RequestedAt = State.Now;
   for (const LedgerMember &Each : State.View.Current) {
     const auto Source = State.Pull->Sources.find(Each.Holder);
@@ -415,7 +420,7 @@
 void handleRecordsPage(LedgerContext &Context, const HostId &Peer,
                        const RecordsPage &Page) {
   LedgerState &State = Context.State;
-  if (!State.Pull || !(State.Pull->View == Page.View))
+  if (!State.Pull || State.Pull->HasFailed || !(State.Pull->View == Page.View))
     return;
   const auto Source = State.Pull->Sources.find(Page.Holder);
   if (Source == State.Pull->Sources.end() || Source->second.IsDone)
@@ -439,9 +444,14 @@
   completePull(Context);
 }
 
+void failPull(LedgerState &State, std::uint64_t Ticket) {
+  if (State.Pull && State.Pull->PendingTickets.erase(Ticket) > 0)
+    State.Pull->HasFailed = true;
+}
+
 void completePull(LedgerContext &Context) {
   LedgerState &State = Context.State;
-  if (!State.Pull || State.Pull->IsComplete ||
+  if (!State.Pull || State.Pull->IsComplete || State.Pull->HasFailed ||
       !State.Pull->PendingTickets.empty())
     return;
   std::size_t Done =
--- a/packages/decision/src/ledger/LedgerMembership.h
+++ b/packages/decision/src/ledger/LedgerMembership.h
@@ -23,6 +23,9 @@
 void handleRecordsPage(LedgerContext &Context, const HostId &Peer,
                        const RecordsPage &Page);
 
+/// Lets the pull start again if one of its batches could not be stored.
+void failPull(LedgerState &State, std::uint64_t Ticket);
+
 /// Completes the pull once enough sources have sent everything and all pulled
 /// batches are durable.
 void completePull(LedgerContext &Context);
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -219,8 +219,7 @@
     const PendingBatch Pending = std::move(Found->second);
     this->State.PendingBatches.erase(Found);
     this->Context.count("ledger_refusals_total", "disk");
-    // A pull whose records can't be stored never completes, so this replica
-    // does not become a member of the new view.
+    failPull(this->State, Event.Ticket);
     if (Pending.Peer)
       this->Context.send(*Pending.Peer, LedgerRefused{operationOf(Pending),
                                                       this->State.Self.Holder,
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -268,6 +268,22 @@
   CHECK(Fixture.hasTurn("h4", "t2"));
 }
 
+TEST_CASE("Ledger: a replica whose disk fails for a moment while it copies "
+          "becomes a member") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  Fixture.storeTurn("h1", "t1");
+  Fixture.storeTurn("h2", "t1");
+  Fixture.stop("h3");
+  Fixture.start("h4", "d");
+  Fixture.Nodes.at(HostId("h4")).HasDisk = false;
+  Fixture.advanceTime(Milliseconds(3000));
+  Fixture.Nodes.at(HostId("h4")).HasDisk = true;
+  Fixture.advanceTime(Milliseconds(10000));
+  CHECK(Fixture.hasTurn("h4", "t1"));
+  CHECK_FALSE(Fixture.View.isChanging());
+}
+
 TEST_CASE("Ledger: a host that lost its disk returns as a new replica") {
   LedgerFixture Fixture;
   startThree(Fixture);
