Send no request on a connection on which unread bytes have arrived

Cause: an idle connection was chosen although bytes of its target waited in the socket, or in a read that had completed but was not handled yet. The request was sent, and these bytes were then read as its answer: a refusal without an id counted, and the start of one, cut within a header line, was joined with the head of the true answer to a refusal with the right id. Bytes that came before the first request of a new connection were read in the same way.

Change: an idle connection is only watched, not read, so that a look at the socket before a send sees all that precedes the request. If there is anything, another connection is used. A new connection with early bytes is given up as never sent, which is certain. A close that has arrived no longer makes an outcome unknown.

--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -19,9 +19,10 @@
 ///
 /// Each request is sent at most once and is never retried here, so that what
 /// may be retried remains the reducer's decision. A response that carries
-/// another attempt's id is discarded. What a target sends before a response to
-/// the attempt, and between the parts of its body, is limited. Must be used on
-/// the event loop's thread.
+/// another attempt's id is discarded. A connection on which bytes arrive while
+/// no request is pending is not reused. What a target sends before a response
+/// to the attempt, and between the parts of its body, is limited. Must be used
+/// on the event loop's thread.
 class AttemptClient {
 public:
   /// Receives the progress of attempts. Not called for an attempt after its
@@ -81,6 +82,8 @@
   ConnectionPtr acquireIdle(const Endpoint &Remote);
   void connect(const ConnectionPtr &Target);
   void start(const ConnectionPtr &Target);
+  /// Drops an idle connection when its target closes it or sends bytes.
+  void watchIdle(const ConnectionPtr &Target);
   void read(const ConnectionPtr &Target);
   void handleRead(const ConnectionPtr &Target,
                   const boost::system::error_code &Error);
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <regex>
 
 namespace tanagerlanding {
@@ -56,6 +57,14 @@
              &UserTimeoutMillis, sizeof(UserTimeoutMillis));
 }
 
+/// Returns whether the connection is open and no received bytes are unread.
+bool isQuiet(tcp::socket &Socket) {
+  char Byte = 0;
+  const ssize_t Count = recv(Socket.native_handle(), &Byte, sizeof(Byte),
+                             MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace
 
 /// A connection to a target.
@@ -119,21 +128,24 @@
 
 AttemptClient::ConnectionPtr
 AttemptClient::acquireIdle(const Endpoint &Remote) {
-  const auto Found = this->Idle.find(Remote);
-  if (Found == this->Idle.end())
-    return nullptr;
-  // The most recently used connection is the least likely to be closed.
-  const ConnectionPtr Newest = Found->second.back();
-  const Milliseconds IdleTime = this->Loop.now() - Newest->UnusedSince;
-  if (IdleTime + IdleMargin < Newest->KeepAlive) {
+  for (auto Found = this->Idle.find(Remote); Found != this->Idle.end();
+       Found = this->Idle.find(Remote)) {
+    // The most recently used connection is the least likely to be closed.
+    const ConnectionPtr Newest = Found->second.back();
+    const Milliseconds IdleTime = this->Loop.now() - Newest->UnusedSince;
+    const bool IsFresh = IdleTime + IdleMargin < Newest->KeepAlive;
+    if (!IsFresh || !isQuiet(Newest->Socket)) {
+      this->drop(Newest);
+      continue;
+    }
     Found->second.pop_back();
     if (Found->second.empty())
       this->Idle.erase(Found);
+    // Ends the wait of watchIdle().
+    boost::system::error_code Ignored;
+    Newest->Socket.cancel(Ignored);
     return Newest;
   }
-  const std::list<ConnectionPtr> Stale = Found->second;
-  for (const ConnectionPtr &Each : Stale)
-    this->drop(Each);
   return nullptr;
 }
 
@@ -154,8 +166,11 @@
         }
         Target->IsOpen = true;
         prepareSocket(Target->Socket);
-        this->read(Target);
-        this->start(Target);
+        // Bytes that precede the request can't be its response.
+        if (isQuiet(Target->Socket))
+          this->start(Target);
+        else
+          this->fail(Target, AttemptEnded::Kind::NeverSent);
       });
 }
 
@@ -196,6 +211,19 @@
         if (Error && !Target->HasHead && Target->Current.Attempt.Value != 0)
           this->fail(Target, AttemptEnded::Kind::Broken);
       });
+  this->read(Target);
+}
+
+void AttemptClient::watchIdle(const ConnectionPtr &Target) {
+  // A wait reads nothing, so that the next request's isQuiet() sees all bytes
+  // that precede it.
+  Target->Socket.async_wait(
+      tcp::socket::wait_read,
+      [this, Target](const boost::system::error_code &Error) {
+        // The target closed the connection, or sent bytes without a request.
+        if (!Error && Target->IsOpen && Target->Current.Attempt.Value == 0)
+          this->drop(Target);
+      });
 }
 
 void AttemptClient::read(const ConnectionPtr &Target) {
@@ -220,11 +248,6 @@
                                const boost::system::error_code &Error) {
   if (!Target->IsOpen)
     return;
-  if (Target->Current.Attempt.Value == 0) {
-    // The target closed the connection, or sent bytes without a request.
-    this->drop(Target);
-    return;
-  }
   if (Error) {
     this->handleEnd(Target, Error == boost::asio::error::eof);
     return;
@@ -238,7 +261,10 @@
   if (!Target->IsOpen)
     return;
   this->account(*Target, Target->CountedSent, Target->Input.size());
-  this->read(Target);
+  if (Target->Current.Attempt.Value == 0)
+    this->watchIdle(Target);
+  else
+    this->read(Target);
 }
 
 void AttemptClient::parse(const ConnectionPtr &Target) {
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -214,6 +214,138 @@
   CHECK(Fixture.Body == "ok");
 }
 
+TEST_CASE("Targets: a refusal repeated on a kept connection doesn't refuse the "
+          "next request") {
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\n";
+  const std::string NoBody = "Content-Length: 0\r\n\r\n";
+  const std::string Id = GENERATE("", "Id: 1\r\n", "Id: 2\r\n");
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send(Refusal + "Id: 1\r\n" + NoBody);
+  REQUIRE(Fixture.awaitEnds(1));
+  Fixture.Statuses.clear();
+  SECTION("it arrives while no request is pending") {
+    Target.send(Refusal + Id + NoBody);
+    REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
+    Fixture.send("2");
+    CHECK(Fixture.Accepted == 2);
+  }
+  SECTION("it has arrived unnoticed when the request is sent") {
+    Target.send(Refusal + Id + NoBody);
+    Fixture.send("2");
+    CHECK(Fixture.Accepted == 2);
+    CHECK_FALSE(Target.has("Id: 2"));
+  }
+  SECTION("its start has arrived unnoticed when the request is sent") {
+    Target.send(Refusal + "Odd: ");
+    RawPeer &Next = Fixture.send("2");
+    Next.send("HTTP/1.1 200 OK\r\nId: 2\r\n" + NoBody);
+    REQUIRE(Fixture.awaitEnds(2));
+    CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200});
+    return;
+  }
+  CHECK_FALSE(runUntil(
+      Fixture.Loop, [&] { return Fixture.Ends.size() > 1; }, Milliseconds(50)));
+  CHECK(Fixture.Statuses.empty());
+}
+
+TEST_CASE("Targets: a request isn't sent on a kept connection whose close has "
+          "arrived unnoticed") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  Target.Socket.close();
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 2);
+  CHECK(Fixture.Ends.size() == 1);
+}
+
+TEST_CASE("Targets: a refusal with the request's id counts on a kept "
+          "connection") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  Fixture.send("2");
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\n";
+  const std::string NoBody = "Content-Length: 0\r\n\r\n";
+  // A repeat of an earlier answer may come first.
+  const std::string First =
+      GENERATE_COPY(std::string(), Refusal + "Id: 1\r\n" + NoBody);
+  Target.send(First + Refusal + "Id: 2\r\n" + NoBody);
+  REQUIRE(Fixture.awaitEnds(2));
+  CHECK(Fixture.Ends[1] == Kind::Complete);
+  CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200, 503});
+  Fixture.send("3");
+  CHECK(Fixture.Accepted == 1);
+}
+
+TEST_CASE("Targets: a refusal behind or within an answer refuses nothing") {
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  const std::string ChunkedHead =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Kind Expected = Kind::Broken;
+  std::vector<std::uint16_t> Statuses = {200};
+  const auto SendHead = [&](const std::string &Head) {
+    Target.send(Head);
+    REQUIRE(runUntil(Fixture.Loop, [&] { return !Fixture.Statuses.empty(); }));
+  };
+  SECTION("behind a complete answer in the same read") {
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok" +
+                Refusal);
+    Expected = Kind::Complete;
+  }
+  SECTION("within a head") {
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\n" + Refusal);
+    Statuses.clear();
+  }
+  SECTION("behind the head of a chunked answer") {
+    SendHead(ChunkedHead);
+    Target.send(Refusal);
+  }
+  SECTION("behind the first chunk") {
+    SendHead(ChunkedHead + "2\r\nok\r\n");
+    Target.send(Refusal);
+  }
+  SECTION("behind the head of a refusal") {
+    SendHead("HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 1\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n");
+    Target.send(Refusal);
+    Statuses = {503};
+  }
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends == std::vector<Kind>{Expected});
+  CHECK(Fixture.Statuses == Statuses);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 2);
+}
+
+TEST_CASE("Targets: bytes that arrive before a connection's first request "
+          "aren't taken for its answer") {
+  TargetFixture Fixture;
+  boost::asio::ip::tcp::acceptor Greeter(
+      Fixture.Loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.Port = Greeter.local_endpoint().port();
+  Fixture.Client.send(Request);
+  RawPeer Target(Fixture.Loop);
+  Greeter.accept(Target.Socket);
+  Target.send(
+      GENERATE("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+               "HTTP/1.1 503 No\r\nNot-Run: 1\r\nOdd: "));
+  Target.read();
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::NeverSent);
+  CHECK(Fixture.Statuses.empty());
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
+  CHECK(Target.Received.empty());
+}
+
 TEST_CASE("Targets: an early response to a long body closes the connection") {
   TargetFixture Fixture;
   AttemptClient::Request Request = Fixture.request("1");
