Take no refusal without an id for the answer to another request

What callers saw (report of another operator): "not run, try again" for requests that a target had run or was running, or a second run at another target, after a faulty target had repeated an earlier refusal on a kept connection.

Cause: a refusal without an id counted for whichever request was pending on its connection. So a repeat that came behind the request, or behind an answer with another id, made its outcome "not run". So did one that came while the request was still being sent, and may have been written before any of it arrived.

Change: targets echo the id, so that a refusal without one counts only where it can't be another's: as the first final response of its connection, to a request that has been sent whole. Elsewhere the outcome is unknown and the connection is closed. A refusal with the request's id counts as before.

--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -19,10 +19,12 @@
 ///
 /// Each request is sent at most once and is never retried here, so that what
 /// may be retried remains the reducer's decision. A response that carries
-/// another attempt's id is discarded. A connection on which bytes arrive while
-/// no request is pending is not reused. What a target sends before a response
-/// to the attempt, and between the parts of its body, is limited. Must be used
-/// on the event loop's thread.
+/// another attempt's id is discarded. One without an id counts only if it is a
+/// refusal and the first response on its connection, and the request has been
+/// sent whole. A connection on which bytes arrive while no request is pending
+/// is not reused. What a target sends before a response to the attempt, and
+/// between the parts of its body, is limited. Must be used on the event loop's
+/// thread.
 class AttemptClient {
 public:
   /// Receives the progress of attempts. Not called for an attempt after its
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -88,6 +88,8 @@
   bool IsPaused = false;
   /// Whether the response being read belongs to another request.
   bool IsDiscarding = false;
+  /// Whether the target has begun any final response on this connection.
+  bool HasAnswered = false;
   /// What the budget counts for this connection.
   std::size_t CountedSent = 0;
   std::size_t CountedReceived = 0;
@@ -323,14 +325,18 @@
   const DecodedTargetHead Decoded = this->Protocol.DecodeTargetHead(
       static_cast<std::uint16_t>(Message.result_int()),
       endToEndFields(Message.base()));
+  const bool IsFirst = !Target->HasAnswered;
+  Target->HasAnswered = true;
   if (Decoded.AnsweredAttempt &&
       !(*Decoded.AnsweredAttempt == Target->Current.ExpectedId)) {
     Target->IsDiscarding = true;
     return true;
   }
-  // Only a refusal may lack an id, because none of it is forwarded.
+  // Only a refusal may lack an id, because none of it is forwarded. It must not
+  // be a repeat of an earlier one, nor have been sent ahead of the request.
   const bool IsRefusal = Decoded.Head.IsNotRun || Decoded.Head.IsMisdirected;
-  if (!Decoded.AnsweredAttempt && !IsRefusal) {
+  const bool MayLackId = IsRefusal && IsFirst && !Target->IsWriting;
+  if (!Decoded.AnsweredAttempt && !MayLackId) {
     this->fail(Target, AttemptEnded::Kind::Broken);
     return false;
   }
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -261,6 +261,56 @@
   CHECK(Fixture.Ends.size() == 1);
 }
 
+TEST_CASE("Targets: a refusal without an id on a kept connection isn't taken "
+          "for the pending request's") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  Fixture.send("2");
+  REQUIRE(Fixture.Accepted == 1);
+  Target.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(Fixture.awaitEnds(2));
+  CHECK(Fixture.Ends[1] == Kind::Broken);
+  CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200});
+}
+
+TEST_CASE("Targets: a refusal without an id isn't taken for the answer to a "
+          "request that is still being sent") {
+  TargetFixture Fixture;
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.Body = std::string(32 * 1024 * 1024, 'x');
+  Fixture.Client.send(Request);
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return Fixture.Accepted == 1 && Fixture.Targets[0]->has("Id: 1");
+  }));
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\n";
+  SECTION("without an id the outcome is unknown") {
+    Fixture.Targets[0]->send(Refusal + "Content-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Broken);
+    CHECK(Fixture.Statuses.empty());
+  }
+  SECTION("with the request's id it counts") {
+    Fixture.Targets[0]->send(Refusal + "Id: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Complete);
+    CHECK(Fixture.Statuses == std::vector<std::uint16_t>{503});
+  }
+}
+
+TEST_CASE("Targets: a refusal without an id behind another request's answer "
+          "isn't taken for the pending request's") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 0\r\n"
+              "Content-Length: 0\r\n\r\n"
+              "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Broken);
+  CHECK(Fixture.Statuses.empty());
+}
+
 TEST_CASE("Targets: a refusal with the request's id counts on a kept "
           "connection") {
   TargetFixture Fixture;
