Do not send the same id twice on one connection to a target

What callers could see: "not run, try again" for a request that its target runs, or a second run at another target.

Cause: an answer is tied to its request by the id alone. If a caller sends a refused request again with the same id, the relay may choose the same target and the same connection, and a repeat of the first refusal then is the answer to the second request. The relay itself sends a request to a target once, as it excludes targets that it has tried; so this needs callers that keep their id.

Change: a connection remembers hashes of the ids that it has carried; a request with one of them uses a new connection. It is closed after 1,000 requests, which bounds what it remembers to 8 KB.

Not covered: a target that writes the repeat on the new connection, after the second request. It can't be told from the answer.

--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -22,9 +22,9 @@
 /// another attempt's id is discarded. One without an id counts only if it is a
 /// refusal and the first response on its connection, and the request has been
 /// sent whole. A connection on which bytes arrive while no request is pending
-/// is not reused. What a target sends before a response to the attempt, and
-/// between the parts of its body, is limited. Must be used on the event loop's
-/// thread.
+/// is not reused, and none carries the same id twice. What a target sends
+/// before a response to the attempt, and between the parts of its body, is
+/// limited. Must be used on the event loop's thread.
 class AttemptClient {
 public:
   /// Receives the progress of attempts. Not called for an attempt after its
@@ -81,7 +81,9 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   using Endpoint = boost::asio::ip::tcp::endpoint;
 
-  ConnectionPtr acquireIdle(const Endpoint &Remote);
+  /// Returns an idle connection on which nothing has arrived since its last
+  /// response and no request with this id was sent, or null.
+  ConnectionPtr acquireIdle(const Endpoint &Remote, const CallerAttemptId &Id);
   void connect(const ConnectionPtr &Target);
   void start(const ConnectionPtr &Target);
   /// Drops an idle connection when its target closes it or sends bytes.
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -10,9 +10,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <functional>
 #include <regex>
+#include <vector>
 
 namespace tanagerlanding {
 
@@ -39,6 +42,8 @@
 /// chunk, or the trailer.
 constexpr std::size_t MaxPartBytes = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
+/// Bounds what a connection remembers of its requests.
+constexpr std::size_t MaxRequestsPerConnection = 1000;
 
 /// Returns the "timeout=N" parameter, in seconds, of a Keep-Alive header.
 std::optional<Milliseconds>
@@ -65,6 +70,10 @@
   return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+std::size_t hashOf(const CallerAttemptId &Id) {
+  return std::hash<std::string>()(Id.Value);
+}
+
 } // namespace
 
 /// A connection to a target.
@@ -79,6 +88,8 @@
   std::unique_ptr<http::response_parser<http::string_body>> Parser;
   /// The request in flight; its attempt is 0 while the connection is idle.
   Request Current;
+  /// Hashes of the ids of all requests sent on this connection.
+  std::vector<std::size_t> SentIds;
   std::string Head;
   bool IsOpen = false;
   bool IsWriting = false;
@@ -114,7 +125,7 @@
     return;
   }
   const Endpoint Remote(Ip, NewRequest.Port);
-  ConnectionPtr Target = this->acquireIdle(Remote);
+  ConnectionPtr Target = this->acquireIdle(Remote, NewRequest.ExpectedId);
   const bool IsReused = Target != nullptr;
   if (!IsReused)
     Target = std::make_shared<Connection>(this->Loop.context());
@@ -129,7 +140,7 @@
 }
 
 AttemptClient::ConnectionPtr
-AttemptClient::acquireIdle(const Endpoint &Remote) {
+AttemptClient::acquireIdle(const Endpoint &Remote, const CallerAttemptId &Id) {
   for (auto Found = this->Idle.find(Remote); Found != this->Idle.end();
        Found = this->Idle.find(Remote)) {
     // The most recently used connection is the least likely to be closed.
@@ -140,6 +151,10 @@
       this->drop(Newest);
       continue;
     }
+    const std::vector<std::size_t> &SentIds = Newest->SentIds;
+    // A repeat of the earlier response could not be told from the new one.
+    if (std::find(SentIds.begin(), SentIds.end(), hashOf(Id)) != SentIds.end())
+      return nullptr;
     Found->second.pop_back();
     if (Found->second.empty())
       this->Idle.erase(Found);
@@ -201,6 +216,7 @@
     });
     return;
   }
+  Target->SentIds.push_back(hashOf(Target->Current.ExpectedId));
   Target->IsWriting = true;
   const std::array<boost::asio::const_buffer, 2> Parts = {
       boost::asio::buffer(Target->Head),
@@ -364,7 +380,8 @@
 
 void AttemptClient::complete(const ConnectionPtr &Target) {
   const bool IsReusable = Target->Parser->keep_alive() && !Target->IsWriting &&
-                          Target->Input.size() == 0;
+                          Target->Input.size() == 0 &&
+                          Target->SentIds.size() < MaxRequestsPerConnection;
   const RelayAttemptId Attempt = Target->Current.Attempt;
   const std::uint32_t IdleLimit = Target->Current.IdleLimit;
   this->Active.erase(Attempt);
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -311,6 +311,48 @@
   CHECK(Fixture.Statuses.empty());
 }
 
+TEST_CASE("Targets: a repeated refusal doesn't refuse a second request with "
+          "its id") {
+  TargetFixture Fixture;
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  RawPeer &First = Fixture.send("1");
+  First.send(Refusal);
+  REQUIRE(Fixture.awaitEnds(1));
+  if (GENERATE(false, true)) {
+    // Another request uses the connection in between.
+    Fixture.send("2").send("HTTP/1.1 200 OK\r\nId: 2\r\n"
+                           "Content-Length: 2\r\n\r\nok");
+    REQUIRE(Fixture.awaitEnds(2));
+  }
+  Fixture.Statuses.clear();
+  Fixture.Ends.clear();
+  Fixture.Client.send(Fixture.request("1"));
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return Fixture.Accepted == 2 && Fixture.Targets[1]->has("\r\n\r\nbody");
+  }));
+  First.send(Refusal);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return First.IsClosed; }));
+  CHECK(Fixture.Ends.empty());
+  Fixture.Targets[1]->send("HTTP/1.1 200 OK\r\nId: 1\r\n"
+                           "Content-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200});
+}
+
+TEST_CASE("Targets: a connection that has carried many requests is closed") {
+  TargetFixture Fixture;
+  int Requests = 0;
+  while (Fixture.Accepted < 2 && Requests < 2000) {
+    const std::string Id = std::to_string(++Requests);
+    Fixture.send(Id).send("HTTP/1.1 200 OK\r\nId: " + Id +
+                          "\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(Requests));
+  }
+  CHECK(Requests == 1001);
+  CHECK(runUntil(Fixture.Loop, [&] { return Fixture.Targets[0]->IsClosed; }));
+}
+
 TEST_CASE("Targets: a refusal with the request's id counts on a kept "
           "connection") {
   TargetFixture Fixture;
