Take no joined or contradictory head for a refusal

What callers could see: "not run, try again" for a request that its target runs, or a second run at another target.

Cause: if a target writes an earlier refusal into the head of an answer, the two are read as one head, with the status and id of the answer and the refusal's mark.

Change: the mark counts only in an answer that is an error; a success with it is an unknown outcome (`contradictory_answer`).

Not covered: a refusal that is cut within a line of its head before its id and joined with the true answer, if it comes behind the request. Nothing tells it from a refusal.

--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -27,6 +27,7 @@
 
 constexpr std::uint16_t FirstSuccess = 200;
 constexpr std::uint16_t FirstRedirect = 300;
+constexpr std::uint16_t FirstClientError = 400;
 constexpr std::uint16_t FirstServerError = 500;
 /// All relays share a target's connection limit; each keeps at most this
 /// fraction (1/16) of it as idle connections.
@@ -39,9 +40,18 @@
   return Head.Status >= FirstSuccess && Head.Status < FirstRedirect;
 }
 
+/// Returns whether an answer states that the target did not run the request. A
+/// mark in an answer that is no error contradicts it, and states nothing.
+bool isNotRun(const TargetAnswerHead &Head) {
+  return Head.Status >= FirstClientError &&
+         (Head.IsNotRun || Head.IsMisdirected);
+}
+
 /// Returns whether an answer may be forwarded to the caller. Success needs the
 /// target's signature; other statuses must not guarantee that nothing ran.
 bool isForwardable(const TargetAnswerHead &Head) {
+  if (Head.IsNotRun)
+    return false;
   if (isSuccess(Head))
     return Head.IsSigned;
   return std::find(std::begin(NotRunStatuses), std::end(NotRunStatuses),
@@ -220,9 +230,9 @@
 /// Ends an attempt whose target sends more than an answer may have.
 void endOversizedAttempt(RelayContext &Context, RelayCall &Call,
                          const char *Cause) {
-  const bool IsNotRun = Call.Head->IsNotRun || Call.Head->IsMisdirected;
+  const bool IsRefusal = isNotRun(*Call.Head);
   cancelAttempt(Context, Call);
-  if (IsNotRun)
+  if (IsRefusal)
     handleNotRun(Context, Call, Cause);
   else
     handleUnknownOutcome(Context, Call, Cause);
@@ -233,7 +243,7 @@
     handleUnknownOutcome(Context, Call, "no_head");
     return;
   }
-  if (Call.Head->IsMisdirected || Call.Head->IsNotRun) {
+  if (isNotRun(*Call.Head)) {
     const bool IsOther = Call.Head->IsMisdirected;
     if (IsOther)
       backOffTarget(Context.State, Call.Target);
@@ -246,8 +256,9 @@
   // The other attempt may still bring an answer that is no failure.
   const bool IsFailed = Call.Hedge && Call.Head->Status >= FirstServerError;
   if (IsFailed || !isForwardable(*Call.Head)) {
-    handleUnknownOutcome(Context, Call,
-                         IsFailed ? "failed_answer" : "unsigned_answer");
+    const char *Cause =
+        Call.Head->IsNotRun ? "contradictory_answer" : "unsigned_answer";
+    handleUnknownOutcome(Context, Call, IsFailed ? "failed_answer" : Cause);
     return;
   }
   if (isSuccess(*Call.Head)) {
@@ -300,8 +311,7 @@
 void bufferBytes(RelayContext &Context, RelayCall &Call,
                  const std::string &Bytes) {
   Call.BufferedBody += Bytes;
-  const bool MayForward = !Call.Head->IsNotRun && !Call.Head->IsMisdirected &&
-                          isForwardable(*Call.Head);
+  const bool MayForward = isForwardable(*Call.Head);
   if (Call.BufferedBody.size() < Context.State.Options.MaxBufferedAnswerBytes)
     return;
   if (!MayForward) {
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -165,6 +165,24 @@
         Execution::Unknown);
 }
 
+TEST_CASE("Relay: a success with the target's not-run mark counts as unknown") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  Fixture.ask("/once/x");
+  const auto Sent = Fixture.all<SendAttempt>();
+  TargetAnswerHead Head = RelayFixture::head(200);
+  Head.IsSigned = true;
+  Head.IsNotRun = true;
+  Fixture.apply(AttemptHeadReceived{Sent[0].Attempt, Head});
+  Fixture.apply(AttemptBytesReceived{Sent[0].Attempt, "body"});
+  Fixture.apply(AttemptEnded{Sent[0].Attempt, AttemptEnded::Kind::Complete});
+  CHECK(Fixture.all<SendAttempt>().size() == 1);
+  CHECK(Fixture.all<BeginAnswer>().empty());
+  REQUIRE(Fixture.all<RefuseCaller>().size() == 1);
+  CHECK(Fixture.all<RefuseCaller>()[0].Refusal.ExecutionStatus ==
+        Execution::Unknown);
+}
+
 TEST_CASE(
     "Relay: targets stay if only the replicas notice a key-value outage") {
   RelayFixture Fixture;
