Send no request of HttpClient on a connection with unread bytes

What callers could see: the answer of one call taken for another's. A stray 503 of the key-value service means that nothing was done, and one of a sidecar's target is passed on as the answer to the call.

These answers carry no ids. Bytes directly behind an answer, in the same read, close the connection already.

Change: before a request is sent on a kept connection its socket is looked at; with unread bytes it is closed and the request is sent on a new one. The socket is known from the end of the transfer before, as libcurl doesn't tell it at this point.

Not covered: bytes that arrive behind the request, as nothing ties an answer to it but the connection. Calls that run at most once use a connection each.

--- a/packages/engine/include/tanagerlanding/engine/HttpClient.h
+++ b/packages/engine/include/tanagerlanding/engine/HttpClient.h
@@ -12,6 +12,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -76,6 +77,8 @@
 
 private:
   struct Transfer;
+  /// Remote address, remote port and local port of a connection.
+  using ConnectionName = std::tuple<std::string, long, long>;
 
   void runWorker();
   void startQueued();
@@ -83,6 +86,14 @@
   void cancelQueued();
   void collectFinished();
   void finish(void *Easy, int Code);
+  /// Rejects a connection on which bytes precede the request, as they can't be
+  /// its response.
+  static int onConnected(void *Owner, char *RemoteIp, char *, int RemotePort,
+                         int LocalPort);
+  /// Remembers the socket of an ended transfer, as libcurl doesn't tell it to
+  /// onConnected().
+  void rememberSocket(void *Easy);
+  static int onClose(void *Owner, int Socket);
   static std::size_t onBody(char *Bytes, std::size_t Size, std::size_t Count,
                             void *Owner);
 
@@ -93,6 +104,8 @@
   std::vector<std::unique_ptr<Transfer>> Queued;
   std::vector<Handle> Cancelled;
   std::map<void *, std::unique_ptr<Transfer>> Running;
+  /// Sockets of the connections that libcurl has kept.
+  std::map<ConnectionName, int> Kept;
   std::atomic<bool> IsStopping{false};
   std::thread Worker;
 };
--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -4,6 +4,10 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
 
 namespace tanagerlanding {
 
@@ -25,6 +29,12 @@
   return CURL_SOCKOPT_OK;
 }
 
+/// Returns whether received bytes, or the peer's close, are unread.
+bool hasUnreadBytes(curl_socket_t Socket) {
+  char Byte = 0;
+  return recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 /// Returns the outcome of a transfer with this result code.
 HttpOutcome::Kind outcomeKindFor(CURLcode Code) {
   switch (Code) {
@@ -56,6 +66,9 @@
   DoneCallback OnDone;
   std::string Body;
   curl_slist *Headers = nullptr;
+  /// Whether a kept connection had unread bytes before the request was sent.
+  bool HasStrayBytes = false;
+  bool IsCancelled = false;
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -134,6 +147,8 @@
   curl_easy_setopt(Easy, CURLOPT_TCP_KEEPIDLE, KeepAliveIdleSeconds);
   curl_easy_setopt(Easy, CURLOPT_TCP_KEEPINTVL, KeepAliveIdleSeconds);
   curl_easy_setopt(Easy, CURLOPT_SOCKOPTFUNCTION, &prepareSocket);
+  curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETFUNCTION, &HttpClient::onClose);
+  curl_easy_setopt(Easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(Easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(Request.Timeout.count()));
   curl_easy_setopt(Easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -141,6 +156,11 @@
   if (!Request.MayReuseConnection) {
     curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(Easy, CURLOPT_FORBID_REUSE, 1L);
+  } else if (NewTransfer->HasStrayBytes) {
+    curl_easy_setopt(Easy, CURLOPT_FRESH_CONNECT, 1L);
+  } else {
+    curl_easy_setopt(Easy, CURLOPT_PREREQFUNCTION, &HttpClient::onConnected);
+    curl_easy_setopt(Easy, CURLOPT_PREREQDATA, NewTransfer.get());
   }
   if (!Request.Body.empty()) {
     curl_easy_setopt(Easy, CURLOPT_POSTFIELDS, Request.Body.data());
@@ -149,6 +169,7 @@
   }
   if (Request.Method == "HEAD")
     curl_easy_setopt(Easy, CURLOPT_NOBODY, 1L);
+  curl_slist_free_all(std::exchange(NewTransfer->Headers, nullptr));
   // Without this, libcurl waits for a "100 Continue" before larger bodies.
   NewTransfer->Headers = curl_slist_append(NewTransfer->Headers, "Expect:");
   for (const std::string &Header : Request.Headers)
@@ -171,6 +192,7 @@
     for (const auto &[Easy, Each] : this->Running) {
       if (Each->Id != Id)
         continue;
+      Each->IsCancelled = true;
       this->finish(Easy, CURLE_ABORTED_BY_CALLBACK);
       break;
     }
@@ -190,7 +212,17 @@
   const auto Found = this->Running.find(Easy);
   std::unique_ptr<Transfer> Done = std::move(Found->second);
   this->Running.erase(Found);
+  const bool IsRejected = Code == CURLE_ABORTED_BY_CALLBACK &&
+                          Done->HasStrayBytes && !Done->IsCancelled;
+  if (IsRejected) {
+    // Nothing was sent yet.
+    curl_multi_remove_handle(this->Multi, Easy);
+    curl_easy_cleanup(Easy);
+    this->startTransfer(std::move(Done));
+    return;
+  }
 
+  this->rememberSocket(Easy);
   HttpOutcome Outcome;
   Outcome.Ended = outcomeKindFor(static_cast<CURLcode>(Code));
   // A time-out before the connection was established means nothing was sent.
@@ -213,6 +245,40 @@
                    Outcome = std::move(Outcome)] { OnDone(Outcome); });
 }
 
+void HttpClient::rememberSocket(void *Easy) {
+  const char *RemoteIp = nullptr;
+  long RemotePort = 0;
+  long LocalPort = 0;
+  curl_socket_t Socket = CURL_SOCKET_BAD;
+  curl_easy_getinfo(Easy, CURLINFO_PRIMARY_IP, &RemoteIp);
+  curl_easy_getinfo(Easy, CURLINFO_PRIMARY_PORT, &RemotePort);
+  curl_easy_getinfo(Easy, CURLINFO_LOCAL_PORT, &LocalPort);
+  curl_easy_getinfo(Easy, CURLINFO_ACTIVESOCKET, &Socket);
+  if (RemoteIp && Socket != CURL_SOCKET_BAD)
+    this->Kept[{RemoteIp, RemotePort, LocalPort}] = Socket;
+}
+
+int HttpClient::onConnected(void *Owner, char *RemoteIp, char *, int RemotePort,
+                            int LocalPort) {
+  auto *Each = static_cast<Transfer *>(Owner);
+  const auto Found = Each->Owner->Kept.find({RemoteIp, RemotePort, LocalPort});
+  if (Found == Each->Owner->Kept.end())
+    return CURL_PREREQFUNC_OK;
+  Each->HasStrayBytes = hasUnreadBytes(Found->second);
+  Each->Owner->Kept.erase(Found);
+  return Each->HasStrayBytes ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+int HttpClient::onClose(void *Owner, int Socket) {
+  auto &Kept = static_cast<HttpClient *>(Owner)->Kept;
+  const auto Found =
+      std::find_if(Kept.begin(), Kept.end(),
+                   [&](const auto &Each) { return Each.second == Socket; });
+  if (Found != Kept.end())
+    Kept.erase(Found);
+  return close(Socket);
+}
+
 std::size_t HttpClient::onBody(char *Bytes, std::size_t Size, std::size_t Count,
                                void *Owner) {
   auto *Each = static_cast<Transfer *>(Owner);
--- /dev/null
+++ b/packages/engine/tests/HttpClientTest.cpp
@@ -0,0 +1,107 @@
+/// Tests of HttpClient against raw sockets that act as servers.
+#include "tanagerlanding/engine/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+using namespace tanagerlanding;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const std::string StrayRefusal =
+    "HTTP/1.1 503 No\r\nContent-Length: 5\r\n\r\nstray";
+
+/// A client, and a server whose connections are used without a loop.
+class HttpFixture {
+public:
+  HttpFixture()
+      : Acceptor(ServerContext, {boost::asio::ip::address_v4::loopback(), 0}),
+        Client(Loop) {}
+
+  void start(const std::string &Path) {
+    HttpRequest Request;
+    Request.Url = "http://127.0.0.1:" +
+                  std::to_string(this->Acceptor.local_endpoint().port()) + Path;
+    Request.Timeout = Milliseconds(2000);
+    this->Outcome.reset();
+    this->Client.start(Request, {},
+                       [this](const HttpOutcome &Ended) { Outcome = Ended; });
+  }
+
+  /// Reads a request and answers it with Body and the bytes of Behind.
+  static void answer(tcp::socket &Peer, const std::string &Body,
+                     const std::string &Behind = {}) {
+    std::string Head;
+    boost::asio::read_until(Peer, boost::asio::dynamic_buffer(Head),
+                            "\r\n\r\n");
+    const std::string Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+        "\r\n\r\n" + Body + Behind;
+    boost::asio::write(Peer, boost::asio::buffer(Answer));
+  }
+
+  /// Waits for the end of the request; returns its status and body.
+  std::string await() {
+    const auto Deadline =
+        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!this->Outcome && std::chrono::steady_clock::now() < Deadline) {
+      this->Loop.context().restart();
+      this->Loop.context().run_one_for(std::chrono::milliseconds(5));
+    }
+    REQUIRE(this->Outcome);
+    return std::to_string(this->Outcome->Status) + " " + this->Outcome->Body;
+  }
+
+  boost::asio::io_context ServerContext;
+  EventLoop Loop;
+  tcp::acceptor Acceptor;
+  HttpClient Client;
+  std::optional<HttpOutcome> Outcome;
+};
+
+} // namespace
+
+TEST_CASE("HttpClient: a connection is kept for the next request") {
+  HttpFixture Fixture;
+  Fixture.start("/1");
+  tcp::socket Peer = Fixture.Acceptor.accept();
+  HttpFixture::answer(Peer, "one");
+  CHECK(Fixture.await() == "200 one");
+  Fixture.start("/2");
+  HttpFixture::answer(Peer, "two");
+  CHECK(Fixture.await() == "200 two");
+}
+
+TEST_CASE("HttpClient: an answer that comes without a request isn't taken for "
+          "the next request's") {
+  HttpFixture Fixture;
+  Fixture.start("/1");
+  tcp::socket Peer = Fixture.Acceptor.accept();
+  SECTION("directly behind an answer") {
+    HttpFixture::answer(Peer, "one", StrayRefusal);
+    CHECK(Fixture.await() == "200 one");
+  }
+  SECTION("on an idle connection") {
+    HttpFixture::answer(Peer, "one");
+    CHECK(Fixture.await() == "200 one");
+    boost::asio::write(Peer, boost::asio::buffer(StrayRefusal));
+  }
+  Fixture.start("/2");
+  Fixture.Acceptor.non_blocking(true);
+  tcp::socket Next(Fixture.ServerContext);
+  const auto Deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  boost::system::error_code Error = boost::asio::error::would_block;
+  while (Error && std::chrono::steady_clock::now() < Deadline)
+    Fixture.Acceptor.accept(Next, Error);
+  REQUIRE_FALSE(Error);
+  HttpFixture::answer(Next, "two");
+  CHECK(Fixture.await() == "200 two");
+}
