--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -19,9 +19,12 @@
 ///
 /// Each request is sent at most once and is never retried here, so that what
 /// may be retried remains the reducer's decision. A response that carries
-/// another attempt's id is discarded. What a target sends before a response to
-/// the attempt, and between the parts of its body, is limited. Must be used on
-/// the event loop's thread.
+/// another attempt's id is discarded. One without an id counts only if it is a
+/// refusal and the first response on its connection, and the request has been
+/// sent whole. A connection on which bytes arrive while no request is pending
+/// is not reused, and none carries the same id twice. What a target sends
+/// before a response to the attempt, and between the parts of its body, is
+/// limited. Must be used on the event loop's thread.
 class AttemptClient {
 public:
   /// Receives the progress of attempts. Not called for an attempt after its
@@ -78,9 +81,13 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   using Endpoint = boost::asio::ip::tcp::endpoint;
 
-  ConnectionPtr acquireIdle(const Endpoint &Remote);
+  /// Returns an idle connection on which nothing has arrived since its last
+  /// response and no request with this id was sent, or null.
+  ConnectionPtr acquireIdle(const Endpoint &Remote, const CallerAttemptId &Id);
   void connect(const ConnectionPtr &Target);
   void start(const ConnectionPtr &Target);
+  /// Drops an idle connection when its target closes it or sends bytes.
+  void watchIdle(const ConnectionPtr &Target);
   void read(const ConnectionPtr &Target);
   void handleRead(const ConnectionPtr &Target,
                   const boost::system::error_code &Error);
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -10,8 +10,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
+#include <functional>
 #include <regex>
+#include <vector>
 
 namespace tanagerlanding {
 
@@ -38,6 +42,8 @@
 /// chunk, or the trailer.
 constexpr std::size_t MaxPartBytes = 64 * 1024;
 constexpr unsigned FirstFinalStatus = 200;
+/// Bounds what a connection remembers of its requests.
+constexpr std::size_t MaxRequestsPerConnection = 1000;
 
 /// Returns the "timeout=N" parameter, in seconds, of a Keep-Alive header.
 std::optional<Milliseconds>
@@ -56,6 +62,18 @@
              &UserTimeoutMillis, sizeof(UserTimeoutMillis));
 }
 
+/// Returns whether the connection is open and no received bytes are unread.
+bool isQuiet(tcp::socket &Socket) {
+  char Byte = 0;
+  const ssize_t Count = recv(Socket.native_handle(), &Byte, sizeof(Byte),
+                             MSG_PEEK | MSG_DONTWAIT);
+  return Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+std::size_t hashOf(const CallerAttemptId &Id) {
+  return std::hash<std::string>()(Id.Value);
+}
+
 } // namespace
 
 /// A connection to a target.
@@ -70,6 +88,8 @@
   std::unique_ptr<http::response_parser<http::string_body>> Parser;
   /// The request in flight; its attempt is 0 while the connection is idle.
   Request Current;
+  /// Hashes of the ids of all requests sent on this connection.
+  std::vector<std::size_t> SentIds;
   std::string Head;
   bool IsOpen = false;
   bool IsWriting = false;
@@ -79,6 +99,8 @@
   bool IsPaused = false;
   /// Whether the response being read belongs to another request.
   bool IsDiscarding = false;
+  /// Whether the target has begun any final response on this connection.
+  bool HasAnswered = false;
   /// What the budget counts for this connection.
   std::size_t CountedSent = 0;
   std::size_t CountedReceived = 0;
@@ -103,7 +125,7 @@
     return;
   }
   const Endpoint Remote(Ip, NewRequest.Port);
-  ConnectionPtr Target = this->acquireIdle(Remote);
+  ConnectionPtr Target = this->acquireIdle(Remote, NewRequest.ExpectedId);
   const bool IsReused = Target != nullptr;
   if (!IsReused)
     Target = std::make_shared<Connection>(this->Loop.context());
@@ -118,22 +140,29 @@
 }
 
 AttemptClient::ConnectionPtr
-AttemptClient::acquireIdle(const Endpoint &Remote) {
-  const auto Found = this->Idle.find(Remote);
-  if (Found == this->Idle.end())
-    return nullptr;
-  // The most recently used connection is the least likely to be closed.
-  const ConnectionPtr Newest = Found->second.back();
-  const Milliseconds IdleTime = this->Loop.now() - Newest->UnusedSince;
-  if (IdleTime + IdleMargin < Newest->KeepAlive) {
+AttemptClient::acquireIdle(const Endpoint &Remote, const CallerAttemptId &Id) {
+  for (auto Found = this->Idle.find(Remote); Found != this->Idle.end();
+       Found = this->Idle.find(Remote)) {
+    // The most recently used connection is the least likely to be closed.
+    const ConnectionPtr Newest = Found->second.back();
+    const Milliseconds IdleTime = this->Loop.now() - Newest->UnusedSince;
+    const bool IsFresh = IdleTime + IdleMargin < Newest->KeepAlive;
+    if (!IsFresh || !isQuiet(Newest->Socket)) {
+      this->drop(Newest);
+      continue;
+    }
+    const std::vector<std::size_t> &SentIds = Newest->SentIds;
+    // A repeat of the earlier response could not be told from the new one.
+    if (std::find(SentIds.begin(), SentIds.end(), hashOf(Id)) != SentIds.end())
+      return nullptr;
     Found->second.pop_back();
     if (Found->second.empty())
       this->Idle.erase(Found);
+    // Ends the wait of watchIdle().
+    boost::system::error_code Ignored;
+    Newest->Socket.cancel(Ignored);
     return Newest;
   }
-  const std::list<ConnectionPtr> Stale = Found->second;
-  for (const ConnectionPtr &Each : Stale)
-    this->drop(Each);
   return nullptr;
 }
 
@@ -154,8 +183,11 @@
         }
         Target->IsOpen = true;
         prepareSocket(Target->Socket);
-        this->read(Target);
-        this->start(Target);
+        // Bytes that precede the request can't be its response.
+        if (isQuiet(Target->Socket))
+          this->start(Target);
+        else
+          this->fail(Target, AttemptEnded::Kind::NeverSent);
       });
 }
 
@@ -184,6 +216,7 @@
     });
     return;
   }
+  Target->SentIds.push_back(hashOf(Target->Current.ExpectedId));
   Target->IsWriting = true;
   const std::array<boost::asio::const_buffer, 2> Parts = {
       boost::asio::buffer(Target->Head),
@@ -196,6 +229,19 @@
         if (Error && !Target->HasHead && Target->Current.Attempt.Value != 0)
           this->fail(Target, AttemptEnded::Kind::Broken);
       });
+  this->read(Target);
+}
+
+void AttemptClient::watchIdle(const ConnectionPtr &Target) {
+  // A wait reads nothing, so that the next request's isQuiet() sees all bytes
+  // that precede it.
+  Target->Socket.async_wait(
+      tcp::socket::wait_read,
+      [this, Target](const boost::system::error_code &Error) {
+        // The target closed the connection, or sent bytes without a request.
+        if (!Error && Target->IsOpen && Target->Current.Attempt.Value == 0)
+          this->drop(Target);
+      });
 }
 
 void AttemptClient::read(const ConnectionPtr &Target) {
@@ -220,11 +266,6 @@
                                const boost::system::error_code &Error) {
   if (!Target->IsOpen)
     return;
-  if (Target->Current.Attempt.Value == 0) {
-    // The target closed the connection, or sent bytes without a request.
-    this->drop(Target);
-    return;
-  }
   if (Error) {
     this->handleEnd(Target, Error == boost::asio::error::eof);
     return;
@@ -238,7 +279,10 @@
   if (!Target->IsOpen)
     return;
   this->account(*Target, Target->CountedSent, Target->Input.size());
-  this->read(Target);
+  if (Target->Current.Attempt.Value == 0)
+    this->watchIdle(Target);
+  else
+    this->read(Target);
 }
 
 void AttemptClient::parse(const ConnectionPtr &Target) {
@@ -297,14 +341,18 @@
   const DecodedTargetHead Decoded = this->Protocol.DecodeTargetHead(
       static_cast<std::uint16_t>(Message.result_int()),
       endToEndFields(Message.base()));
+  const bool IsFirst = !Target->HasAnswered;
+  Target->HasAnswered = true;
   if (Decoded.AnsweredAttempt &&
       !(*Decoded.AnsweredAttempt == Target->Current.ExpectedId)) {
     Target->IsDiscarding = true;
     return true;
   }
-  // Only a refusal may lack an id, because none of it is forwarded.
+  // Only a refusal may lack an id, because none of it is forwarded. It must not
+  // be a repeat of an earlier one, nor have been sent ahead of the request.
   const bool IsRefusal = Decoded.Head.IsNotRun || Decoded.Head.IsMisdirected;
-  if (!Decoded.AnsweredAttempt && !IsRefusal) {
+  const bool MayLackId = IsRefusal && IsFirst && !Target->IsWriting;
+  if (!Decoded.AnsweredAttempt && !MayLackId) {
     this->fail(Target, AttemptEnded::Kind::Broken);
     return false;
   }
@@ -332,7 +380,8 @@
 
 void AttemptClient::complete(const ConnectionPtr &Target) {
   const bool IsReusable = Target->Parser->keep_alive() && !Target->IsWriting &&
-                          Target->Input.size() == 0;
+                          Target->Input.size() == 0 &&
+                          Target->SentIds.size() < MaxRequestsPerConnection;
   const RelayAttemptId Attempt = Target->Current.Attempt;
   const std::uint32_t IdleLimit = Target->Current.IdleLimit;
   this->Active.erase(Attempt);
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -214,6 +214,230 @@
   CHECK(Fixture.Body == "ok");
 }
 
+TEST_CASE("Targets: a refusal repeated on a kept connection doesn't refuse the "
+          "next request") {
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\n";
+  const std::string NoBody = "Content-Length: 0\r\n\r\n";
+  const std::string Id = GENERATE("", "Id: 1\r\n", "Id: 2\r\n");
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send(Refusal + "Id: 1\r\n" + NoBody);
+  REQUIRE(Fixture.awaitEnds(1));
+  Fixture.Statuses.clear();
+  SECTION("it arrives while no request is pending") {
+    Target.send(Refusal + Id + NoBody);
+    REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
+    Fixture.send("2");
+    CHECK(Fixture.Accepted == 2);
+  }
+  SECTION("it has arrived unnoticed when the request is sent") {
+    Target.send(Refusal + Id + NoBody);
+    Fixture.send("2");
+    CHECK(Fixture.Accepted == 2);
+    CHECK_FALSE(Target.has("Id: 2"));
+  }
+  SECTION("its start has arrived unnoticed when the request is sent") {
+    Target.send(Refusal + "Odd: ");
+    RawPeer &Next = Fixture.send("2");
+    Next.send("HTTP/1.1 200 OK\r\nId: 2\r\n" + NoBody);
+    REQUIRE(Fixture.awaitEnds(2));
+    CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200});
+    return;
+  }
+  CHECK_FALSE(runUntil(
+      Fixture.Loop, [&] { return Fixture.Ends.size() > 1; }, Milliseconds(50)));
+  CHECK(Fixture.Statuses.empty());
+}
+
+TEST_CASE("Targets: a request isn't sent on a kept connection whose close has "
+          "arrived unnoticed") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  Target.Socket.close();
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 2);
+  CHECK(Fixture.Ends.size() == 1);
+}
+
+TEST_CASE("Targets: a refusal without an id on a kept connection isn't taken "
+          "for the pending request's") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  Fixture.send("2");
+  REQUIRE(Fixture.Accepted == 1);
+  Target.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(Fixture.awaitEnds(2));
+  CHECK(Fixture.Ends[1] == Kind::Broken);
+  CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200});
+}
+
+TEST_CASE("Targets: a refusal without an id isn't taken for the answer to a "
+          "request that is still being sent") {
+  TargetFixture Fixture;
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.Body = std::string(32 * 1024 * 1024, 'x');
+  Fixture.Client.send(Request);
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return Fixture.Accepted == 1 && Fixture.Targets[0]->has("Id: 1");
+  }));
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\n";
+  SECTION("without an id the outcome is unknown") {
+    Fixture.Targets[0]->send(Refusal + "Content-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Broken);
+    CHECK(Fixture.Statuses.empty());
+  }
+  SECTION("with the request's id it counts") {
+    Fixture.Targets[0]->send(Refusal + "Id: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Complete);
+    CHECK(Fixture.Statuses == std::vector<std::uint16_t>{503});
+  }
+}
+
+TEST_CASE("Targets: a refusal without an id behind another request's answer "
+          "isn't taken for the pending request's") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 0\r\n"
+              "Content-Length: 0\r\n\r\n"
+              "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Broken);
+  CHECK(Fixture.Statuses.empty());
+}
+
+TEST_CASE("Targets: a repeated refusal doesn't refuse a second request with "
+          "its id") {
+  TargetFixture Fixture;
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  RawPeer &First = Fixture.send("1");
+  First.send(Refusal);
+  REQUIRE(Fixture.awaitEnds(1));
+  if (GENERATE(false, true)) {
+    // Another request uses the connection in between.
+    Fixture.send("2").send("HTTP/1.1 200 OK\r\nId: 2\r\n"
+                           "Content-Length: 2\r\n\r\nok");
+    REQUIRE(Fixture.awaitEnds(2));
+  }
+  Fixture.Statuses.clear();
+  Fixture.Ends.clear();
+  Fixture.Client.send(Fixture.request("1"));
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return Fixture.Accepted == 2 && Fixture.Targets[1]->has("\r\n\r\nbody");
+  }));
+  First.send(Refusal);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return First.IsClosed; }));
+  CHECK(Fixture.Ends.empty());
+  Fixture.Targets[1]->send("HTTP/1.1 200 OK\r\nId: 1\r\n"
+                           "Content-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200});
+}
+
+TEST_CASE("Targets: a connection that has carried many requests is closed") {
+  TargetFixture Fixture;
+  int Requests = 0;
+  while (Fixture.Accepted < 2 && Requests < 2000) {
+    const std::string Id = std::to_string(++Requests);
+    Fixture.send(Id).send("HTTP/1.1 200 OK\r\nId: " + Id +
+                          "\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(Requests));
+  }
+  CHECK(Requests == 1001);
+  CHECK(runUntil(Fixture.Loop, [&] { return Fixture.Targets[0]->IsClosed; }));
+}
+
+TEST_CASE("Targets: a refusal with the request's id counts on a kept "
+          "connection") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  Fixture.send("2");
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\n";
+  const std::string NoBody = "Content-Length: 0\r\n\r\n";
+  // A repeat of an earlier answer may come first.
+  const std::string First =
+      GENERATE_COPY(std::string(), Refusal + "Id: 1\r\n" + NoBody);
+  Target.send(First + Refusal + "Id: 2\r\n" + NoBody);
+  REQUIRE(Fixture.awaitEnds(2));
+  CHECK(Fixture.Ends[1] == Kind::Complete);
+  CHECK(Fixture.Statuses == std::vector<std::uint16_t>{200, 503});
+  Fixture.send("3");
+  CHECK(Fixture.Accepted == 1);
+}
+
+TEST_CASE("Targets: a refusal behind or within an answer refuses nothing") {
+  const std::string Refusal = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  const std::string ChunkedHead =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Kind Expected = Kind::Broken;
+  std::vector<std::uint16_t> Statuses = {200};
+  const auto SendHead = [&](const std::string &Head) {
+    Target.send(Head);
+    REQUIRE(runUntil(Fixture.Loop, [&] { return !Fixture.Statuses.empty(); }));
+  };
+  SECTION("behind a complete answer in the same read") {
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok" +
+                Refusal);
+    Expected = Kind::Complete;
+  }
+  SECTION("within a head") {
+    Target.send("HTTP/1.1 200 OK\r\nId: 1\r\n" + Refusal);
+    Statuses.clear();
+  }
+  SECTION("behind the head of a chunked answer") {
+    SendHead(ChunkedHead);
+    Target.send(Refusal);
+  }
+  SECTION("behind the first chunk") {
+    SendHead(ChunkedHead + "2\r\nok\r\n");
+    Target.send(Refusal);
+  }
+  SECTION("behind the head of a refusal") {
+    SendHead("HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 1\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n");
+    Target.send(Refusal);
+    Statuses = {503};
+  }
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends == std::vector<Kind>{Expected});
+  CHECK(Fixture.Statuses == Statuses);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 2);
+}
+
+TEST_CASE("Targets: bytes that arrive before a connection's first request "
+          "aren't taken for its answer") {
+  TargetFixture Fixture;
+  boost::asio::ip::tcp::acceptor Greeter(
+      Fixture.Loop.context(), {boost::asio::ip::address_v4::loopback(), 0});
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.Port = Greeter.local_endpoint().port();
+  Fixture.Client.send(Request);
+  RawPeer Target(Fixture.Loop);
+  Greeter.accept(Target.Socket);
+  Target.send(
+      GENERATE("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+               "HTTP/1.1 503 No\r\nNot-Run: 1\r\nOdd: "));
+  Target.read();
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::NeverSent);
+  CHECK(Fixture.Statuses.empty());
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Target.IsClosed; }));
+  CHECK(Target.Received.empty());
+}
+
 TEST_CASE("Targets: an early response to a long body closes the connection") {
   TargetFixture Fixture;
   AttemptClient::Request Request = Fixture.request("1");
