Do not join an answer that broke off with another target's answer

What callers could see: on an idempotent route, an answer larger than the relay's buffer, made of the start of one target's body and the whole body of another's, that looks complete. On a stream that may not be resumed, the events of a second run after those of the first.

Cause: after a broken connection a call was repeated if its route allows repeating, also when the caller had received a part of the answer already.

Evidence: two new tests failed before (a second send, no abort) and pass now. Two more show what held already: a stream that ends inside an event is resumed after its last whole event or, without an attempt left, aborted.

Change: once the answer has begun, a call goes on only if the answer is a stream and its route lets streams be resumed. Otherwise the answer is aborted.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -552,8 +552,10 @@
   std::optional<StreamOrigin> Origin;
   /// Data of the events, stored as the turn's output in the history.
   std::string Output;
-  /// Whether the answer's head has been sent to the caller.
+  /// Whether the answer's head has been sent to the caller, and whether events
+  /// follow it.
   bool HasBegunAnswer = false;
+  bool IsAnswerStreamed = false;
 };
 
 /// A stream that this relay began and its caller may continue.
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -177,6 +177,14 @@
   dispatchCall(Context, Call);
 }
 
+/// Returns whether a call may run again after an unknown outcome. Once the
+/// answer has begun, another attempt can only continue a stream.
+bool mayRepeat(const RelayCall &Call) {
+  if (Call.HasBegunAnswer)
+    return Call.IsAnswerStreamed && Call.Route.IsResumable;
+  return Call.Route.isRetryable();
+}
+
 /// Retries, aborts or refuses a call whose attempt may have run at the target.
 void handleUnknownOutcome(RelayContext &Context, RelayCall &Call,
                           const char *Cause) {
@@ -192,7 +200,7 @@
   Call.BufferedBody.clear();
   Call.Splitter = EventSplitter();
   ++Call.UncertainSends;
-  const bool MayRetry = Call.Route.isRetryable() &&
+  const bool MayRetry = mayRepeat(Call) &&
                         Call.UncertainSends < Call.Route.MaxAttempts &&
                         hasTimeLeft(Context, Call);
   Context.logCall("attempt_outcome_unknown", Call,
@@ -267,6 +275,7 @@
   recordStreamStart(Context, Call);
   if (!Call.HasBegunAnswer) {
     Call.HasBegunAnswer = true;
+    Call.IsAnswerStreamed = true;
     Context.logCall("stream_started", Call,
                     {{"target", Call.Target.Value},
                      {"version", Call.Origin->Version.Value}});
--- /dev/null
+++ b/packages/decision/tests/RelayBrokenAnswerTest.cpp
@@ -0,0 +1,106 @@
+/// Tests of answers that end early: what a caller has received is never joined
+/// with another answer, and never looks complete.
+#include "RelayFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tanagerlanding;
+using namespace tanagerlanding::test;
+
+namespace {
+
+using Kind = AttemptEnded::Kind;
+
+/// A relay with a route whose streams may be resumed at another target.
+class BrokenAnswerFixture : public RelayFixture {
+public:
+  BrokenAnswerFixture() {
+    this->makeReady();
+    RelayRoute &Stream = this->streamRoute();
+    Stream.Name = RouteName("stream");
+    Stream.PathPrefix = "/stream/";
+    Stream.KeepsHistory = false;
+    Stream.IsResumable = true;
+    Stream.MaxAttempts = 2;
+  }
+
+  RelayRoute &streamRoute() { return this->State.Configuration->Routes[2]; }
+
+  RelayAttemptId lastAttempt() const {
+    return this->all<SendAttempt>().back().Attempt;
+  }
+
+  void answer(std::uint16_t Status, bool IsStream, const std::string &Bytes) {
+    this->apply(
+        AttemptHeadReceived{this->lastAttempt(), head(Status, IsStream)});
+    this->apply(AttemptBytesReceived{this->lastAttempt(), Bytes});
+  }
+
+  void end(Kind Outcome) {
+    this->apply(AttemptEnded{this->lastAttempt(), Outcome});
+  }
+
+  std::string body() const {
+    std::string Bytes;
+    for (const ContinueAnswer &Each : this->all<ContinueAnswer>())
+      Bytes += Each.Bytes;
+    return Bytes;
+  }
+};
+
+} // namespace
+
+TEST_CASE("Broken answers: an answer whose start was forwarded is not joined "
+          "with another target's") {
+  BrokenAnswerFixture Fixture;
+  const std::string Large(Fixture.State.Options.MaxBufferedAnswerBytes, 'x');
+  Fixture.ask("/plain/x");
+  Fixture.answer(200, false, Large);
+  REQUIRE(Fixture.all<BeginAnswer>().size() == 1);
+  Fixture.end(Kind::Broken);
+  CHECK(Fixture.all<SendAttempt>().size() == 1);
+  CHECK(Fixture.all<AbortAnswer>().size() == 1);
+  CHECK(Fixture.all<FinishAnswer>().empty());
+  CHECK(Fixture.State.Calls.empty());
+}
+
+TEST_CASE("Broken answers: a stream that can't be resumed is not repeated") {
+  BrokenAnswerFixture Fixture;
+  Fixture.streamRoute().IsResumable = false;
+  Fixture.streamRoute().IsIdempotent = true;
+  Fixture.ask("/stream/x");
+  Fixture.answer(200, true, "id: 1\ndata: a\n\n");
+  Fixture.end(Kind::Broken);
+  CHECK(Fixture.all<SendAttempt>().size() == 1);
+  CHECK(Fixture.all<AbortAnswer>().size() == 1);
+}
+
+TEST_CASE("Broken answers: a stream that ends inside an event is resumed after "
+          "its last whole event") {
+  BrokenAnswerFixture Fixture;
+  const std::string Cut =
+      GENERATE(as<std::string>(), "i", "id: 2\ndata: b", "id: 2\ndata: b\n",
+               "id: 2\r\ndata: b\r\n", "id: 2\r\ndata: b\r", ": no");
+  Fixture.ask("/stream/x");
+  Fixture.answer(200, true, "id: 1\ndata: a\n\n" + Cut);
+  Fixture.end(Kind::Complete);
+  REQUIRE(Fixture.all<SendAttempt>().size() == 2);
+  CHECK(Fixture.all<SendAttempt>().back().ResumeAfter == 1);
+  CHECK(Fixture.all<FinishAnswer>().empty());
+  Fixture.answer(200, true, "id: 2\ndata: b\n\n");
+  Fixture.end(Kind::Complete);
+  CHECK(Fixture.body() == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK(Fixture.all<FinishAnswer>().size() == 1);
+}
+
+TEST_CASE("Broken answers: a stream that ends inside an event is aborted if no "
+          "attempt is left") {
+  BrokenAnswerFixture Fixture;
+  Fixture.streamRoute().MaxAttempts = 1;
+  Fixture.ask("/stream/x");
+  Fixture.answer(200, true, "id: 1\ndata: a\n\nid: 2\ndata: b\n");
+  Fixture.end(Kind::Complete);
+  CHECK(Fixture.body() == "id: 1\ndata: a\n\n");
+  CHECK(Fixture.all<AbortAnswer>().size() == 1);
+  CHECK(Fixture.all<FinishAnswer>().empty());
+}
