Do not end a resumed stream with an answer that is no stream

What callers could see: a stream that broke off, then the body of another target's 500 or of a plain success, then the end of a complete answer.

Cause: after a resume, an answer that is not a stream of events was forwarded as if no answer had begun.

Evidence: the new test (200, 404 and 500; small, and larger than the relay buffers) failed before and passes now.

Change: a begun stream goes on only with events. Any other answer of a target counts as an attempt of unknown outcome: retried where attempts are left, else aborted.

--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -251,6 +251,10 @@
   resetBackoff(Context.State, Call.Target);
   if (Call.Head->Status >= FirstServerError)
     recordFailedAttempt(Context.State, Call.Target);
+  if (Call.IsAnswerStreamed && !isStreamed(Call)) {
+    handleUnknownOutcome(Context, Call, "no_stream");
+    return;
+  }
   // The other attempt may still bring an answer that is no failure.
   const bool IsFailed = Call.Hedge && Call.Head->Status >= FirstServerError;
   if (IsFailed || !isForwardable(*Call.Head)) {
@@ -310,7 +314,7 @@
                  const std::string &Bytes) {
   Call.BufferedBody += Bytes;
   const bool MayForward = !Call.Head->IsNotRun && !Call.Head->IsMisdirected &&
-                          isForwardable(*Call.Head);
+                          !Call.IsAnswerStreamed && isForwardable(*Call.Head);
   if (Call.BufferedBody.size() < Context.State.Options.MaxBufferedAnswerBytes)
     return;
   if (!MayForward) {
--- a/packages/decision/tests/RelayBrokenAnswerTest.cpp
+++ b/packages/decision/tests/RelayBrokenAnswerTest.cpp
@@ -104,3 +104,19 @@
   CHECK(Fixture.all<AbortAnswer>().size() == 1);
   CHECK(Fixture.all<FinishAnswer>().empty());
 }
+
+TEST_CASE("Broken answers: a begun stream is not ended by an answer that is no "
+          "stream") {
+  BrokenAnswerFixture Fixture;
+  const std::uint16_t Status = GENERATE(as<std::uint16_t>(), 200, 404, 500);
+  const std::size_t Bytes = GENERATE(5, 300 * 1024);
+  Fixture.ask("/stream/x");
+  Fixture.answer(200, true, "id: 1\ndata: a\n\n");
+  Fixture.end(Kind::Broken);
+  REQUIRE(Fixture.all<SendAttempt>().size() == 2);
+  Fixture.answer(Status, false, std::string(Bytes, 'x'));
+  Fixture.end(Kind::Complete);
+  CHECK(Fixture.body() == "id: 1\ndata: a\n\n");
+  CHECK(Fixture.all<FinishAnswer>().empty());
+  CHECK(Fixture.all<AbortAnswer>().size() == 1);
+}
