Do not take a reset for the end of an answer while the request is sent

What callers could see: the start of an answer without a length, as a complete answer, if its target reset the connection while a long request was being sent.

Cause: the system reports a reset to one call only. If that is the write, the next read returns an end of file, which ends such an answer. The connection of a request that could not be sent whole could also be kept for another request.

More tests show what held already: answers without a length in HTTP/1.1 and 1.0, with keep-alive and with status 500, end with a close only; HEAD, 204 and 304 await none; ambiguous lengths are refused; pausing works without a length; an answer that precedes a reset is read.

Change: a failed write is remembered, and the end of an answer is judged after the completion of a write that is queued behind it. A broken pipe is no reset: the target had closed before.

--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -73,6 +73,8 @@
   std::string Head;
   bool IsOpen = false;
   bool IsWriting = false;
+  /// Why the request could not be sent whole.
+  boost::system::error_code WriteError;
   bool HasHead = false;
   std::size_t BytesBeforeHead = 0;
   bool IsReading = false;
@@ -191,6 +193,7 @@
   boost::asio::async_write(
       Target->Socket, Parts, [this, Target](const auto &Error, std::size_t) {
         Target->IsWriting = false;
+        Target->WriteError = Error;
         // A target may respond before it has read the whole body; such a
         // response remains valid.
         if (Error && !Target->HasHead && Target->Current.Attempt.Value != 0)
@@ -226,7 +229,13 @@
     return;
   }
   if (Error) {
-    this->handleEnd(Target, Error == boost::asio::error::eof);
+    const bool IsEndOfFile = Error == boost::asio::error::eof;
+    const RelayAttemptId Attempt = Target->Current.Attempt;
+    // Posted, as the completion of a failed write may be queued behind this.
+    this->Loop.post([this, Target, Attempt, IsEndOfFile] {
+      if (Target->Current.Attempt == Attempt && this->Active.count(Attempt) > 0)
+        this->handleEnd(Target, IsEndOfFile);
+    });
     return;
   }
   this->parse(Target);
@@ -317,7 +326,11 @@
 }
 
 void AttemptClient::handleEnd(const ConnectionPtr &Target, bool IsEndOfFile) {
-  if (!IsEndOfFile || !Target->Parser || !Target->HasHead) {
+  // A reset is reported only once, here to the write. A broken pipe means that
+  // the target closed the connection before it was reset.
+  const bool IsReset = Target->WriteError &&
+                       Target->WriteError != boost::asio::error::broken_pipe;
+  if (!IsEndOfFile || IsReset || !Target->Parser || !Target->HasHead) {
     this->fail(Target, AttemptEnded::Kind::Broken);
     return;
   }
@@ -332,7 +345,7 @@
 
 void AttemptClient::complete(const ConnectionPtr &Target) {
   const bool IsReusable = Target->Parser->keep_alive() && !Target->IsWriting &&
-                          Target->Input.size() == 0;
+                          !Target->WriteError && Target->Input.size() == 0;
   const RelayAttemptId Attempt = Target->Current.Attempt;
   const std::uint32_t IdleLimit = Target->Current.IdleLimit;
   this->Active.erase(Attempt);
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -300,3 +300,149 @@
   CHECK(Fixture.Ends[0] == AttemptEnded::Kind::Complete);
   CHECK(Fixture.Body.size() == BodyBytes);
 }
+
+namespace {
+
+/// Ends the connection such that the target's kernel resets it.
+void reset(RawPeer &Target) {
+  Target.Socket.set_option(boost::asio::socket_base::linger(true, 0));
+  Target.Socket.close();
+}
+
+} // namespace
+
+TEST_CASE("Unframed responses: every version and status ends with a close, and "
+          "the connection is not reused") {
+  const std::string Start = GENERATE(
+      as<std::string>(), "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n",
+      "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n",
+      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\n", "HTTP/1.1 500 No\r\n");
+  const std::string Body = GENERATE(as<std::string>(), "", "all of it");
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send(Start + "Id: 1\r\n\r\n" + Body);
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return !Fixture.Statuses.empty() && Fixture.Body == Body;
+  }));
+  CHECK(Fixture.Ends.empty());
+  SECTION("a close completes it") {
+    Target.Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Complete);
+    CHECK(Fixture.Body == Body);
+    Fixture.send("2");
+    CHECK(Fixture.Accepted == 2);
+  }
+  SECTION("a reset doesn't") {
+    reset(Target);
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Broken);
+  }
+}
+
+TEST_CASE("Unframed responses: those that have no body don't await a close") {
+  TargetFixture Fixture;
+  AttemptClient::Request Request = Fixture.request("1");
+  std::string Status = "200 OK";
+  SECTION("HEAD") { Request.Method = "HEAD"; }
+  SECTION("204") { Status = "204 No Content"; }
+  SECTION("304") { Status = "304 Not Modified"; }
+  Fixture.Client.send(Request);
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return Fixture.Accepted == 1 && Fixture.Targets[0]->has("body");
+  }));
+  Fixture.Targets[0]->send("HTTP/1.1 " + Status + "\r\nId: 1\r\n\r\n");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Complete);
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 1);
+}
+
+TEST_CASE("Targets: a response with an ambiguous length is refused") {
+  const std::string Lengths = GENERATE(
+      as<std::string>(), "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+      "Content-Length: 2\r\nContent-Length: 3\r\n", "Content-Length: 2, 3\r\n",
+      "Content-Length: 2x\r\n");
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\n" + Lengths +
+              "\r\n2\r\nok\r\n0\r\n\r\n");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Broken);
+  CHECK(Fixture.Statuses.empty());
+}
+
+TEST_CASE("Unframed responses: a paused one is read on only when it is "
+          "continued") {
+  constexpr std::size_t BodyBytes = 32 * 1024 * 1024;
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("a");
+  const RelayAttemptId Attempt(Fixture.LastAttempt);
+  Fixture.Client.setPaused(Attempt, true);
+  Target.Socket.non_blocking(true);
+  const std::string Answer =
+      "HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + std::string(BodyBytes, 'x');
+  boost::asio::async_write(Target.Socket, boost::asio::buffer(Answer),
+                           [&](const auto &, std::size_t) {
+                             Target.Socket.shutdown(
+                                 boost::asio::ip::tcp::socket::shutdown_send);
+                           });
+  CHECK_FALSE(runUntil(
+      Fixture.Loop, [&] { return Fixture.Body.size() == BodyBytes; },
+      Milliseconds(300)));
+  CHECK(Fixture.Body.size() < 1024 * 1024);
+  Fixture.Client.setPaused(Attempt, false);
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Complete);
+  CHECK(Fixture.Body.size() == BodyBytes);
+}
+
+namespace {
+
+/// Sends a body that the target's buffers can't hold, and waits until the
+/// target has received some of it.
+RawPeer &sendLongBody(TargetFixture &Fixture) {
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.Body = std::string(32 * 1024 * 1024, 'x');
+  Fixture.Client.send(Request);
+  REQUIRE(runUntil(Fixture.Loop, [&] {
+    return Fixture.Accepted == 1 && Fixture.Targets[0]->has("Id: 1");
+  }));
+  return *Fixture.Targets[0];
+}
+
+} // namespace
+
+TEST_CASE("Unframed responses: one to a request that was not read whole ends "
+          "with a close only") {
+  TargetFixture Fixture;
+  RawPeer &Target = sendLongBody(Fixture);
+  Target.send("HTTP/1.1 500 No\r\nId: 1\r\n\r\nall of it");
+  SECTION("a close completes it") {
+    Target.Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Complete);
+    CHECK(Fixture.Body == "all of it");
+  }
+  SECTION("a reset doesn't") {
+    REQUIRE(
+        runUntil(Fixture.Loop, [&] { return Fixture.Body == "all of it"; }));
+    reset(Target);
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Broken);
+  }
+}
+
+TEST_CASE(
+    "Targets: a response that precedes a reset is read before the request "
+    "fails") {
+  TargetFixture Fixture;
+  RawPeer &Target = sendLongBody(Fixture);
+  Target.send("HTTP/1.1 503 No\r\nId: 1\r\nNot-Run: 1\r\n"
+              "Content-Length: 2\r\n\r\nno");
+  reset(Target);
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Complete);
+  CHECK(Fixture.Body == "no");
+}
