Reserve no memory for the length that a target states

What callers could see: all connections of a relay end at once, because its process ends, after one target sent a head with a very large Content-Length.

Cause: the parser's string_body reserves the stated length; std::bad_alloc then leaves the event loop.

Evidence: the new test failed before with std::bad_alloc and passes now.

Change: a body type that takes bytes as they arrive and reserves nothing.

--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -49,6 +49,19 @@
   return std::chrono::seconds(std::stol(Found[1].str()));
 }
 
+/// A body whose bytes are taken out of the parser as they arrive. Unlike
+/// string_body, it reserves no memory for the length that a target states.
+struct PieceBody : http::string_body {
+  class reader : public http::string_body::reader {
+  public:
+    using http::string_body::reader::reader;
+    void init(const boost::optional<std::uint64_t> &,
+              boost::system::error_code &Error) {
+      Error = {};
+    }
+  };
+};
+
 void prepareSocket(tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
@@ -67,7 +80,7 @@
   boost::asio::steady_timer ConnectTimer;
   Endpoint Remote;
   boost::beast::flat_buffer Input;
-  std::unique_ptr<http::response_parser<http::string_body>> Parser;
+  std::unique_ptr<http::response_parser<PieceBody>> Parser;
   /// The request in flight; its attempt is 0 while the connection is idle.
   Request Current;
   std::string Head;
@@ -254,8 +267,7 @@
   while (Target->IsOpen && Target->Current.Attempt.Value != 0 &&
          Target->Input.size() > 0) {
     if (!Target->Parser) {
-      Target->Parser =
-          std::make_unique<http::response_parser<http::string_body>>();
+      Target->Parser = std::make_unique<http::response_parser<PieceBody>>();
       Target->Parser->eager(true);
       Target->Parser->body_limit(boost::none);
       Target->Parser->skip(Target->Current.Method == "HEAD");
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -373,6 +373,17 @@
   CHECK(Fixture.Statuses.empty());
 }
 
+TEST_CASE("Targets: a stated length reserves no memory") {
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\n"
+              "Content-Length: 4000000000000000000\r\n\r\nok");
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Fixture.Body == "ok"; }));
+  Target.Socket.close();
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Broken);
+}
+
 TEST_CASE("Unframed responses: a paused one is read on only when it is "
           "continued") {
   constexpr std::size_t BodyBytes = 32 * 1024 * 1024;
