Reset a response without a length if the caller or the process ends it

What HTTP/1.0 callers could see: the start of an answer, ended like a complete one, if they had closed their sending side, or if the relay's process ended.

Cause: the connection was set to be reset only where the relay aborted an answer or had unsent bytes of it.

Evidence: the new test failed before for a caller that half-closes and for the end of the process, and passes now; a finished response still ends with a close.

Change: the connection is set to be reset from the start of such a response until all of it is written. The server closes its sockets itself, as their destructors would not reset them.

--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/relay/include/tanagerlanding/relay/CallerServer.h
@@ -102,7 +102,7 @@
   void completeResponse(const ConnectionPtr &Caller);
   void close(const ConnectionPtr &Caller);
   /// Makes the end of a connection an error for the caller.
-  void resetOnClose(Connection &Caller);
+  void setResetOnClose(Connection &Caller, bool ShouldReset);
   /// Updates the budget after a change of a connection's buffers.
   void account(Connection &Caller);
   void accountAs(Connection &Caller, std::size_t Received, std::size_t Queued);
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -106,7 +106,12 @@
   this->checkTimeouts();
 }
 
-CallerServer::~CallerServer() = default;
+CallerServer::~CallerServer() {
+  // Unlike close(), the destructor of a socket would ignore setResetOnClose().
+  boost::system::error_code Ignored;
+  for (const auto &[Id, Caller] : this->Connections)
+    Caller->Socket.close(Ignored);
+}
 
 Result<void, SystemError> CallerServer::listen(const std::string &Address,
                                                std::uint16_t Port) {
@@ -296,8 +301,12 @@
   else
     Body.Type = Caller->IsHttp10 ? BodyFraming::Kind::UntilClose
                                  : BodyFraming::Kind::Chunked;
-  if (Body.Type == BodyFraming::Kind::UntilClose)
+  if (Body.Type == BodyFraming::Kind::UntilClose) {
     Caller->IsCloseRequested = true;
+    // The end of the connection, also by the end of the process, must not look
+    // like the end of the body until all of it is written.
+    this->setResetOnClose(*Caller, true);
+  }
   Caller->Framing = Body.Type;
   this->write(Caller, writeResponseHead(Head.Status, Head.Headers, Body,
                                         this->shouldClose(*Caller)));
@@ -327,17 +336,13 @@
     return;
   this->Requests.erase(Request);
   Caller->Current = RequestId();
-  // A truncated chunked or fixed-length body is recognizably incomplete. A body
-  // delimited by the end of the connection is so only if the connection is
-  // reset.
-  if (Caller->Framing == BodyFraming::Kind::UntilClose)
-    this->resetOnClose(*Caller);
   this->close(Caller);
 }
 
-void CallerServer::resetOnClose(Connection &Caller) {
+void CallerServer::setResetOnClose(Connection &Caller, bool ShouldReset) {
   boost::system::error_code Ignored;
-  Caller.Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  Caller.Socket.set_option(boost::asio::socket_base::linger(ShouldReset, 0),
+                           Ignored);
 }
 
 std::vector<CallerServer::EndedConnection> CallerServer::endOldestUnread() {
@@ -357,7 +362,7 @@
     const ConnectionPtr Caller = Found->second;
     Ended.push_back({{Id, Caller->CountedQueued, Caller->WritingSince},
                      Caller->CurrentAttempt});
-    this->resetOnClose(*Caller);
+    this->setResetOnClose(*Caller, true);
     this->close(Caller);
   }
   return Ended;
@@ -468,6 +473,7 @@
     return;
   Caller->IsLingering = true;
   Caller->WaitStart = this->Loop.now();
+  this->setResetOnClose(*Caller, false);
   boost::system::error_code Ignored;
   Caller->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
   this->read(Caller);
@@ -477,11 +483,6 @@
   if (this->Connections.erase(Caller->Id) == 0)
     return;
   this->accountAs(*Caller, 0, 0);
-  // A body delimited by the end of the connection must not seem complete if
-  // some of it was not sent.
-  if (Caller->Framing == BodyFraming::Kind::UntilClose &&
-      (Caller->IsWriting || !Caller->Queued.empty()))
-    this->resetOnClose(*Caller);
   boost::system::error_code Ignored;
   Caller->Socket.close(Ignored);
   const RequestId Disconnected = Caller->Current;
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -371,3 +371,49 @@
   boost::asio::read(Slow, boost::asio::dynamic_buffer(Received), Error);
   CHECK(Error == boost::asio::error::connection_reset);
 }
+
+TEST_CASE("Callers: an unfinished response without a length is reset") {
+  // Guards against a caller that takes the end of the relay's process, or of
+  // a call, for the end of a complete body.
+  auto Fixture = std::make_unique<CallerFixture>();
+  EventLoop Loop;
+  boost::asio::ip::tcp::socket Caller(Loop.context());
+  Caller.connect({boost::asio::ip::address_v4::loopback(), Fixture->Port});
+  boost::asio::write(
+      Caller, boost::asio::buffer(
+                  std::string("GET /a HTTP/1.0\r\nHost: h\r\nId: 1\r\n\r\n")));
+  REQUIRE(Fixture->awaitRequests(1));
+  TargetAnswerHead Head;
+  Head.Status = 200;
+  Fixture->Server.beginResponse(Fixture->Ids[0], Head, std::nullopt);
+  Fixture->Server.sendBody(Fixture->Ids[0], "piece");
+  CHECK_FALSE(runUntil(
+      Fixture->Loop, [] { return false; }, Milliseconds(50)));
+  SECTION("it is aborted") { Fixture->Server.abort(Fixture->Ids[0]); }
+  SECTION("the caller half-closes") {
+    Caller.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    REQUIRE(runUntil(Fixture->Loop,
+                     [&] { return !Fixture->Disconnected.empty(); }));
+  }
+  SECTION("the process ends") { Fixture.reset(); }
+  std::string Received;
+  boost::system::error_code Error;
+  boost::asio::read(Caller, boost::asio::dynamic_buffer(Received), Error);
+  CHECK(Error == boost::asio::error::connection_reset);
+}
+
+TEST_CASE("Callers: a finished response without a length ends with a close") {
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  Caller.send("GET /a HTTP/1.0\r\nHost: h\r\nId: 1\r\n\r\n");
+  REQUIRE(Fixture.awaitRequests(1));
+  TargetAnswerHead Head;
+  Head.Status = 200;
+  Fixture.Server.beginResponse(Fixture.Ids[0], Head, std::nullopt);
+  Fixture.Server.sendBody(Fixture.Ids[0], "piece");
+  Fixture.Server.finishResponse(Fixture.Ids[0]);
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Caller.IsClosed; }));
+  CHECK(Caller.has("\r\n\r\npiece"));
+  CHECK(Caller.End == boost::asio::error::eof);
+}
--- a/packages/relay/tests/RawPeer.h
+++ b/packages/relay/tests/RawPeer.h
@@ -107,6 +107,7 @@
                                  [this](const auto &Error, std::size_t Count) {
                                    this->Received.append(this->Input.data(),
                                                          Count);
+                                   this->End = Error;
                                    if (Error)
                                      this->IsClosed = true;
                                    else
@@ -126,6 +127,8 @@
   tcp::socket Socket;
   std::string Received;
   bool IsClosed = false;
+  /// How the connection ended; no error while it is open.
+  boost::system::error_code End;
 
 private:
   std::array<char, 4096> Input{};
