Send no framing and no body bytes with responses that have no body

What callers could see: after a 204 or 304 that a target sent as a stream, five bytes (the last chunk) where the next response should begin; and "Content-Length: 0" for HEAD, whatever the length of the body would be.

Evidence: the new test failed before (last chunk, Content-Length and Transfer-Encoding found) and passes now.

Change: responses to HEAD and those with status 204 or 304 are sent without framing.

--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -37,8 +37,15 @@
 /// 32 MiB took more than 5 s.
 constexpr int SendBufferBytes = 128 * 1024;
 constexpr unsigned Http10 = 10;
+constexpr std::uint16_t NoContent = 204;
+constexpr std::uint16_t NotModified = 304;
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Returns whether a response has a body; one that has none needs no framing.
+bool mayHaveBody(bool IsHeadRequest, std::uint16_t Status) {
+  return !IsHeadRequest && Status != NoContent && Status != NotModified;
+}
+
 RelayRefusalReason refusalReasonFor(const boost::system::error_code &Error) {
   if (Error == http::error::header_limit)
     return RelayRefusalReason::HeadersTooLarge;
@@ -296,7 +303,9 @@
   if (!Caller)
     return;
   BodyFraming Body;
-  if (BodyBytes)
+  if (!mayHaveBody(Caller->IsHeadRequest, Head.Status))
+    Body.Type = BodyFraming::Kind::None;
+  else if (BodyBytes)
     Body = {BodyFraming::Kind::ContentLength, *BodyBytes};
   else
     Body.Type = Caller->IsHttp10 ? BodyFraming::Kind::UntilClose
@@ -314,7 +323,7 @@
 
 void CallerServer::sendBody(RequestId Request, const std::string &Bytes) {
   const ConnectionPtr Caller = this->findConnection(Request);
-  if (!Caller || Caller->IsHeadRequest || Bytes.empty())
+  if (!Caller || Caller->Framing == BodyFraming::Kind::None || Bytes.empty())
     return;
   this->write(Caller, Caller->Framing == BodyFraming::Kind::Chunked
                           ? writeChunk(Bytes)
@@ -325,7 +334,7 @@
   const ConnectionPtr Caller = this->findConnection(Request);
   if (!Caller)
     return;
-  if (Caller->Framing == BodyFraming::Kind::Chunked && !Caller->IsHeadRequest)
+  if (Caller->Framing == BodyFraming::Kind::Chunked)
     this->write(Caller, writeLastChunk());
   this->completeResponse(Caller);
 }
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -417,3 +417,27 @@
   CHECK(Caller.has("\r\n\r\npiece"));
   CHECK(Caller.End == boost::asio::error::eof);
 }
+
+TEST_CASE("Callers: a response that has no body is sent without one") {
+  // Guards against bytes that the caller takes for the next response.
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  const bool IsHead = GENERATE(true, false);
+  TargetAnswerHead Head;
+  Head.Status = IsHead ? 200 : GENERATE(204, 304);
+  const auto BodyBytes =
+      GENERATE(std::optional<std::size_t>(), std::optional<std::size_t>(0));
+  Caller.send(std::string(IsHead ? "HEAD" : "GET") +
+              " /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n");
+  REQUIRE(Fixture.awaitRequests(1));
+  Fixture.Server.beginResponse(Fixture.Ids[0], Head, BodyBytes);
+  Fixture.Server.finishResponse(Fixture.Ids[0]);
+  Caller.send(Plain);
+  REQUIRE(Fixture.awaitRequests(2));
+  Fixture.answer(1, "next");
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Caller.has("next"); }));
+  CHECK_FALSE(Caller.has("Transfer-Encoding"));
+  CHECK_FALSE(Caller.has("Content-Length: 0"));
+  CHECK_FALSE(Caller.has("0\r\n\r\n"));
+}
