Keep backing off from a target that ends streams inside an event

What callers could see: a target whose streams break off by an orderly end keeps getting requests after the shortest back-off, and its cut streams count as complete ones in its measured speed.

Cause: the end of the connection was recorded as a completion before the stream was found to have ended inside an event.

Evidence: the new test (three broken streams in a row) failed before and passes now.

Change: the unfinished event is looked for first.

--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -248,6 +248,10 @@
     handleNotRun(Context, Call, IsOther ? "other_target" : "target_refused");
     return;
   }
+  if (isStreamed(Call) && Call.Splitter.hasPartialEvent()) {
+    handleBrokenAttempt(Context, Call, "partial_event");
+    return;
+  }
   resetBackoff(Context.State, Call.Target);
   if (Call.Head->Status >= FirstServerError)
     recordFailedAttempt(Context.State, Call.Target);
@@ -268,8 +272,6 @@
   }
   if (!isStreamed(Call))
     deliverBufferedAnswer(Context, Call);
-  else if (Call.Splitter.hasPartialEvent())
-    handleBrokenAttempt(Context, Call, "partial_event");
   else
     completeStream(Context, Call);
 }
--- a/packages/decision/tests/RelayBrokenAnswerTest.cpp
+++ b/packages/decision/tests/RelayBrokenAnswerTest.cpp
@@ -105,6 +105,22 @@
   CHECK(Fixture.all<FinishAnswer>().empty());
 }
 
+TEST_CASE(
+    "Broken answers: a target that ends streams inside an event is backed "
+    "off from ever longer") {
+  BrokenAnswerFixture Fixture;
+  Fixture.streamRoute().MaxAttempts = 1;
+  Fixture.apply(TargetUnregistered{TargetId("t2")});
+  for (std::uint32_t Round = 1; Round <= 3; ++Round) {
+    Fixture.ask("/stream/x", "r" + std::to_string(Round));
+    Fixture.answer(200, true, "id: 1\ndata: a\n\nid: 2");
+    Fixture.end(Kind::Complete);
+    const RelayTarget &Target = Fixture.State.Targets.at(TargetId("t1"));
+    CHECK(Target.ConsecutiveFailures == Round);
+    Fixture.passTime(Target.BackoffUntil - Fixture.State.Now);
+  }
+}
+
 TEST_CASE("Broken answers: a begun stream is not ended by an answer that is no "
           "stream") {
   BrokenAnswerFixture Fixture;
