--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -52,6 +52,8 @@
 /// A body whose bytes are taken out of the parser as they arrive. Unlike
 /// string_body, it reserves no memory for the length that a target states.
 struct PieceBody : http::string_body {
+  // Beast requires the name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   class reader : public http::string_body::reader {
   public:
     using http::string_body::reader::reader;
