--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -187,6 +187,14 @@
   dispatchCall(Context, Call);
 }
 
+/// Returns whether a call may run again after an unknown outcome. Once the
+/// answer has begun, another attempt can only continue a stream.
+bool mayRepeat(const RelayCall &Call) {
+  if (Call.HasBegunAnswer)
+    return Call.IsAnswerStreamed && Call.Route.IsResumable;
+  return Call.Route.isRetryable();
+}
+
 /// Retries, aborts or refuses a call whose attempt may have run at the target.
 void handleUnknownOutcome(RelayContext &Context, RelayCall &Call,
                           const char *Cause) {
@@ -202,7 +210,7 @@
   Call.BufferedBody.clear();
   Call.Splitter = EventSplitter();
   ++Call.UncertainSends;
-  const bool MayRetry = Call.Route.isRetryable() &&
+  const bool MayRetry = mayRepeat(Call) &&
                         Call.UncertainSends < Call.Route.MaxAttempts &&
                         hasTimeLeft(Context, Call);
   Context.logCall("attempt_outcome_unknown", Call,
@@ -250,9 +258,17 @@
     handleNotRun(Context, Call, IsOther ? "other_target" : "target_refused");
     return;
   }
+  if (isStreamed(Call) && Call.Splitter.hasPartialEvent()) {
+    handleBrokenAttempt(Context, Call, "partial_event");
+    return;
+  }
   resetBackoff(Context.State, Call.Target);
   if (Call.Head->Status >= FirstServerError)
     recordFailedAttempt(Context.State, Call.Target);
+  if (Call.IsAnswerStreamed && !isStreamed(Call)) {
+    handleUnknownOutcome(Context, Call, "no_stream");
+    return;
+  }
   // The other attempt may still bring an answer that is no failure.
   const bool IsFailed = Call.Hedge && Call.Head->Status >= FirstServerError;
   if (IsFailed || !isForwardable(*Call.Head)) {
@@ -267,8 +283,6 @@
   }
   if (!isStreamed(Call))
     deliverBufferedAnswer(Context, Call);
-  else if (Call.Splitter.hasPartialEvent())
-    handleBrokenAttempt(Context, Call, "partial_event");
   else
     completeStream(Context, Call);
 }
@@ -278,6 +292,7 @@
   recordStreamStart(Context, Call);
   if (!Call.HasBegunAnswer) {
     Call.HasBegunAnswer = true;
+    Call.IsAnswerStreamed = true;
     Context.logCall("stream_started", Call,
                     {{"target", Call.Target.Value},
                      {"version", Call.Origin->Version.Value}});
@@ -311,7 +326,7 @@
 void bufferBytes(RelayContext &Context, RelayCall &Call,
                  const std::string &Bytes) {
   Call.BufferedBody += Bytes;
-  const bool MayForward = isForwardable(*Call.Head);
+  const bool MayForward = !Call.IsAnswerStreamed && isForwardable(*Call.Head);
   if (Call.BufferedBody.size() < Context.State.Options.MaxBufferedAnswerBytes)
     return;
   if (!MayForward) {
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -55,6 +55,21 @@
   return std::chrono::seconds(std::stol(Found[1].str()));
 }
 
+/// A body whose bytes are taken out of the parser as they arrive. Unlike
+/// string_body, it reserves no memory for the length that a target states.
+struct PieceBody : http::string_body {
+  // Beast requires the name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  class reader : public http::string_body::reader {
+  public:
+    using http::string_body::reader::reader;
+    void init(const boost::optional<std::uint64_t> &,
+              boost::system::error_code &Error) {
+      Error = {};
+    }
+  };
+};
+
 void prepareSocket(tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
@@ -85,7 +100,7 @@
   boost::asio::steady_timer ConnectTimer;
   Endpoint Remote;
   boost::beast::flat_buffer Input;
-  std::unique_ptr<http::response_parser<http::string_body>> Parser;
+  std::unique_ptr<http::response_parser<PieceBody>> Parser;
   /// The request in flight; its attempt is 0 while the connection is idle.
   Request Current;
   /// Hashes of the ids of all requests sent on this connection.
@@ -93,6 +108,8 @@
   std::string Head;
   bool IsOpen = false;
   bool IsWriting = false;
+  /// Why the request could not be sent whole.
+  boost::system::error_code WriteError;
   bool HasHead = false;
   std::size_t BytesBeforeHead = 0;
   bool IsReading = false;
@@ -224,6 +241,7 @@
   boost::asio::async_write(
       Target->Socket, Parts, [this, Target](const auto &Error, std::size_t) {
         Target->IsWriting = false;
+        Target->WriteError = Error;
         // A target may respond before it has read the whole body; such a
         // response remains valid.
         if (Error && !Target->HasHead && Target->Current.Attempt.Value != 0)
@@ -267,7 +285,13 @@
   if (!Target->IsOpen)
     return;
   if (Error) {
-    this->handleEnd(Target, Error == boost::asio::error::eof);
+    const bool IsEndOfFile = Error == boost::asio::error::eof;
+    const RelayAttemptId Attempt = Target->Current.Attempt;
+    // Posted, as the completion of a failed write may be queued behind this.
+    this->Loop.post([this, Target, Attempt, IsEndOfFile] {
+      if (Target->Current.Attempt == Attempt && this->Active.count(Attempt) > 0)
+        this->handleEnd(Target, IsEndOfFile);
+    });
     return;
   }
   this->parse(Target);
@@ -289,8 +313,7 @@
   while (Target->IsOpen && Target->Current.Attempt.Value != 0 &&
          Target->Input.size() > 0) {
     if (!Target->Parser) {
-      Target->Parser =
-          std::make_unique<http::response_parser<http::string_body>>();
+      Target->Parser = std::make_unique<http::response_parser<PieceBody>>();
       Target->Parser->eager(true);
       Target->Parser->body_limit(boost::none);
       Target->Parser->skip(Target->Current.Method == "HEAD");
@@ -365,7 +388,11 @@
 }
 
 void AttemptClient::handleEnd(const ConnectionPtr &Target, bool IsEndOfFile) {
-  if (!IsEndOfFile || !Target->Parser || !Target->HasHead) {
+  // A reset is reported only once, here to the write. A broken pipe means that
+  // the target closed the connection before it was reset.
+  const bool IsReset = Target->WriteError &&
+                       Target->WriteError != boost::asio::error::broken_pipe;
+  if (!IsEndOfFile || IsReset || !Target->Parser || !Target->HasHead) {
     this->fail(Target, AttemptEnded::Kind::Broken);
     return;
   }
@@ -380,7 +407,7 @@
 
 void AttemptClient::complete(const ConnectionPtr &Target) {
   const bool IsReusable = Target->Parser->keep_alive() && !Target->IsWriting &&
-                          Target->Input.size() == 0 &&
+                          !Target->WriteError && Target->Input.size() == 0 &&
                           Target->SentIds.size() < MaxRequestsPerConnection;
   const RelayAttemptId Attempt = Target->Current.Attempt;
   const std::uint32_t IdleLimit = Target->Current.IdleLimit;
