Notice that a relay was suspended

Callers whose stream broke off at one relay and went on at another that had stood still could get the rest from a target of another software version. A relay that woke up also refused calls as ledger_unavailable, as it took its replicas for silent.

Cause: a stall is the time between a tick and State.Now, but RelayProcess sets State.Now before it applies the tick, so the difference was never above 0. The tests set the time by the tick alone. So no stall was noticed in a process, and neither the window of stream origins nor the timers of replicas, quotas, starts and load views were reset.

Evidence: RelayFixture sets the time as the process does.

Change: the time of the last tick is kept and compared with.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -643,6 +643,8 @@
   HostId Self;
   ZoneId Zone;
   Instant Now;
+  /// Now is also set between ticks, so stalls show only in this time.
+  Instant LastTickAt;
   std::mt19937_64 Random;
   std::optional<RelayConfiguration> Configuration;
   tanagerlanding::ConfigurationProof ConfigurationProof;
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -68,9 +68,10 @@
       : Context(Context), State(Context.State) {}
 
   void operator()(const RelayTick &Event) {
-    const Milliseconds Stalled = Event.Now - this->State.Now;
+    const Milliseconds Stalled = Event.Now - this->State.LastTickAt;
     const bool HasStalled = this->State.Options.StallThreshold < Stalled;
     this->State.Now = Event.Now;
+    this->State.LastTickAt = Event.Now;
     if (HasStalled) {
       resetHeartbeatTimers(this->State);
       resetQuotaTimeouts(this->State);
--- a/packages/decision/tests/RelayFixture.h
+++ b/packages/decision/tests/RelayFixture.h
@@ -50,6 +50,8 @@
 
   void passTime(Milliseconds Passed) {
     this->Now = this->Now + Passed;
+    // RelayProcess sets the time before it applies an event.
+    this->State.Now = this->Now;
     this->apply(RelayTick{this->Now});
   }
 
--- a/packages/decision/tests/RelayStreamOriginTest.cpp
+++ b/packages/decision/tests/RelayStreamOriginTest.cpp
@@ -396,6 +396,11 @@
   StreamFixture Fixture;
   Fixture.watchFor(Milliseconds(200000));
   Fixture.passTime(Milliseconds(5000));
+  SECTION("the replicas have not sent anything since") {}
+  SECTION("their heartbeats have arrived") {
+    for (const char *Name : {"a", "b", "c"})
+      Fixture.apply(ReplicaMessageReceived{HolderId(Name), Heartbeat{}});
+  }
   Fixture.resumeUnnamed();
   checkRefused(Fixture, RelayRefusalReason::UnknownStream);
 }
