Take unnamed streams up by a directory that was read since

Callers who took a stream up at a relay that was out of step for some seconds could get the rest from a target of another software version, if they named no attempt and the replicas did not know the stream.

Cause: where no replica knows the origin, the relay decides by what it has observed. It took itself for up to date until a call to the key-value service failed. A watch may stay unanswered for 16 s, and is sent a second after the last one, so targets of a new version that other relays had read were missing. With one replica quorum that lost the origin, or that the report did not reach, the stream was joined with the one version that this relay knew.

Change: such a call waits until the key-value service has answered a query that was sent after the call arrived. The relay sends one that does not wait, beside its watch; calls share it. It is refused at once if the query fails or the service is lost. Named continuations, and those whose origin a quorum of complete replicas knows, do not wait.

--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -77,6 +77,8 @@
 struct DirectoryConfirmed {
   Instant AskedAt;
 };
+/// A ConfirmDirectory effect has failed.
+struct DirectoryNotConfirmed {};
 struct TargetRegistered {
   RegisteredTarget Entry;
 };
@@ -122,12 +124,12 @@
     std::variant<RelayTick, CallerRequestReceived, RelayCallerDisconnected,
                  AttemptHeadReceived, AttemptBytesReceived, AttemptEnded,
                  TargetConnectionProbed, RelayConfigured,
-                 ConfigurationKeyObserved, DirectoryConfirmed, TargetRegistered,
-                 TargetUnregistered, OutdatedTargetObserved,
-                 DirectoryHistoryLost, DirectoryLost, DirectoryRegained,
-                 ReplicaReachabilityReported, RelayLedgerViewObserved,
-                 ReplicaConnected, ReplicaDisconnected, ReplicaMessageReceived,
-                 RelayShutdownRequested>;
+                 ConfigurationKeyObserved, DirectoryConfirmed,
+                 DirectoryNotConfirmed, TargetRegistered, TargetUnregistered,
+                 OutdatedTargetObserved, DirectoryHistoryLost, DirectoryLost,
+                 DirectoryRegained, ReplicaReachabilityReported,
+                 RelayLedgerViewObserved, ReplicaConnected, ReplicaDisconnected,
+                 ReplicaMessageReceived, RelayShutdownRequested>;
 
 /// Send a caller the system's own final answer.
 struct RefuseCaller {
@@ -196,6 +198,9 @@
 struct ConnectReplicas {
   std::vector<LedgerMember> Members;
 };
+/// Ask the key-value service at once for changes that are not known yet, and
+/// report DirectoryConfirmed or DirectoryNotConfirmed.
+struct ConfirmDirectory {};
 /// Accept no new connections and close idle ones.
 struct StopAccepting {};
 /// Stop the process.
@@ -205,7 +210,8 @@
     std::variant<RefuseCaller, BeginAnswer, ContinueAnswer, FinishAnswer,
                  AbortAnswer, SendAttempt, CancelTargetAttempt,
                  ProbeTargetConnection, SendToReplica, ConnectReplicas,
-                 StopAccepting, ExitRelay, LogLine, CountMetric>;
+                 ConfirmDirectory, StopAccepting, ExitRelay, LogLine,
+                 CountMetric>;
 
 /// Applies one event to a relay's state and returns the resulting effects in
 /// order.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -452,6 +452,9 @@
   std::set<HolderId> RefusedBy;
   /// Those that have kept the origins of all streams for long enough.
   std::set<HolderId> AnsweredWithAllStreams;
+  /// Whether the replicas' answers suffice, but the key-value service has to
+  /// confirm what this relay knows of it.
+  bool IsAwaitingDirectory = false;
   std::map<Fingerprint, TokenClaim> Claims;
   std::set<HolderId> ReplicasWithPrevious;
   /// The target that ran the previous turn; empty if unknown.
@@ -700,6 +703,11 @@
   std::map<ServiceName, ServiceTimes> TypicalTimes;
   bool IsKeyValueServiceReachable = false;
   Instant KeyValueServiceRegainedAt;
+  /// Everything that the key-value service had confirmed before this time is
+  /// known here; absent before its first answer.
+  std::optional<Instant> DirectoryKnownAsOf;
+  /// When ConfirmDirectory was last issued, until its result is known.
+  std::optional<Instant> DirectoryAskedAt;
   LedgerView View;
   /// Replicas with an open connection.
   std::set<HolderId> ConnectedReplicas;
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -134,6 +134,11 @@
 
   void operator()(const DirectoryConfirmed &Event) {
     recordOwnProof(this->Context, Event.AskedAt);
+    recordDirectoryConfirmation(this->Context, Event.AskedAt);
+  }
+
+  void operator()(const DirectoryNotConfirmed &) {
+    refuseCallsAwaitingDirectory(this->Context);
   }
 
   void operator()(const TargetRegistered &Event) {
@@ -156,6 +161,7 @@
   void operator()(const DirectoryLost &) {
     this->State.IsKeyValueServiceReachable = false;
     this->Context.log("directory_lost", {});
+    refuseCallsAwaitingDirectory(this->Context);
   }
 
   void operator()(const DirectoryRegained &) {
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -60,6 +60,7 @@
   Ledger.AnsweredBy.clear();
   Ledger.RefusedBy.clear();
   Ledger.AnsweredWithAllStreams.clear();
+  Ledger.IsAwaitingDirectory = false;
   OpenTurn &Open = Ledger.OpenRequest = OpenTurn();
   Open.Operation = LedgerOperationId(State.NextOperation++);
   State.PendingOpens[Open.Operation] = Call.Request;
@@ -184,37 +185,86 @@
   });
 }
 
+/// Returns whether everything is known here that the key-value service had
+/// confirmed when a call arrived. Whichever target began the stream that the
+/// call continues was registered before.
+bool isDirectoryKnownFor(const RelayState &State, const RelayCall &Call) {
+  return State.DirectoryKnownAsOf &&
+         !(*State.DirectoryKnownAsOf < Call.Arrived);
+}
+
+/// Lets a call wait for the key-value service to confirm what is known of it.
+void awaitDirectory(RelayContext &Context, RelayCall &Call) {
+  RelayState &State = Context.State;
+  Call.Ledger.IsAwaitingDirectory = true;
+  if (State.DirectoryAskedAt)
+    return;
+  State.DirectoryAskedAt = State.Now;
+  Context.add(ConfirmDirectory{});
+}
+
+std::vector<RequestId> callsAwaitingDirectory(const RelayState &State) {
+  std::vector<RequestId> Waiting;
+  for (const auto &[Operation, Request] : State.PendingOpens) {
+    const auto Call = State.Calls.find(Request);
+    if (Call != State.Calls.end() && Call->second.Ledger.IsAwaitingDirectory)
+      Waiting.push_back(Request);
+  }
+  return Waiting;
+}
+
+void refuseUnknownStream(RelayContext &Context, RelayCall &Call) {
+  const TurnLedger &Ledger = Call.Ledger;
+  const bool IsAmbiguous = Call.Origin && Call.Origin->Version.Value.empty();
+  Context.logCall(
+      "stream_unknown", Call,
+      {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
+       {"answered", std::to_string(Ledger.AnsweredBy.size())},
+       {"complete", std::to_string(Ledger.AnsweredWithAllStreams.size())},
+       {"ambiguous", IsAmbiguous ? "yes" : "no"},
+       {"directory",
+        Ledger.IsAwaitingDirectory ? "unconfirmed" : "confirmed"}});
+  refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
+}
+
+/// Determines the origin of a stream whose caller does not name the attempt
+/// that began it. Returns whether it is certain now that the origin is known or
+/// unknown; if not, further answers are awaited.
+bool settleUnnamedOrigin(RelayContext &Context, RelayCall &Call) {
+  RelayState &State = Context.State;
+  // Another attempt with the same content may have begun at another version.
+  // Only replicas that have kept all origins long enough rule that out.
+  const bool IsWhole =
+      State.View.hasReadQuorum(Call.Ledger.AnsweredWithAllStreams);
+  if (!IsWhole && areAnswersPending(State, Call))
+    return false;
+  if (IsWhole && Call.Origin)
+    return true;
+  const auto Sole = soleOriginOf(State, Call);
+  const bool MayGoOn = Sole && (!Call.Origin || Call.Origin == Sole);
+  if (MayGoOn && !isDirectoryKnownFor(State, Call)) {
+    awaitDirectory(Context, Call);
+    return false;
+  }
+  if (!Call.Origin)
+    Call.Origin = Sole;
+  else if (!MayGoOn)
+    Call.Origin->Version = SoftwareVersion();
+  return true;
+}
+
 /// Determines the origin of the stream that a call continues, once a read
 /// quorum has answered. Returns whether the call may go on; it may have been
 /// refused, or it has to wait for further answers.
 bool settleOrigin(RelayContext &Context, RelayCall &Call) {
-  const TurnLedger &Ledger = Call.Ledger;
   if (!isContinuation(Call))
     return true;
-  const RelayState &State = Context.State;
-  if (isUnnamedContinuation(Call)) {
-    // Another attempt with the same content may have begun at another version.
-    // Only replicas that have kept all origins long enough rule that out.
-    const bool IsWhole =
-        State.View.hasReadQuorum(Ledger.AnsweredWithAllStreams);
-    if (!IsWhole && areAnswersPending(State, Call))
-      return false;
-    const auto Sole = soleOriginOf(State, Call);
-    if (!Call.Origin)
-      Call.Origin = Sole;
-    else if (!IsWhole && !(Call.Origin == Sole))
-      Call.Origin->Version = SoftwareVersion();
-  }
+  if (isUnnamedContinuation(Call) && !settleUnnamedOrigin(Context, Call))
+    return false;
   const bool IsAmbiguous = Call.Origin && Call.Origin->Version.Value.empty();
   if (Call.Origin && !(isUnnamedContinuation(Call) && IsAmbiguous))
     return true;
-  Context.logCall(
-      "stream_unknown", Call,
-      {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
-       {"answered", std::to_string(Ledger.AnsweredBy.size())},
-       {"complete", std::to_string(Ledger.AnsweredWithAllStreams.size())},
-       {"ambiguous", IsAmbiguous ? "yes" : "no"}});
-  refuseCall(Context, Call, RelayRefusalReason::UnknownStream);
+  refuseUnknownStream(Context, Call);
   return false;
 }
 
@@ -467,6 +517,26 @@
   exchangeLimits(Context, Holder);
 }
 
+void recordDirectoryConfirmation(RelayContext &Context, Instant AskedAt) {
+  RelayState &State = Context.State;
+  State.DirectoryKnownAsOf =
+      std::max(State.DirectoryKnownAsOf.value_or(AskedAt), AskedAt);
+  if (State.DirectoryAskedAt && !(AskedAt < *State.DirectoryAskedAt))
+    State.DirectoryAskedAt.reset();
+  for (const RequestId Request : callsAwaitingDirectory(State)) {
+    RelayCall &Call = State.Calls.at(Request);
+    Call.Ledger.IsAwaitingDirectory = false;
+    evaluateOpen(Context, Call);
+  }
+}
+
+void refuseCallsAwaitingDirectory(RelayContext &Context) {
+  RelayState &State = Context.State;
+  State.DirectoryAskedAt.reset();
+  for (const RequestId Request : callsAwaitingDirectory(State))
+    refuseUnknownStream(Context, State.Calls.at(Request));
+}
+
 void recordReplicaReachability(RelayContext &Context, const HolderId &Holder,
                                bool IsServiceLost) {
   RelayState &State = Context.State;
@@ -555,7 +625,9 @@
     const TurnLedger &Ledger = Call.Ledger;
     const bool IsOverdue =
         State.Options.LedgerTimeout <= State.Now - Ledger.OpenSentAt;
-    if (IsOverdue || hasLostQuorum(State, Call))
+    if (IsOverdue && Ledger.IsAwaitingDirectory)
+      refuseUnknownStream(Context, Call);
+    else if (IsOverdue || hasLostQuorum(State, Call))
       refuseCall(Context, Call, RelayRefusalReason::LedgerUnavailable);
     else if (Call.Phase == RelayPhase::CollectingHistory &&
              State.Options.HistoryTimeout <=
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -40,6 +40,14 @@
 void handleReplicaMessage(RelayContext &Context, const HolderId &Holder,
                           const Message &Body);
 void handleReplicaConnected(RelayContext &Context, const HolderId &Holder);
+/// Records that everything that the key-value service had confirmed before
+/// AskedAt is known, and decides on calls that have waited for that.
+void recordDirectoryConfirmation(RelayContext &Context, Instant AskedAt);
+
+/// Refuses calls whose origin can't be determined without an answer of the
+/// key-value service, as there is none.
+void refuseCallsAwaitingDirectory(RelayContext &Context);
+
 /// Records whether a replica reaches the key-value service. If no live replica
 /// reaches it, restarts the grace period for missing targets, as registrations
 /// may lapse in the outage although their targets are alive.
--- a/packages/decision/tests/RelayStreamOriginTest.cpp
+++ b/packages/decision/tests/RelayStreamOriginTest.cpp
@@ -48,6 +48,14 @@
     this->Effects.clear();
     this->askStream("next", CallerAttemptId(), TimeLeft);
     this->answerPendingOpen({"a", "b"}, std::nullopt);
+    this->confirmDirectory();
+  }
+
+  /// Answers for the key-value service that nothing has changed, if it was
+  /// asked.
+  void confirmDirectory() {
+    if (!this->all<ConfirmDirectory>().empty())
+      this->apply(DirectoryConfirmed{this->State.Now});
   }
 
   /// Answers the last OpenTurn, if there is one, from replicas that know an
@@ -405,6 +413,125 @@
   checkRefused(Fixture, RelayRefusalReason::UnknownStream);
 }
 
+// The relay's last watch is unanswered, and what it knows was sole for long.
+TEST_CASE("StreamOrigin: a relay that is cut off from the key-value service "
+          "takes no stream up by an outdated list of targets") {
+  StreamFixture Fixture;
+  Fixture.watchFor(Milliseconds(200000));
+  Fixture.apply(DirectoryConfirmed{Fixture.State.Now});
+  Fixture.watchFor(Milliseconds(1500));
+  Fixture.Effects.clear();
+  Fixture.askStream("next", CallerAttemptId());
+  SECTION("the report of the stream did not reach the replicas") {
+    Fixture.answerPendingOpen({"a", "b"}, std::nullopt);
+  }
+  SECTION("the replicas have lost it, and have no other one") {
+    for (const char *Name : {"a", "b", "c"})
+      Fixture.answerOrigin(Name, std::nullopt, Milliseconds(100));
+  }
+  SECTION("the replicas have lost it, and have one of the same content") {
+    for (const char *Name : {"a", "b", "c"})
+      Fixture.answerOrigin(Name, AppV1, Milliseconds(100));
+  }
+  CHECK(Fixture.all<SendAttempt>().empty());
+  Fixture.watchFor(Fixture.State.Options.LedgerTimeout + Milliseconds(100));
+  checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+}
+
+TEST_CASE("StreamOrigin: a list of targets counts only as of the last query "
+          "that the key-value service has answered") {
+  StreamFixture Fixture;
+  Fixture.watchFor(Milliseconds(200000));
+  const Instant Before = Fixture.State.Now;
+  Fixture.passTime(Milliseconds(1));
+  Fixture.Effects.clear();
+  Fixture.askStream("next", CallerAttemptId());
+  Fixture.answerPendingOpen({"a", "b"}, std::nullopt);
+  CHECK(Fixture.all<SendAttempt>().empty());
+  REQUIRE(Fixture.all<ConfirmDirectory>().size() == 1);
+  SECTION("which was sent before the continuation arrived") {
+    Fixture.apply(DirectoryConfirmed{Before});
+    CHECK(Fixture.all<SendAttempt>().empty());
+    CHECK(Fixture.all<RefuseCaller>().empty());
+    CHECK(Fixture.all<ConfirmDirectory>().size() == 1);
+    Fixture.apply(DirectoryConfirmed{Fixture.State.Now});
+    CHECK(Fixture.all<SendAttempt>().size() == 1);
+  }
+  SECTION("which reports another version") {
+    Fixture.addTarget("t3", "a", false, "v2");
+    Fixture.apply(DirectoryConfirmed{Fixture.State.Now});
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("which reports a version that came and went") {
+    Fixture.addTarget("t3", "a", false, "v2");
+    Fixture.removeTarget("t3");
+    Fixture.apply(DirectoryConfirmed{Fixture.State.Now});
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("which fails") {
+    Fixture.apply(DirectoryNotConfirmed{});
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("which can't be sent, as the service is unreachable") {
+    Fixture.apply(DirectoryLost{});
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+}
+
+TEST_CASE("StreamOrigin: continuations that arrive during a query share the "
+          "next one") {
+  StreamFixture Fixture;
+  Fixture.watchFor(Milliseconds(200000));
+  const auto Ask = [&Fixture](const char *Id) {
+    Fixture.passTime(Milliseconds(1));
+    Fixture.askStream(Id, CallerAttemptId());
+    Fixture.answerPendingOpen({"a", "b"}, std::nullopt);
+  };
+  Fixture.Effects.clear();
+  Ask("first");
+  const Instant First = Fixture.State.Now;
+  Ask("second");
+  Ask("third");
+  CHECK(Fixture.all<ConfirmDirectory>().size() == 1);
+  Fixture.apply(DirectoryConfirmed{First});
+  CHECK(Fixture.all<SendAttempt>().size() == 1);
+  CHECK(Fixture.all<ConfirmDirectory>().size() == 2);
+  Fixture.apply(DirectoryConfirmed{Fixture.State.Now});
+  CHECK(Fixture.all<SendAttempt>().size() == 3);
+  CHECK(Fixture.all<ConfirmDirectory>().size() == 2);
+}
+
+TEST_CASE("StreamOrigin: a named stream never goes on by the list of targets "
+          "alone") {
+  StreamFixture Fixture;
+  Fixture.watchFor(Milliseconds(200000));
+  Fixture.apply(DirectoryConfirmed{Fixture.State.Now});
+  Fixture.Effects.clear();
+  SECTION("no replica of the quorum knows it") {
+    Fixture.resume(std::nullopt);
+    checkRefused(Fixture, RelayRefusalReason::UnknownStream);
+  }
+  SECTION("its version has not been read yet") {
+    Fixture.resume(StreamOrigin{ServiceName("app"), SoftwareVersion("v2")});
+    checkRefused(Fixture, RelayRefusalReason::NoTargetOfVersion);
+  }
+}
+
+TEST_CASE("StreamOrigin: a replica that was out of step does not outweigh one "
+          "that knows the stream") {
+  StreamFixture Fixture;
+  Fixture.watchFor(Milliseconds(200000));
+  Fixture.Effects.clear();
+  const bool IsNamed = GENERATE(true, false);
+  const bool IsFirst = GENERATE(true, false);
+  Fixture.askStream("next", CallerAttemptId(IsNamed ? "first" : ""));
+  const StreamOrigin AppV2{ServiceName("app"), SoftwareVersion("v2")};
+  Fixture.answerOrigin(IsFirst ? "a" : "b", std::nullopt);
+  Fixture.answerOrigin(IsFirst ? "b" : "a", AppV2);
+  Fixture.confirmDirectory();
+  checkRefused(Fixture, RelayRefusalReason::NoTargetOfVersion);
+}
+
 TEST_CASE("StreamOrigin: an unnamed stream may have begun at another service "
           "of its route") {
   StreamFixture Fixture;
@@ -508,6 +635,8 @@
                            SoftwareVersion(IsSame ? "v1" : "v2")};
   for (const char *Name : {"a", "b", "c"})
     Fixture.answerOrigin(Name, Known, Milliseconds(100));
+  CHECK(Fixture.all<SendAttempt>().empty());
+  Fixture.confirmDirectory();
   if (IsSame)
     CHECK(Fixture.all<SendAttempt>().size() == 1);
   else
--- a/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/KeyWatcher.h
@@ -36,6 +36,8 @@
     /// onQueryStarted(), has been delivered. Not called for a query that was
     /// not answered, reports a lost history, or was answered from an old state.
     virtual void onContentConfirmed(Instant AskedAt) { (void)AskedAt; }
+    /// Called if a query of confirmNow() has confirmed nothing.
+    virtual void onConfirmationFailed() {}
     /// Called when the service has lost its history: keys may have had states
     /// that are not reported.
     virtual void onHistoryLost() {}
@@ -66,15 +68,29 @@
   /// missed.
   void setWatchDelay(Milliseconds WatchDelay) { this->WatchDelay = WatchDelay; }
 
+  /// Asks the service for changes at once, beside a watch that may wait. Calls
+  /// onContentConfirmed() or onConfirmationFailed() later.
+  void confirmNow();
+
   /// Applies changes observed by another process. Ignores changes that are
   /// already known and deletions of unknown keys.
   void applyChanges(const std::vector<KeyChange> &Changes);
 
 private:
+  /// When a watch or read was sent, and NewestRevision at that time.
+  struct Query {
+    Instant AskedAt;
+    Revision Known;
+  };
+
+  /// Returns a query that is sent now.
+  Query makeQuery() const;
   void startQuery();
-  /// Reports that the content is complete, unless the present query was
-  /// answered from an older state than was known when it was sent.
-  void confirmContent(Revision AnsweredAs);
+  /// Reports that the content is complete, unless the query was answered from
+  /// an older state than was known when it was sent. Returns whether it was
+  /// reported.
+  bool confirmContent(const Query &Asked, Revision AnsweredAs);
+  void failConfirmation();
   void readPage(std::string After);
   void finishReading();
   void watch();
@@ -106,10 +122,11 @@
   Revision AsOf;
   /// The newest revision known from any source.
   Revision NewestRevision;
-  /// When the present watch or read was sent, and NewestRevision at that time.
-  Instant QueriedAt;
-  Revision KnownAtQuery;
+  /// The present watch or read, other than those of confirmNow().
+  Query Present;
   bool HasCompletedRead = false;
+  /// Whether the keys are being read, for the first time or again.
+  bool IsReading = false;
   bool IsReachable = false;
 };
 
--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -10,6 +10,8 @@
 /// within which changes must take effect, long enough for the service's rate
 /// limits.
 constexpr Milliseconds RetryDelay{200};
+/// A query that is to be answered at once.
+constexpr Milliseconds ConfirmationWait{1};
 
 } // namespace
 
@@ -19,24 +21,54 @@
       Callbacks(Callbacks), DelayTimer(Loop.context()) {}
 
 void KeyWatcher::start() {
+  this->IsReading = true;
   this->PendingItems.clear();
   this->startQuery();
   this->readPage({});
 }
 
-void KeyWatcher::startQuery() {
+KeyWatcher::Query KeyWatcher::makeQuery() const {
   // Taken before the call is sent, since the service may read its state at any
   // time from then on.
-  this->QueriedAt = this->Loop.now();
-  this->KnownAtQuery = this->NewestRevision;
+  return Query{this->Loop.now(), this->NewestRevision};
+}
+
+void KeyWatcher::startQuery() {
+  this->Present = this->makeQuery();
   this->Callbacks.onQueryStarted();
 }
 
-void KeyWatcher::confirmContent(Revision AnsweredAs) {
-  if (AnsweredAs < this->KnownAtQuery)
-    return;
+bool KeyWatcher::confirmContent(const Query &Asked, Revision AnsweredAs) {
+  if (AnsweredAs < Asked.Known)
+    return false;
   this->NewestRevision = std::max(this->NewestRevision, AnsweredAs);
-  this->Callbacks.onContentConfirmed(this->QueriedAt);
+  this->Callbacks.onContentConfirmed(Asked.AskedAt);
+  return true;
+}
+
+void KeyWatcher::confirmNow() {
+  // Until a read has ended, AsOf is ahead of what has been delivered.
+  if (this->IsReading) {
+    this->failConfirmation();
+    return;
+  }
+  const WatchRange Operation{this->Settings.Prefix, this->AsOf,
+                             ConfirmationWait};
+  this->Service.call(Operation, [this, Asked = this->makeQuery()](auto Reply) {
+    const auto *Page = Reply ? std::get_if<WatchPage>(&Reply.value()) : nullptr;
+    // A lost history is left to the watch, which then reads all keys.
+    if (!Page || Page->IsHistoryLost || this->IsReading) {
+      this->failConfirmation();
+      return;
+    }
+    this->applyChanges(Page->Changes);
+    if (!this->confirmContent(Asked, Page->AsOf))
+      this->failConfirmation();
+  });
+}
+
+void KeyWatcher::failConfirmation() {
+  this->Loop.post([this] { this->Callbacks.onConfirmationFailed(); });
 }
 
 void KeyWatcher::readPage(std::string After) {
@@ -80,9 +112,10 @@
   this->HasCompletedRead = false;
   this->applyChanges(Changes);
   this->HasCompletedRead = true;
+  this->IsReading = false;
   this->evictDeleted();
   this->markReachable();
-  this->confirmContent(this->AsOf);
+  this->confirmContent(this->Present, this->AsOf);
   this->watch();
 }
 
@@ -106,7 +139,7 @@
                          this->AsOf = Page.AsOf;
                        this->evictDeleted();
                        this->markReachable();
-                       this->confirmContent(Page.AsOf);
+                       this->confirmContent(this->Present, Page.AsOf);
                        this->scheduleWatch();
                      });
 }
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -51,7 +51,12 @@
     this->Confirmed.push_back(AskedAt);
     this->ConfirmedAfter.push_back(this->Notifications.size());
   }
-  void onServiceAvailable() override { ++this->AvailableCount; }
+  void onConfirmationFailed() override { ++this->FailedConfirmations; }
+  void onServiceAvailable() override {
+    ++this->AvailableCount;
+    if (this->IsConfirmedWhenAvailable)
+      this->Watcher.confirmNow();
+  }
   void onServiceUnavailable() override {
     ++this->UnavailableCount;
     this->Loop.stop();
@@ -86,6 +91,8 @@
   int AvailableCount = 0;
   int UnavailableCount = 0;
   int HistoryLosses = 0;
+  int FailedConfirmations = 0;
+  bool IsConfirmedWhenAvailable = false;
   std::vector<std::string> Outdated;
   KeyValueClient Service;
   KeyWatcher Watcher;
@@ -255,3 +262,43 @@
   CHECK(Fixture.Notifications.empty());
   CHECK(Fixture.Outdated == Texts{"a=2"});
 }
+
+TEST_CASE("Watcher: confirms the content by a query that does not wait, beside "
+          "the watch") {
+  WatcherFixture Fixture;
+  Fixture.IsConfirmedWhenAvailable = true;
+  const WatchPage Page{{KeyChange{WatcherFixture::item("a", "2", 11), false}},
+                       Revision(11),
+                       false};
+  Fixture.runWithReplies(
+      {RangePage{{WatcherFixture::item("a", "1", 3)}, false, Revision(9)}, Page,
+       Page});
+  const auto &Query = std::get<WatchRange>(Fixture.Operations.at(1));
+  CHECK(Query.After == Revision(9));
+  CHECK(Query.Timeout < Milliseconds(10));
+  CHECK(std::get<WatchRange>(Fixture.Operations.at(2)).Timeout ==
+        Milliseconds(1000));
+  CHECK(Fixture.Notifications == Texts{"a=1", "a=2"});
+  CHECK(Fixture.Confirmed.size() == 3);
+  CHECK(Fixture.FailedConfirmations == 0);
+}
+
+TEST_CASE("Watcher: a query beside the watch confirms nothing without the "
+          "changes since the last answer") {
+  WatcherFixture Fixture;
+  SECTION("the history is lost") {
+    Fixture.IsConfirmedWhenAvailable = true;
+    const WatchPage Lost{{}, Revision(), true};
+    Fixture.runWithReplies({RangePage{{}, false, Revision(9)}, Lost, Lost});
+    CHECK(Fixture.Confirmed.size() == 1);
+  }
+  SECTION("the keys are being read") {
+    Fixture.Replies = {RangePage{{}, false, Revision(9)}};
+    Fixture.Watcher.start();
+    Fixture.Watcher.confirmNow();
+    Fixture.Loop.run();
+    CHECK(std::holds_alternative<ReadRange>(Fixture.Operations.at(0)));
+    CHECK(Fixture.Confirmed.size() == 1);
+  }
+  CHECK(Fixture.FailedConfirmations == 1);
+}
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -101,6 +101,7 @@
   void onServiceAvailable() override;
   void onServiceUnavailable() override;
   void onContentConfirmed(Instant AskedAt) override;
+  void onConfirmationFailed() override;
   void onHistoryLost() override;
   void onOutdatedChange(const KeyChange &Change) override;
   void handleConfigurationChange(const KeyChange &Change);
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -102,6 +102,7 @@
       Addresses.push_back(ListenAddress{Each.Address, Each.Port});
     this->Owner.connectReplicas(Addresses);
   }
+  void operator()(const ConfirmDirectory &) { this->Owner.Keys.confirmNow(); }
   void operator()(const StopAccepting &) {
     this->Owner.Callers.stopAccepting();
   }
@@ -453,6 +454,10 @@
   this->apply(DirectoryConfirmed{AskedAt});
 }
 
+void RelayProcess::onConfirmationFailed() {
+  this->apply(DirectoryNotConfirmed{});
+}
+
 void RelayProcess::onHistoryLost() { this->apply(DirectoryHistoryLost{}); }
 
 void RelayProcess::onOutdatedChange(const KeyChange &Change) {
