Read all keys again if a later page of a repeated read fails

A relay or replica could miss keys for as long as it ran: targets that it did not know got nothing, targets of another version were not taken into account for streams.

Cause: after the key-value service has lost its history, the keys are read in pages. The first page sets the revision from which the next watch goes on. If a later page failed, the watcher went back to watching from there, and the pages that it had read were never delivered. Needs more keys than fit on one page.

Change: a read that has begun is repeated until it is complete. The fixture no longer stops at the first failed call, as it stops when its script ends.

--- a/packages/keyvalue/src/KeyWatcher.cpp
+++ b/packages/keyvalue/src/KeyWatcher.cpp
@@ -207,10 +207,10 @@
   this->DelayTimer.async_wait([this](const auto &Error) {
     if (Error)
       return;
-    if (this->HasCompletedRead)
-      this->watch();
-    else
+    if (this->IsReading)
       this->start();
+    else
+      this->watch();
   });
 }
 
--- a/packages/keyvalue/tests/KeyWatcherTest.cpp
+++ b/packages/keyvalue/tests/KeyWatcherTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <deque>
+#include <set>
 
 using namespace tanagerlanding;
 
@@ -28,6 +29,8 @@
     Dialect.Decode =
         [this](const KeyValueOperation &,
                const HttpOutcome &) -> Result<KeyValueReply, PlatformError> {
+      if (this->Failures.count(this->Answers++) > 0)
+        return PlatformError{PlatformError::Kind::Unreachable};
       if (this->Replies.empty()) {
         // Unlike the callback for an unavailable service, this also ends a run
         // in which no read was completed.
@@ -57,10 +60,7 @@
     if (this->IsConfirmedWhenAvailable)
       this->Watcher.confirmNow();
   }
-  void onServiceUnavailable() override {
-    ++this->UnavailableCount;
-    this->Loop.stop();
-  }
+  void onServiceUnavailable() override { ++this->UnavailableCount; }
 
   void onHistoryLost() override { ++this->HistoryLosses; }
   void onOutdatedChange(const KeyChange &Change) override {
@@ -82,6 +82,9 @@
 
   EventLoop Loop;
   std::vector<KeyValueOperation> Operations;
+  /// The numbers of answers that fail although further ones are scripted.
+  std::set<std::size_t> Failures;
+  std::size_t Answers = 0;
   std::deque<KeyValueReply> Replies;
   std::vector<std::string> Notifications;
   std::vector<Instant> QueryTimes;
@@ -263,6 +266,20 @@
   CHECK(Fixture.Outdated == Texts{"a=2"});
 }
 
+TEST_CASE(
+    "Watcher: reads all keys again if a later page of a read fails, as it "
+    "has delivered none") {
+  WatcherFixture Fixture;
+  Fixture.Failures = {3};
+  Fixture.runWithReplies(
+      {RangePage{{WatcherFixture::item("a", "1", 3)}, false, Revision(9)},
+       WatchPage{{}, Revision(), true},
+       RangePage{{WatcherFixture::item("a", "1", 3)}, true, Revision(20)},
+       RangePage{{WatcherFixture::item("a", "1", 3)}, true, Revision(21)},
+       RangePage{{WatcherFixture::item("b", "2", 14)}, false, Revision(21)}});
+  CHECK(Fixture.Notifications == Texts{"a=1", "b=2"});
+}
+
 TEST_CASE("Watcher: confirms the content by a query that does not wait, beside "
           "the watch") {
   WatcherFixture Fixture;
