--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -452,6 +452,9 @@
   std::set<HolderId> RefusedBy;
   /// Those that have kept the origins of all streams for long enough.
   std::set<HolderId> AnsweredWithAllStreams;
+  /// Whether the replicas' answers suffice, but the key-value service has to
+  /// confirm what this relay knows of it.
+  bool IsAwaitingDirectory = false;
   std::map<Fingerprint, TokenClaim> Claims;
   std::set<HolderId> ReplicasWithPrevious;
   /// The target that ran the previous turn; empty if unknown.
@@ -645,6 +648,8 @@
   HostId Self;
   ZoneId Zone;
   Instant Now;
+  /// Now is also set between ticks, so stalls show only in this time.
+  Instant LastTickAt;
   std::mt19937_64 Random;
   std::optional<RelayConfiguration> Configuration;
   tanagerlanding::ConfigurationProof ConfigurationProof;
@@ -700,6 +705,11 @@
   std::map<ServiceName, ServiceTimes> TypicalTimes;
   bool IsKeyValueServiceReachable = false;
   Instant KeyValueServiceRegainedAt;
+  /// Everything that the key-value service had confirmed before this time is
+  /// known here; absent before its first answer.
+  std::optional<Instant> DirectoryKnownAsOf;
+  /// When ConfirmDirectory was last issued, until its result is known.
+  std::optional<Instant> DirectoryAskedAt;
   LedgerView View;
   /// Replicas with an open connection.
   std::set<HolderId> ConnectedReplicas;
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -68,9 +68,10 @@
       : Context(Context), State(Context.State) {}
 
   void operator()(const RelayTick &Event) {
-    const Milliseconds Stalled = Event.Now - this->State.Now;
+    const Milliseconds Stalled = Event.Now - this->State.LastTickAt;
     const bool HasStalled = this->State.Options.StallThreshold < Stalled;
     this->State.Now = Event.Now;
+    this->State.LastTickAt = Event.Now;
     if (HasStalled) {
       resetHeartbeatTimers(this->State);
       resetQuotaTimeouts(this->State);
@@ -133,6 +134,11 @@
 
   void operator()(const DirectoryConfirmed &Event) {
     recordOwnProof(this->Context, Event.AskedAt);
+    recordDirectoryConfirmation(this->Context, Event.AskedAt);
+  }
+
+  void operator()(const DirectoryNotConfirmed &) {
+    refuseCallsAwaitingDirectory(this->Context);
   }
 
   void operator()(const TargetRegistered &Event) {
@@ -155,6 +161,7 @@
   void operator()(const DirectoryLost &) {
     this->State.IsKeyValueServiceReachable = false;
     this->Context.log("directory_lost", {});
+    refuseCallsAwaitingDirectory(this->Context);
   }
 
   void operator()(const DirectoryRegained &) {
