Refuse documents that are nested too deeply or list countless faults

Callers saw: a configuration with teams and a field of 500,000 nested lists ended each replica that read it, again at each start.

Cause: the parser and the destructor of a parsed value are iterative, but copying and writing one takes a call for each level. Replicas write the configuration without callers' keys. A list of a megabyte with unusable elements also gave a fault for each of them.

Evidence: 'Odd entries: no deeply nested configuration with teams ends a replica' ended with SIGSEGV before, passes now; 'Odd entries: no odd configuration ...' found replicas ended with real processes.

Change: parseDocument() ends at 64 levels, by a SAX pass that text with few brackets skips. The parser's callback was tried first; it takes quadratic time (150 s for nine lists of a megabyte). A fault list holds 200 faults.

--- a/packages/settings/include/tanagerlanding/settings/DocumentReader.h
+++ b/packages/settings/include/tanagerlanding/settings/DocumentReader.h
@@ -14,18 +14,27 @@
 
 namespace tanagerlanding {
 
-/// The file being read and the faults found in it so far.
+/// The file being read and the faults found in it so far. A fault that does not
+/// fit any more is dropped.
 struct FaultList {
+  static constexpr std::size_t MaxFaults = 200;
+
   std::string File;
   std::vector<SettingsFault> Faults;
 
   void add(const std::string &Path, const std::string &Expected) {
-    this->Faults.push_back(SettingsFault{this->File, Path, Expected});
+    if (!this->isFull())
+      this->Faults.push_back(SettingsFault{this->File, Path, Expected});
   }
+  bool isFull() const { return this->Faults.size() >= MaxFaults; }
 };
 
-/// Parses JSON with comments. If it is malformed, returns nothing and adds a
-/// fault.
+/// Deeper documents are malformed: copying or writing a value takes a call for
+/// each level.
+constexpr int MaxDocumentDepth = 64;
+
+/// Parses JSON with comments. If it is malformed or nested too deeply, returns
+/// nothing and adds a fault.
 std::optional<nlohmann::json> parseDocument(const std::string &Text,
                                             FaultList &Faults);
 
--- a/packages/settings/src/DocumentReader.cpp
+++ b/packages/settings/src/DocumentReader.cpp
@@ -6,15 +6,78 @@
 
 namespace tanagerlanding {
 
+namespace {
+
+using Json = nlohmann::json;
+
+/// Ends parsing at the first level that is too deep. The parser's callback
+/// would do too, but takes quadratic time for long lists.
+class DepthCheck : public nlohmann::json_sax<Json> {
+public:
+  bool null() override { return true; }
+  bool boolean(bool /*Value*/) override { return true; }
+  bool number_integer(number_integer_t /*Value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*Value*/) override { return true; }
+  bool number_float(number_float_t /*Value*/,
+                    const string_t & /*Text*/) override {
+    return true;
+  }
+  bool string(string_t & /*Value*/) override { return true; }
+  bool binary(binary_t & /*Value*/) override { return true; }
+  bool key(string_t & /*Name*/) override { return true; }
+  bool start_object(std::size_t /*Elements*/) override { return this->enter(); }
+  bool end_object() override { return this->leave(); }
+  bool start_array(std::size_t /*Elements*/) override { return this->enter(); }
+  bool end_array() override { return this->leave(); }
+  /// Left to the parser that follows, which tells the kind of error.
+  bool parse_error(std::size_t /*Position*/, const std::string & /*Token*/,
+                   const Json::exception & /*Error*/) override {
+    return false;
+  }
+
+  bool isTooDeep() const { return this->Depth > MaxDocumentDepth; }
+
+private:
+  bool enter() {
+    ++this->Depth;
+    return !this->isTooDeep();
+  }
+  bool leave() {
+    --this->Depth;
+    return true;
+  }
+
+  int Depth = 0;
+};
+
+bool isTooDeep(const std::string &Text) {
+  const auto Opened = std::count_if(Text.begin(), Text.end(), [](char Each) {
+    return Each == '[' || Each == '{';
+  });
+  if (Opened <= MaxDocumentDepth)
+    return false;
+  DepthCheck Check;
+  Json::sax_parse(Text, &Check, Json::input_format_t::json, /*strict=*/true,
+                  /*ignore_comments=*/true);
+  return Check.isTooDeep();
+}
+
+} // namespace
+
 std::optional<nlohmann::json> parseDocument(const std::string &Text,
                                             FaultList &Faults) {
+  if (isTooDeep(Text)) {
+    Faults.add("", "at most " + std::to_string(MaxDocumentDepth) +
+                       " levels of nesting");
+    return std::nullopt;
+  }
   try {
-    return nlohmann::json::parse(Text, nullptr, /*allow_exceptions=*/true,
-                                 /*ignore_comments=*/true);
-  } catch (const nlohmann::json::parse_error &Error) {
+    return Json::parse(Text, nullptr, /*allow_exceptions=*/true,
+                       /*ignore_comments=*/true);
+  } catch (const Json::parse_error &Error) {
     Faults.add("byte " + std::to_string(Error.byte), "well-formed JSON");
     return std::nullopt;
-  } catch (const nlohmann::json::out_of_range &) {
+  } catch (const Json::out_of_range &) {
     Faults.add("", "numbers in the range of double");
     return std::nullopt;
   }
