Let no odd answer of the gateway end a process

Cause: the answer's fields were read outside of any handler for the parser's exceptions, which then left the event loop.

Change: such an answer counts as a bad answer.

--- a/packages/keyvalue/src/EtcdDialect.cpp
+++ b/packages/keyvalue/src/EtcdDialect.cpp
@@ -122,17 +122,27 @@
   }
 };
 
+/// Throws Json::exception if a field has the wrong type.
+KeyValueReply parseReply(const KeyValueOperation &Operation,
+                         const Json &Answer) {
+  if (std::holds_alternative<ConditionalWrite>(Operation))
+    return parseWriteAnswer(Answer);
+  RangePage Page;
+  Page.Items = parseKeyValues(Answer);
+  return Page;
+}
+
 Result<KeyValueReply, PlatformError>
 decodeEtcdReply(const KeyValueOperation &Operation,
                 const HttpOutcome &Outcome) {
   const Json Answer = parseAnswer(Outcome);
   if (!Answer.is_object())
     return platformErrorFor(Outcome);
-  if (std::holds_alternative<ConditionalWrite>(Operation))
-    return KeyValueReply(parseWriteAnswer(Answer));
-  RangePage Page;
-  Page.Items = parseKeyValues(Answer);
-  return KeyValueReply(std::move(Page));
+  try {
+    return parseReply(Operation, Answer);
+  } catch (const Json::exception &) {
+    return PlatformError{PlatformError::Kind::BadAnswer};
+  }
 }
 
 } // namespace
