Follow no unusable entry of replicas, views or configurations

Callers saw: nothing yet; found by test. A port of 65616 was read as 80, a tolerated loss of 2^32 - 1 made the write quorum 0, a synced entry of 'x' was version 0. After an odd view the next one was written under an old revision, which fails for ever. A process that started with an odd configuration in the store knew none.

Evidence: 'Odd values: a registration with an unusable field ...' and '... a view that could lower the quorum ...' failed before, pass now. With real processes, 'Odd entries: processes start again while they are there' passes now, with the store up and down.

Change: the decoders check types, ranges, addresses and repeated members. An odd view's revision is remembered, so that the next view replaces it. Replicas keep the last usable configuration beside an odd one, and a relay without a configuration takes it. Odd entries are counted and logged with their key.

--- a/packages/keyvalue/include/tanagerlanding/keyvalue/LedgerStore.h
+++ b/packages/keyvalue/include/tanagerlanding/keyvalue/LedgerStore.h
@@ -33,6 +33,9 @@
 std::string encodeLedgerMember(const LedgerMember &Member);
 /// Returns the decoded member, or nothing if Text is not valid.
 std::optional<LedgerMember> decodeLedgerMember(const std::string &Text);
+/// Returns the view that a replica has published under its syncedKey(), or
+/// nothing if Text is not valid.
+std::optional<ViewVersion> decodeSynced(const std::string &Text);
 
 } // namespace tanagerlanding
 
--- a/packages/keyvalue/src/LedgerStore.cpp
+++ b/packages/keyvalue/src/LedgerStore.cpp
@@ -1,6 +1,11 @@
 #include "tanagerlanding/keyvalue/LedgerStore.h"
 
-#include <nlohmann/json.hpp>
+#include "tanagerlanding/settings/DocumentReader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+#include <limits>
 
 namespace tanagerlanding {
 
@@ -8,6 +13,13 @@
 
 using Json = nlohmann::json;
 
+constexpr std::int64_t MaxPort = 65535;
+/// Far above any deployment; one more does not wrap.
+constexpr std::int64_t MaxToleratedFailures = 1000;
+/// One more does not wrap.
+constexpr std::int64_t MaxViewVersion =
+    std::numeric_limits<std::int64_t>::max();
+
 const std::string ViewSuffix = "view";
 const std::string ReplicasPrefix = "replicas/";
 const std::string SyncedPrefix = "synced/";
@@ -37,16 +49,42 @@
   return List;
 }
 
-LedgerMember parseMember(const Json &Object) {
-  return LedgerMember{HolderId(Object.at("holder")), HostId(Object.at("host")),
-                      Object.at("address"), Object.at("port"),
-                      ZoneId(Object.at("zone"))};
+bool isIpAddress(const std::string &Text) {
+  boost::system::error_code Error;
+  boost::asio::ip::make_address(Text, Error);
+  return !Error;
 }
 
-std::vector<LedgerMember> parseMembers(const Json &List) {
+LedgerMember parseMember(const Json &Object, FaultList &Faults) {
+  ObjectReader Reader(Object, "", Faults);
+  LedgerMember Member;
+  Member.Holder = HolderId(Reader.requireText("holder"));
+  Member.Host = HostId(Reader.requireText("host"));
+  Member.Address = Reader.requireText("address");
+  if (!isIpAddress(Member.Address))
+    Faults.add(Reader.pathOf("address"), "an IP address");
+  Member.Port =
+      static_cast<std::uint16_t>(Reader.requireInteger("port", 1, MaxPort));
+  Member.Zone = ZoneId(Reader.text("zone", ""));
+  return Member;
+}
+
+/// Parses a list of members. One that is listed twice would count twice in a
+/// quorum.
+std::vector<LedgerMember> parseMembers(const Json *List, FaultList &Faults) {
   std::vector<LedgerMember> Members;
-  for (const Json &Each : List)
-    Members.push_back(parseMember(Each));
+  if (!List) {
+    Faults.add("", "lists of members");
+    return Members;
+  }
+  for (const Json &Each : *List) {
+    const LedgerMember Member = parseMember(Each, Faults);
+    if (containsHolder(Members, Member.Holder))
+      Faults.add("", "no member twice");
+    if (Faults.isFull())
+      break;
+    Members.push_back(Member);
+  }
   return Members;
 }
 
@@ -87,17 +125,21 @@
 }
 
 std::optional<LedgerView> decodeLedgerView(const std::string &Text) {
-  try {
-    const Json Object = Json::parse(Text);
-    LedgerView View;
-    View.Version = ViewVersion(Object.at("version").get<std::uint64_t>());
-    View.ToleratedFailures = Object.at("tolerated");
-    View.Current = parseMembers(Object.at("current"));
-    View.Next = parseMembers(Object.at("next"));
-    return View;
-  } catch (const Json::exception &) {
+  FaultList Faults;
+  const auto Object = parseDocument(Text, Faults);
+  if (!Object)
     return std::nullopt;
-  }
+  ObjectReader Reader(*Object, "", Faults);
+  LedgerView View;
+  View.Version = ViewVersion(static_cast<std::uint64_t>(
+      Reader.requireInteger("version", 1, MaxViewVersion)));
+  View.ToleratedFailures = static_cast<std::uint32_t>(
+      Reader.requireInteger("tolerated", 0, MaxToleratedFailures));
+  View.Current = parseMembers(Reader.array("current"), Faults);
+  View.Next = parseMembers(Reader.array("next"), Faults);
+  if (View.Current.empty() || !Faults.Faults.empty())
+    return std::nullopt;
+  return View;
 }
 
 std::string encodeLedgerMember(const LedgerMember &Member) {
@@ -105,11 +147,24 @@
 }
 
 std::optional<LedgerMember> decodeLedgerMember(const std::string &Text) {
-  try {
-    return parseMember(Json::parse(Text));
-  } catch (const Json::exception &) {
+  FaultList Faults;
+  const auto Object = parseDocument(Text, Faults);
+  if (!Object)
     return std::nullopt;
-  }
+  const LedgerMember Member = parseMember(*Object, Faults);
+  if (!Faults.Faults.empty())
+    return std::nullopt;
+  return Member;
+}
+
+std::optional<ViewVersion> decodeSynced(const std::string &Text) {
+  std::uint64_t Version = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Version);
+  const bool IsWhole = Parsed.ec == std::errc() && Parsed.ptr == End;
+  if (!IsWhole || Version > MaxViewVersion)
+    return std::nullopt;
+  return ViewVersion(Version);
 }
 
 } // namespace tanagerlanding
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -78,7 +78,14 @@
   void applyConfiguration(const KeyChange &Change);
   void publishMetrics();
   void readDirectory();
+  /// Returns all items for relays and for the data folder, in the order in
+  /// which they are to be read.
+  DirectoryChanges knownDirectory() const;
+  /// Keeps the configuration that Next replaces if Next can't be used.
+  void keepUsableConfiguration(const DirectoryItem &Next);
   void applyLedgerKey(const KeyChange &Change);
+  void applyReplicaKey(const HostId &Host, const KeyChange &Change);
+  void reportOddEntry(const KeyChange &Change, const char *Kind);
 
   Result<void, SystemError> openFolder();
   void connectPeers();
@@ -102,6 +109,9 @@
   /// Last known configuration and targets, for relays that can't reach the
   /// key-value service.
   std::map<std::string, DirectoryItem> CachedDirectory;
+  /// The last configuration that could be used, if the newest can't. A process
+  /// that starts has no other.
+  std::optional<DirectoryItem> UsableConfiguration;
   std::set<ConnectionId> Relays;
   /// Whether the key-value service can't be reached at present.
   bool IsServiceLost = false;
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -249,10 +249,8 @@
 void LedgerProcess::sendInitialState(ConnectionId Id) {
   this->Relays.insert(Id);
   this->Hub.send(Id, ViewOffer{this->State.View});
-  DirectoryChanges Known;
+  DirectoryChanges Known = this->knownDirectory();
   Known.IsServiceLost = this->IsServiceLost;
-  for (const auto &[Key, Item] : this->CachedDirectory)
-    Known.Items.push_back(Item);
   this->Hub.send(Id, Known);
   for (const SuspectNotice &Each :
        allNotices(this->State.Suspects, this->Loop.now()))
@@ -304,6 +302,7 @@
   const auto Decoded = this->Directory.DecodeConfiguration(Change.Item.Value);
   if (!Decoded) {
     // The quotas that are known stay in force, as at the relays.
+    this->ProcessMetrics.count("ledger_odd_entries_total", "configuration");
     for (const SettingsFault &Fault : Decoded.error())
       logEvent("configuration_invalid",
                {{"path", Fault.Path}, {"expected", Fault.Expected}});
@@ -326,6 +325,8 @@
                        Each.IsDeleted};
     if (Item.Key == this->Directory.ConfigurationKey && !Item.IsDeleted)
       Item.Value = this->Directory.RedactConfiguration(Item.Value);
+    if (Item.Key == this->Directory.ConfigurationKey)
+      this->keepUsableConfiguration(Item);
     Notice.Items.push_back(Item);
     if (Each.IsDeleted)
       this->CachedDirectory.erase(Item.Key);
@@ -333,10 +334,28 @@
       this->CachedDirectory[Item.Key] = Item;
   }
   this->notifyRelays(Notice);
-  DirectoryChanges Snapshot;
+  this->Writer->submitDirectory(this->knownDirectory());
+}
+
+DirectoryChanges LedgerProcess::knownDirectory() const {
+  DirectoryChanges Known;
+  if (this->UsableConfiguration)
+    Known.Items.push_back(*this->UsableConfiguration);
   for (const auto &[Key, Item] : this->CachedDirectory)
-    Snapshot.Items.push_back(Item);
-  this->Writer->submitDirectory(std::move(Snapshot));
+    Known.Items.push_back(Item);
+  return Known;
+}
+
+void LedgerProcess::keepUsableConfiguration(const DirectoryItem &Next) {
+  const bool IsUsable =
+      !Next.IsDeleted && this->Directory.DecodeConfiguration(Next.Value);
+  if (IsUsable) {
+    this->UsableConfiguration.reset();
+    return;
+  }
+  const auto Cached = this->CachedDirectory.find(Next.Key);
+  if (!this->UsableConfiguration && Cached != this->CachedDirectory.end())
+    this->UsableConfiguration = Cached->second;
 }
 
 void LedgerProcess::readDirectory() {
@@ -359,26 +378,49 @@
   const std::string &Key = Change.Item.Key;
   if (Key == ledgerViewKey()) {
     const auto View = decodeLedgerView(Change.Item.Value);
-    if (View)
+    if (View) {
       this->apply(LedgerViewObserved{*View, Change.Item.ModRevision});
-    else
-      logEvent("ledger_view_invalid",
-               {{"revision", std::to_string(Change.Item.ModRevision.Value)}});
+      return;
+    }
+    this->reportOddEntry(Change, "view");
+    // The view that is known stays in force. The next one replaces this entry,
+    // which takes its revision.
+    if (!Change.IsDeleted && this->State.View.Version.Value > 0)
+      this->apply(
+          LedgerViewObserved{this->State.View, Change.Item.ModRevision});
     return;
   }
   if (const auto Host = hostOfReplicaKey(Key)) {
-    const auto Member = decodeLedgerMember(Change.Item.Value);
-    if (Change.IsDeleted || !Member)
-      this->apply(ReplicaUnregistered{*Host});
-    else
-      this->apply(ReplicaRegistered{*Member});
+    this->applyReplicaKey(*Host, Change);
     return;
   }
   const auto Holder = holderOfSyncedKey(Key);
-  if (Holder && !Change.IsDeleted)
-    this->apply(ReplicaSynced{
-        *Holder,
-        ViewVersion(std::strtoull(Change.Item.Value.c_str(), nullptr, 10))});
+  if (!Holder || Change.IsDeleted)
+    return;
+  if (const auto Synced = decodeSynced(Change.Item.Value))
+    this->apply(ReplicaSynced{*Holder, *Synced});
+  else
+    this->reportOddEntry(Change, "synced");
+}
+
+void LedgerProcess::applyReplicaKey(const HostId &Host,
+                                    const KeyChange &Change) {
+  const auto Member = decodeLedgerMember(Change.Item.Value);
+  if (!Change.IsDeleted && Member && Member->Host == Host) {
+    this->apply(ReplicaRegistered{*Member});
+    return;
+  }
+  if (!Change.IsDeleted)
+    this->reportOddEntry(Change, "replica");
+  this->apply(ReplicaUnregistered{Host});
+}
+
+void LedgerProcess::reportOddEntry(const KeyChange &Change, const char *Kind) {
+  this->ProcessMetrics.count("ledger_odd_entries_total", Kind);
+  logEvent("entry_invalid",
+           {{"key", Change.Item.Key},
+            {"revision", std::to_string(Change.Item.ModRevision.Value)},
+            {"expected", Kind}});
 }
 
 /// Relays act on the outage only as long as the notice is repeated.
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -398,6 +398,7 @@
   const auto Decoded =
       this->Protocols.Directory.DecodeConfiguration(Change.Item.Value);
   if (!Decoded) {
+    this->ProcessMetrics.count("relay_odd_entries_total", "configuration");
     for (const SettingsFault &Fault : Decoded.error())
       logEvent("configuration_invalid",
                {{"path", Fault.Path}, {"expected", Fault.Expected}});
@@ -424,6 +425,7 @@
   // target, so a target known under this id counts as unregistered. Every
   // change of a key arrives here once, so there is one line for each key and
   // revision.
+  this->ProcessMetrics.count("relay_odd_entries_total", "target");
   std::string Faults;
   for (const SettingsFault &Fault : Decoded.error())
     Faults += (Faults.empty() ? "" : ", ") + Fault.Path + ": " + Fault.Expected;
@@ -440,9 +442,13 @@
   const auto View = decodeLedgerView(Change.Item.Value);
   if (View)
     this->apply(RelayLedgerViewObserved{*View});
-  else
-    logEvent("ledger_view_invalid",
-             {{"revision", std::to_string(Change.Item.ModRevision.Value)}});
+  else {
+    this->ProcessMetrics.count("relay_odd_entries_total", "view");
+    logEvent("entry_invalid",
+             {{"key", Change.Item.Key},
+              {"revision", std::to_string(Change.Item.ModRevision.Value)},
+              {"expected", "view"}});
+  }
 }
 
 void RelayProcess::onServiceAvailable() { this->apply(DirectoryRegained{}); }
@@ -457,6 +463,11 @@
 
 void RelayProcess::onOutdatedChange(const KeyChange &Change) {
   const DirectoryProtocol &Directory = this->Protocols.Directory;
+  // The newer state may be one that can't be used; its own version keeps an
+  // older configuration from replacing one that is in force.
+  if (Change.Item.Key == Directory.ConfigurationKey &&
+      !this->State.Configuration)
+    this->adoptConfiguration(Change);
   if (!Directory.isTargetKey(Change.Item.Key))
     return;
   const TargetId Id(Change.Item.Key.substr(Directory.TargetPrefix.size()));
