Show that damage of an indexed segment is not found at a start

From the review: the identity of a segment that its index keeps covers length and first checksum only. A read of the damaged text fails, so that nothing wrong is sent, but the replica stays a member, and a copy that needs it as a source waits.

--- a/packages/ledger/tests/LedgerPowerLossTest.cpp
+++ b/packages/ledger/tests/LedgerPowerLossTest.cpp
@@ -289,6 +289,28 @@
     CHECK(Found.count(Turn) == 1);
 }
 
+TEST_CASE("Ledger folder: damage of an indexed segment is found at a start",
+          "[.indexed-damage]") {
+  SimulatedDisk Disk(1);
+  const auto Visit = [](const LedgerBatch &, BatchLocation) {};
+  for (const char *Turn : {"t1", "t2"}) {
+    LedgerFolder Folder("data", Disk);
+    REQUIRE(Folder.open(Visit));
+    LedgerBatch Batch;
+    Batch.Records = {TurnRecord{
+        TurnId(Turn), std::nullopt, "in", std::string(200, 'x'), {}}};
+    REQUIRE(Folder.append(Batch));
+    REQUIRE(Folder.append(Batch));
+    REQUIRE(Folder.sync());
+    REQUIRE(Folder.indexNext());
+  }
+  LedgerFolder Folder("data", Disk);
+  REQUIRE(Folder.open(Visit));
+  Disk.damage("data/segment-1", Disk.size("data/segment-1").value() - 40);
+  LedgerFolder Again("data", Disk);
+  CHECK_FALSE(Again.open(Visit));
+}
+
 TEST_CASE("Ledger folder: nothing stored or read is lost by kills and losses "
           "of power") {
   CHECK(firstViolation(0) == None);
