Keep the log event of a view that can't be used

The check of external names found that ledger_view_invalid had been renamed with the report of odd entries. Views log under it as before, now with the key.

--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -444,7 +444,8 @@
 
 void LedgerProcess::reportOddEntry(const KeyChange &Change, const char *Kind) {
   this->ProcessMetrics.count("ledger_odd_entries_total", Kind);
-  logEvent("entry_invalid",
+  logEvent(Change.Item.Key == ledgerViewKey() ? "ledger_view_invalid"
+                                              : "entry_invalid",
            {{"key", Change.Item.Key},
             {"revision", std::to_string(Change.Item.ModRevision.Value)},
             {"expected", Kind}});
