--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 import standins as s  # noqa: E402
 
 CHAINS = 60
-FREEZES = 3
+FREEZES = 1
 
 
 def all_turns(chains, front, gap):
@@ -47,8 +47,8 @@
         # Until it counts as back: catchUpS, and more.
         time.sleep(8)
         all_turns(chains, front, 0.025)
-        # The storage machine of the front's own zone freezes, 5 s apart.
-        for number in range(FREEZES):
+        # The storage machine of the front's own zone freezes.
+        for _ in range(FREEZES):
             time.sleep(5)
             sender = threading.Thread(target=all_turns, args=(chains, front, 0.02))
             sender.start()
