Show that a lost replica is kept as a member in place of one that is alive

A replica without a registration counts as failed like one that has lost its disk, and the members are filled up in the order of the view.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -109,12 +109,12 @@
         self.listener.bind((address, port))
         self.listener.listen(256)
         self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
-    def accept(self):
+    def accept(self, listener):
         while True:
             try:
-                connection, _ = self.listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -168,9 +168,21 @@
         self.revision = 1
         self.leases = {}
         self.next_lease = 1
+        self.doors = {}
+        self.refused = set()
         super().__init__()
         threading.Thread(target=self.expire, daemon=True).start()
 
+    def door(self, name):
+        """Returns a port for one machine, which the store may turn away."""
+        listener = socket.socket()
+        listener.bind((self.address, 0))
+        listener.listen(256)
+        port = listener.getsockname()[1]
+        self.doors[port] = name
+        threading.Thread(target=self.accept, args=(listener,), daemon=True).start()
+        return port
+
     def write(self, key, value, lease=0):
         self.revision += 1
         created = self.items[key]["created"] if key in self.items else self.revision
@@ -215,6 +227,9 @@
     def answer(self, connection, method, target, headers, body):
         path, _, text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
+        if self.doors.get(connection.getsockname()[1]) in self.refused:
+            send_answer(connection, 503, [("Content-Type", "application/json")], b"{}")
+            return True
         status, document = self.call(method, path, query, body)
         send_answer(connection, status, [("Content-Type", "application/json")],
                     json.dumps(document).encode())
@@ -508,7 +523,7 @@
                               "stream", "engine", "platform"],
                 "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
                 "bounds": self.BOUNDS,
-                "platform": {"address": "127.0.0.1:%d" % self.store.port, "form": "kv",
+                "platform": {"address": "127.0.0.1:%d" % self.store.door(name), "form": "kv",
                              "writesPerS": 400, "readsPerS": 2000, "historyS": 20,
                              "valueBytes": 1048576, "ttlMinMs": 1000}}
         return Machine(self, name, role, zone, boot)
