Continue a copy of the records after a restart

Cause: a copy was started only where a newer view is adopted. The view is on disk and the copy is in memory, so after a restart the view is not newer and no copy begins. Ruled out: refused pages and a lost publication of the end.

Whether a replica has to copy now follows from its view and is decided at each tick. A replica that has copied all and restarts copies again, which writes nothing that it knows.

Test: LedgerTest, "a replica that is restarted while it copies the records"; 3 of its 4 checks failed before.

--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -370,9 +370,7 @@
   // Other members may poll the key-value service less often than this one.
   if (View.Version == State.ProposedVersion)
     broadcastView(Context);
-  if (containsHolder(View.Next, State.Self.Holder) &&
-      mustCopy(View, State.Self.Holder))
-    startPull(Context);
+  continuePull(Context);
 }
 
 Milliseconds watchDelay(const LedgerState &State) {
@@ -398,9 +396,18 @@
   proposeView(Context);
 }
 
-void retryPull(LedgerContext &Context) {
+void continuePull(LedgerContext &Context) {
   LedgerState &State = Context.State;
-  if (!State.Pull || State.Pull->IsComplete)
+  const LedgerView &View = State.View;
+  if (!containsHolder(View.Next, State.Self.Holder) ||
+      !mustCopy(View, State.Self.Holder))
+    return;
+  // After a restart the view is known, but not which records were copied.
+  if (!State.Pull) {
+    startPull(Context);
+    return;
+  }
+  if (State.Pull->IsComplete)
     return;
   if (State.Now - State.Pull->RequestedAt < State.Options.RetryInterval)
     return;
--- a/packages/decision/src/ledger/LedgerMembership.h
+++ b/packages/decision/src/ledger/LedgerMembership.h
@@ -14,9 +14,11 @@
 /// due, and reports the progress of retirements.
 void reconcileMembership(LedgerContext &Context);
 
-/// Repeats the requests of the running pull to sources that have not finished
-/// if no page has arrived within the retry interval.
-void retryPull(LedgerContext &Context);
+/// Copies the records that this replica needs before the present change of the
+/// view can be completed: starts a pull if there is none, and repeats requests
+/// to sources that have not finished if no page has arrived within the retry
+/// interval.
+void continuePull(LedgerContext &Context);
 
 /// Stores the unknown records of a page from another replica, and requests the
 /// next page.
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -186,7 +186,7 @@
     this->State.Now = Event.Now;
     beginKeepingStreams(this->State);
     sweepRecords(this->Context);
-    retryPull(this->Context);
+    continuePull(this->Context);
     issueWaitingPermits(this->Context);
     sendTargetLoadViews(this->Context);
     expireStartReports(this->State);
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -22,18 +22,43 @@
 class LedgerFixture {
 public:
   struct Node {
+    std::string Holder;
     LedgerState State;
     std::map<std::uint64_t, LedgerBatch> Disk;
+    LedgerView StoredView;
     std::uint64_t NextPlace = 1;
     bool IsUp = true;
     bool HasDisk = true;
   };
 
-  void start(const std::string &Host, const std::string &Holder) {
+  void start(const std::string &Host, const std::string &Holder,
+             bool HasDisk = true) {
     Node &Fresh = this->Nodes[HostId(Host)];
     Fresh = Node();
+    Fresh.Holder = Holder;
+    Fresh.HasDisk = HasDisk;
     Fresh.State.Self = memberOn(Host, Holder);
     Fresh.State.Now = this->Now;
+    this->joinService(Host);
+  }
+
+  /// Starts the process of a host again on the disk of the one before, whose
+  /// registration has not expired yet.
+  void restart(const std::string &Host) {
+    Node &At = this->Nodes.at(HostId(Host));
+    At.State = LedgerState();
+    At.State.Self = memberOn(Host, At.Holder);
+    At.State.Now = this->Now;
+    At.State.View = At.StoredView;
+    At.IsUp = true;
+    for (const auto &[Place, Batch] : At.Disk)
+      this->apply(HostId(Host),
+                  LedgerBatchRecovered{BatchLocation{1, Place, 10}, Batch});
+    this->joinService(Host);
+  }
+
+  /// Registers a started replica, and tells it what the service knows.
+  void joinService(const std::string &Host) {
     this->registerNode(HostId(Host));
     for (auto &[Id, Each] : this->Nodes) {
       if (Each.IsUp)
@@ -121,6 +146,8 @@
       At.Disk[Place] = Persist->Batch;
       this->apply(Host, LedgerBatchStored{Persist->Ticket,
                                           BatchLocation{1, Place, 10}});
+    } else if (const auto *Adopted = std::get_if<PersistLedgerView>(&Effect)) {
+      At.StoredView = Adopted->View;
     } else if (const auto *Send = std::get_if<SendHost>(&Effect)) {
       this->deliver(Host, Send->Host, Send->Body);
     } else if (const auto *Page = std::get_if<SendRecords>(&Effect)) {
@@ -284,6 +311,25 @@
   CHECK_FALSE(Fixture.View.isChanging());
 }
 
+TEST_CASE("Ledger: a replica that is restarted while it copies the records "
+          "copies the rest and becomes a member") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  Fixture.storeTurn("h1", "t1");
+  Fixture.storeTurn("h2", "t1");
+  Fixture.stop("h3");
+  // The disk fails, so that the copy is under way when the process ends.
+  Fixture.start("h3", "d", false);
+  Fixture.advanceTime(Milliseconds(3000));
+  REQUIRE(containsHolder(Fixture.View.Next, HolderId("d")));
+  Fixture.Nodes.at(HostId("h3")).HasDisk = true;
+  Fixture.restart("h3");
+  Fixture.advanceTime(Milliseconds(3000));
+  CHECK(Fixture.hasTurn("h3", "t1"));
+  CHECK_FALSE(Fixture.View.isChanging());
+  CHECK(containsHolder(Fixture.View.Current, HolderId("d")));
+}
+
 TEST_CASE("Ledger: a host that lost its disk returns as a new replica") {
   LedgerFixture Fixture;
   startThree(Fixture);
