Join a part of a history only where it borders on the rest

Cause: a relay asks one replica after another for a history, all under one operation id, and took answers by id and sender. A replica that was frozen answered the first question, for the whole chain, when the present one was for its older part. Ruled out: a wrong answer of the replica, a wrong question of the relay. Found on the way: a question that was sent again with a newer view may be answered twice under one id.

Each question now has an id of its own, and an answer names the turn that its history ends with; it is used only if that is the newest turn that is missing. The first keeps late answers and refusals apart, the second holds for any order.

The test of a received part names the end of its history now.

--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -105,9 +105,10 @@
   bool HasPrevious = false;
   /// The target that ran the previous turn; empty if unknown.
   TargetId PreviousTarget;
-  /// The inputs and outputs of the chain that ends with the previous turn, as
-  /// far back as the replica has it.
+  /// The inputs and outputs of the chain that ends with turn HistoryEnd, the
+  /// previous turn of the request, as far back as the replica has it.
   std::optional<std::string> History;
+  std::optional<TurnId> HistoryEnd;
   /// The newest turn of the chain that the replica lacks; History starts after
   /// it. Absent if History is complete.
   std::optional<TurnId> MissingTurn;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -39,6 +39,7 @@
     return;
   }
   TurnChain Chain = chainOf(State, *Request.Previous);
+  Reply.HistoryEnd = Request.Previous;
   Reply.MissingTurn = Chain.MissingTurn;
   Context.add(SendHistory{Peer, std::move(Reply), std::move(Chain.Turns)});
 }
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -144,8 +144,11 @@
   Ledger.HistorySource = *Source;
   Ledger.HistoryRequestedAt = State.Now;
   Ledger.TriedHistorySources.insert(*Source);
+  // Late answers to the last question and refusals of it must not count for
+  // this one.
+  State.PendingOpens.erase(Ledger.OpenRequest.Operation);
   OpenTurn Read;
-  Read.Operation = Ledger.OpenRequest.Operation;
+  Read.Operation = LedgerOperationId(State.NextOperation++);
   Read.View = State.View.Version;
   Read.Turn = turnOf(Call);
   Read.Program = programOf(Call);
@@ -316,8 +319,11 @@
 
 void mergeHistory(RelayCall &Call, const TurnOpened &Reply) {
   TurnLedger &Ledger = Call.Ledger;
-  if (!Reply.History || !Ledger.LastMissingTurn ||
-      !(Reply.Holder == Ledger.HistorySource))
+  // A replica may answer one question twice, if it was sent again with a newer
+  // view; the part that is here already must not be joined a second time.
+  const bool IsAdjoining =
+      Ledger.LastMissingTurn && Reply.HistoryEnd == Ledger.LastMissingTurn;
+  if (!Reply.History || !IsAdjoining)
     return;
   Ledger.History = *Reply.History + Ledger.History;
   Ledger.LastMissingTurn = Reply.MissingTurn;
--- a/packages/decision/tests/RelayFixture.h
+++ b/packages/decision/tests/RelayFixture.h
@@ -181,9 +181,21 @@
   void answerOpen(const std::string &Holder, bool HasPrevious = false,
                   std::vector<TokenClaim> Claims = {},
                   std::optional<std::string> History = std::nullopt) {
+    this->answer(this->sentToReplicas<OpenTurn>().back(), Holder, HasPrevious,
+                 std::move(Claims), std::move(History));
+  }
+
+  /// Answers any OpenTurn from one replica, with History up to its previous
+  /// turn and from MissingTurn on.
+  void answer(const OpenTurn &Request, const std::string &Holder,
+              bool HasPrevious, std::vector<TokenClaim> Claims = {},
+              std::optional<std::string> History = std::nullopt,
+              std::optional<TurnId> MissingTurn = std::nullopt) {
     TurnOpened Reply;
-    Reply.Operation = this->sentToReplicas<OpenTurn>().back().Operation;
+    Reply.Operation = Request.Operation;
     Reply.Holder = HolderId(Holder);
+    Reply.HistoryEnd = Request.Previous;
+    Reply.MissingTurn = std::move(MissingTurn);
     Reply.HasPrevious = HasPrevious;
     Reply.Claims = std::move(Claims);
     Reply.History = std::move(History);
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -513,6 +513,7 @@
   Part.Operation = Fixture.sentToReplicas<OpenTurn>().back().Operation;
   Part.HasPrevious = true;
   Part.History = "in2;out2;";
+  Part.HistoryEnd = TurnId("turn-2");
   Part.MissingTurn = TurnId("turn-1");
   Part.Holder = Fixture.State.Calls.begin()->second.Ledger.HistorySource;
   Fixture.apply(ReplicaMessageReceived{Part.Holder, Part});
@@ -526,6 +527,49 @@
     CHECK_FALSE(Again.IsHistoryRequested);
 }
 
+TEST_CASE("Relay: a late answer to an earlier question does not repeat a part "
+          "of the history") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  Fixture.askTurn(100000, 50, "turn-3", TurnId("turn-2"));
+  const auto Asked = [&Fixture] {
+    return Fixture.sentToReplicas<OpenTurn>().back();
+  };
+  const OpenTurn First = Asked();
+  Fixture.answer(First, "b", true);
+  Fixture.answer(First, "c", true);
+  // Replica a is asked first and answers late, b knows the newer part only.
+  REQUIRE(Fixture.State.Calls.begin()->second.Ledger.HistorySource ==
+          HolderId("a"));
+  Fixture.passTime(Milliseconds(150));
+  Fixture.answer(Asked(), "b", true, {}, "2;", TurnId("turn-1"));
+  REQUIRE(Asked().Previous == TurnId("turn-1"));
+  Fixture.answer(First, "a", true, {}, "1;2;");
+  Fixture.answer(Asked(), "a", true, {}, "1;");
+  const auto Sent = Fixture.all<SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  CHECK(Sent[0].History == "1;2;");
+}
+
+TEST_CASE("Relay: an answer that a replica sends twice does not repeat a part "
+          "of the history") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  Fixture.askTurn(100000, 50, "turn-3", TurnId("turn-2"));
+  const OpenTurn First = Fixture.sentToReplicas<OpenTurn>().back();
+  Fixture.answer(First, "a", true, {}, "2;", TurnId("turn-1"));
+  Fixture.answer(First, "a", true, {}, "2;", TurnId("turn-1"));
+  Fixture.answer(First, "b", true);
+  const OpenTurn Rest = Fixture.sentToReplicas<OpenTurn>().back();
+  REQUIRE(Rest.IsHistoryRequested);
+  Fixture.answer(Rest,
+                 Fixture.State.Calls.begin()->second.Ledger.HistorySource.Value,
+                 true, {}, "1;");
+  const auto Sent = Fixture.all<SendAttempt>();
+  REQUIRE(Sent.size() == 1);
+  CHECK(Sent[0].History == "1;2;");
+}
+
 TEST_CASE("Relay: shutdown first fails readiness, then exits once idle") {
   RelayFixture Fixture;
   Fixture.makeReady();
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -205,6 +205,8 @@
   Table.previous_target = Body.PreviousTarget.Value;
   Table.has_history = Body.History.has_value();
   Table.history = Body.History.value_or(std::string());
+  Table.has_history_end = Body.HistoryEnd.has_value();
+  Table.history_end = turnText(Body.HistoryEnd);
   Table.has_missing = Body.MissingTurn.has_value();
   Table.missing = turnText(Body.MissingTurn);
   for (const TokenClaim &Each : Body.Claims)
@@ -223,6 +225,7 @@
   Body.PreviousTarget = TargetId(Table.previous_target);
   if (Table.has_history)
     Body.History = Table.history;
+  Body.HistoryEnd = makeOptionalTurn(Table.has_history_end, Table.history_end);
   Body.MissingTurn = makeOptionalTurn(Table.has_missing, Table.missing);
   for (const wire::ClaimRow &Row : Table.claims)
     Body.Claims.push_back(fromRow(Row));
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -79,6 +79,7 @@
   Reply.HasPrevious = true;
   Reply.PreviousTarget = TargetId("target");
   Reply.History = "history";
+  Reply.HistoryEnd = TurnId("previous");
   Reply.MissingTurn = TurnId("older");
   Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
   Reply.ResumedOrigin = StreamOrigin{ServiceName("s"), SoftwareVersion("v1")};
