Confirm a turn only with its whole chain, and fill gaps from other replicas

Cause: a replica that has missed a turn does not extend the turns before it, so the beginning of a chain in use expires there; and it never gets what it has missed while it stays a member. Ruled out: the copy after the lost disk, clocks. Extending alone would leave chains that are whole at fewer replicas than a write quorum.

A replica now confirms a turn once it has the whole chain. It keeps the gaps that it knows, requests the turns from the nearest other members, and stores them; a turn that is filled in late takes over the expiry of those that continue it. A close doesn't wait for a turn that a read quorum lacks. While all records are copied for a new view, nothing is requested one by one.

A test of a copy from two sources no longer lets its turns continue each other, as they would now be copied earlier.

--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -222,8 +222,8 @@
     DispatchAttempt, AttemptRefused, AttemptChunk, AttemptFinished,
     QueryAttempt, AttemptRunning, ForgetAttempt, CancelAttempt, KeepPrefixes,
     ReleasePrefixes, LoadReport, LedgerBatch, OpenTurn, TurnOpened, CloseTurn,
-    TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage,
-    DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
+    TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage, TurnsQuery,
+    TurnsFound, DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
     TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch,
     TargetLoadReport, TargetLoadView, ProgramStartRequest, ProgramStartGrant>;
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -177,6 +177,20 @@
   std::vector<LedgerBatch> Batches;
 };
 
+/// Requests turns that the sender lacks and that turns which it has continue.
+struct TurnsQuery {
+  std::vector<TurnId> Turns;
+};
+
+/// Reply to TurnsQuery. Turns that are in neither list may be requested again.
+struct TurnsFound {
+  HolderId Holder;
+  /// The batches of turns that the replica has.
+  std::vector<LedgerBatch> Batches;
+  /// Turns that the replica, a current member, does not have.
+  std::vector<TurnId> Unknown;
+};
+
 /// A key of the key-value service in the state last read by some process.
 struct DirectoryItem {
   std::string Key;
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -134,6 +134,13 @@
   RecordsPage Header;
   std::vector<BatchLocation> Batches;
 };
+/// Read batches from the data folder and send Header with those that can be
+/// read.
+struct SendTurns {
+  HostId Peer;
+  TurnsFound Header;
+  std::vector<BatchLocation> Batches;
+};
 /// Delete a segment of the data folder that has no live records.
 struct DropSegment {
   std::uint64_t Segment = 0;
@@ -156,7 +163,7 @@
 
 using LedgerEffect =
     std::variant<PersistLedgerBatch, PersistLedgerView, PersistSuspects,
-                 NotifyRelays, SendHistory, SendRecords, DropSegment,
+                 NotifyRelays, SendHistory, SendRecords, SendTurns, DropSegment,
                  WriteLedgerView, WriteSynced, ReportRetirement, SendHost,
                  LogLine, CountMetric>;
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -41,8 +41,10 @@
   /// The same for all other replicas. They take over if the first member can't
   /// reach the service, within half of those two seconds.
   Milliseconds OtherMembersWatchDelay{1000};
-  /// Bytes of records in one page of a pull; small compared with the window of
-  /// a connection.
+  /// Turns in one request for turns that this replica lacks.
+  std::size_t TurnsPerQuery = 64;
+  /// Bytes of records in one page of a pull or in one reply with missing turns;
+  /// small compared with the window of a connection.
   std::uint32_t PageBytes = 64 * 1024;
   /// How long a relay waits here for a permit. It then asks another replica.
   Milliseconds PermitRequestTimeout{1000};
@@ -114,6 +116,27 @@
   Instant ExpiresAt;
 };
 
+/// A close that is durable here, and whose confirmation waits for the chain of
+/// its turn.
+struct UnconfirmedClose {
+  HostId Peer;
+  LedgerOperationId Operation;
+};
+
+/// A turn that this replica lacks, although it has a turn that continues it.
+struct MissingTurn {
+  /// The last expiry of the turns that continue it.
+  Instant NeededUntil;
+  /// Closes of turns whose chains contain it.
+  std::vector<UnconfirmedClose> Closes;
+  /// The replicas that were asked for it since all had been, and the time of
+  /// the last request; absent if none is under way.
+  std::set<HolderId> Asked;
+  std::optional<Instant> RequestedAt;
+  /// Current members that do not have it.
+  std::set<HolderId> UnknownTo;
+};
+
 /// A claim and the number of the batch that holds it; 0 while it is not
 /// durable.
 struct StoredClaim {
@@ -321,6 +344,10 @@
   std::optional<RecordsPull> Pull;
 
   std::map<TurnId, TurnIndexEntry> Turns;
+  /// Gaps in the chains of Turns. They are filled from other replicas: a close
+  /// is confirmed only by replicas that have the whole chain of its turn, so
+  /// that a write quorum has each chain whole and extends all of its turns.
+  std::map<TurnId, MissingTurn> MissingTurns;
   std::map<ProgramId, ProgramClaims> Programs;
   /// Origins of streams by the hash of the attempt that began them. They are
   /// not stored on disk: a stream ends within seconds, and one whose origin is
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -303,27 +303,6 @@
   }
 }
 
-/// Returns the current members ordered by distance: this replica, live members
-/// of its zone, live members of other zones, and members that have failed or
-/// are not registered.
-std::vector<LedgerMember> nearestFirst(const LedgerState &State) {
-  std::vector<LedgerMember> Members = State.View.Current;
-  const auto Distance = [&State](const LedgerMember &Each) {
-    if (Each.Holder == State.Self.Holder)
-      return 0;
-    const bool IsPresent = State.RegisteredReplicas.count(Each.Host) > 0 &&
-                           !hasFailed(State, Each);
-    if (!IsPresent)
-      return 3;
-    return Each.Zone == State.Self.Zone ? 1 : 2;
-  };
-  std::stable_sort(Members.begin(), Members.end(),
-                   [&](const LedgerMember &Left, const LedgerMember &Right) {
-                     return Distance(Left) < Distance(Right);
-                   });
-  return Members;
-}
-
 void startPull(LedgerContext &Context) {
   LedgerState &State = Context.State;
   RecordsPull Pull;
@@ -351,6 +330,30 @@
 
 } // namespace
 
+bool isCopying(const LedgerState &State) {
+  const bool IsRequired = containsHolder(State.View.Next, State.Self.Holder) &&
+                          mustCopy(State.View, State.Self.Holder);
+  return IsRequired && !(State.Pull && State.Pull->IsComplete);
+}
+
+std::vector<LedgerMember> nearestFirst(const LedgerState &State) {
+  std::vector<LedgerMember> Members = State.View.Current;
+  const auto Distance = [&State](const LedgerMember &Each) {
+    if (Each.Holder == State.Self.Holder)
+      return 0;
+    const bool IsPresent = State.RegisteredReplicas.count(Each.Host) > 0 &&
+                           !hasFailed(State, Each);
+    if (!IsPresent)
+      return 3;
+    return Each.Zone == State.Self.Zone ? 1 : 2;
+  };
+  std::stable_sort(Members.begin(), Members.end(),
+                   [&](const LedgerMember &Left, const LedgerMember &Right) {
+                     return Distance(Left) < Distance(Right);
+                   });
+  return Members;
+}
+
 void adoptView(LedgerContext &Context, const LedgerView &View) {
   LedgerState &State = Context.State;
   if (!(State.View.Version < View.Version))
@@ -398,17 +401,13 @@
 
 void continuePull(LedgerContext &Context) {
   LedgerState &State = Context.State;
-  const LedgerView &View = State.View;
-  if (!containsHolder(View.Next, State.Self.Holder) ||
-      !mustCopy(View, State.Self.Holder))
+  if (!isCopying(State))
     return;
   // After a restart the view is known, but not which records were copied.
   if (!State.Pull) {
     startPull(Context);
     return;
   }
-  if (State.Pull->IsComplete)
-    return;
   if (State.Now - State.Pull->RequestedAt < State.Options.RetryInterval)
     return;
   if (State.Pull->HasFailed) {
@@ -433,13 +432,8 @@
   if (Source == State.Pull->Sources.end() || Source->second.IsDone)
     return;
   for (const LedgerBatch &Each : Page.Batches) {
-    LedgerBatch Unknown = withoutKnown(State, Each);
-    if (Unknown.Records.empty())
-      continue;
-    const std::uint64_t Ticket = State.NextTicket++;
-    State.Pull->PendingTickets.insert(Ticket);
-    State.PendingBatches[Ticket] = PendingBatch{{}, {}, Page.View, Unknown};
-    Context.add(PersistLedgerBatch{Ticket, std::move(Unknown)});
+    if (const auto Ticket = persistCopy(Context, Each))
+      State.Pull->PendingTickets.insert(*Ticket);
   }
   const bool HasAdvanced = Source->second.Cursor < Page.NextCursor;
   Source->second.Cursor = Page.NextCursor;
--- a/packages/decision/src/ledger/LedgerMembership.h
+++ b/packages/decision/src/ledger/LedgerMembership.h
@@ -10,6 +10,15 @@
 /// Adopts a view if it is newer than the present one.
 void adoptView(LedgerContext &Context, const LedgerView &View);
 
+/// Returns whether this replica has to copy records before the present change
+/// of the view can be completed, and has not copied all of them.
+bool isCopying(const LedgerState &State);
+
+/// Returns the current members ordered by distance: this replica, live members
+/// of its zone, live members of other zones, and members that have failed or
+/// are not registered.
+std::vector<LedgerMember> nearestFirst(const LedgerState &State);
+
 /// Compares the members with the registrations, writes the next view if one is
 /// due, and reports the progress of retirements.
 void reconcileMembership(LedgerContext &Context);
--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -1,5 +1,6 @@
 #include "LedgerRecords.h"
 
+#include "MissingTurns.h"
 #include "StartedStreams.h"
 
 #include <algorithm>
@@ -35,17 +36,25 @@
     Expiry = NewExpiry;
 }
 
-/// Extends the expiry of a turn and of all turns before it in its chain.
-void extendChain(LedgerState &State, const std::optional<TurnId> &Last,
-                 Instant NewExpiry) {
-  std::optional<TurnId> Next = Last;
-  while (Next) {
-    const auto Found = State.Turns.find(*Next);
-    if (Found == State.Turns.end())
-      return;
-    extendExpiry(Found->second.ExpiresAt, NewExpiry);
-    Next = Found->second.Previous;
-  }
+/// Confirms closes that have waited for a turn, or lets them wait for the next
+/// one that their chain lacks.
+void forwardCloses(LedgerContext &Context, std::vector<UnconfirmedClose> Closes,
+                   const std::optional<TurnId> &Missing) {
+  for (UnconfirmedClose &Each : Closes)
+    confirmOrAwait(Context, std::move(Each), Missing);
+}
+
+/// Applies the expiry and the closes that have waited for a turn that is new in
+/// the index.
+void fillGap(LedgerContext &Context, const TurnId &Turn) {
+  LedgerState &State = Context.State;
+  const auto Gap = State.MissingTurns.find(Turn);
+  if (Gap == State.MissingTurns.end())
+    return;
+  MissingTurn Filled = std::move(Gap->second);
+  State.MissingTurns.erase(Gap);
+  const auto Missing = extendChain(State, Turn, Filled.NeededUntil);
+  forwardCloses(Context, std::move(Filled.Closes), Missing);
 }
 
 bool isSuperseded(const TokenClaim &Present, const TokenClaim &Offered) {
@@ -69,6 +78,7 @@
                                                this->Batch, this->Expiry})
             .second;
     extendChain(State, Kept.Turn, this->Expiry);
+    fillGap(this->Context, Kept.Turn);
     return IsNew;
   }
 
@@ -94,6 +104,21 @@
 
 } // namespace
 
+std::optional<TurnId> extendChain(LedgerState &State, const TurnId &Last,
+                                  Instant NewExpiry) {
+  std::optional<TurnId> Next = Last;
+  while (Next) {
+    const auto Found = State.Turns.find(*Next);
+    if (Found == State.Turns.end()) {
+      extendExpiry(State.MissingTurns[*Next].NeededUntil, NewExpiry);
+      return Next;
+    }
+    extendExpiry(Found->second.ExpiresAt, NewExpiry);
+    Next = Found->second.Previous;
+  }
+  return std::nullopt;
+}
+
 void indexBatch(LedgerContext &Context, const LedgerBatch &Batch,
                 BatchLocation Place, Milliseconds Age) {
   LedgerState &State = Context.State;
@@ -140,6 +165,19 @@
   return Batch;
 }
 
+std::optional<std::uint64_t> persistCopy(LedgerContext &Context,
+                                         const LedgerBatch &Batch) {
+  LedgerState &State = Context.State;
+  LedgerBatch Unknown = withoutKnown(State, Batch);
+  if (Unknown.Records.empty())
+    return std::nullopt;
+  const std::uint64_t Ticket = State.NextTicket++;
+  State.PendingBatches[Ticket] =
+      PendingBatch{{}, {}, State.View.Version, Unknown};
+  Context.add(PersistLedgerBatch{Ticket, std::move(Unknown)});
+  return Ticket;
+}
+
 std::vector<TokenClaim> claimsOf(const LedgerState &State,
                                  const ProgramId &Program) {
   std::vector<TokenClaim> Claims;
@@ -166,6 +204,11 @@
     releaseBatch(Context, Turn->second.Batch);
     Turn = State.Turns.erase(Turn);
   }
+  for (auto Gap = State.MissingTurns.begin();
+       Gap != State.MissingTurns.end();) {
+    const bool IsNeeded = State.Now < Gap->second.NeededUntil;
+    Gap = IsNeeded ? std::next(Gap) : State.MissingTurns.erase(Gap);
+  }
   for (auto Each = State.Programs.begin(); Each != State.Programs.end();) {
     if (State.Now < Each->second.ExpiresAt) {
       ++Each;
@@ -177,6 +220,18 @@
   }
 }
 
+std::optional<TurnId> missingTurnOf(const LedgerState &State,
+                                    const TurnId &Last) {
+  std::optional<TurnId> Next = Last;
+  while (Next) {
+    const auto Found = State.Turns.find(*Next);
+    if (Found == State.Turns.end())
+      return Next;
+    Next = Found->second.Previous;
+  }
+  return std::nullopt;
+}
+
 TurnChain chainOf(const LedgerState &State, const TurnId &Last) {
   TurnChain Chain;
   std::optional<TurnId> Next = Last;
--- a/packages/decision/src/ledger/LedgerRecords.h
+++ b/packages/decision/src/ledger/LedgerRecords.h
@@ -7,8 +7,13 @@
 
 namespace tanagerlanding {
 
-/// Adds a durable batch to the index. Age is the time since the batch was
-/// written.
+/// Extends the expiry of a turn and of all turns before it in its chain.
+/// Returns the newest turn of the chain that is missing, if any.
+std::optional<TurnId> extendChain(LedgerState &State, const TurnId &Last,
+                                  Instant NewExpiry);
+
+/// Adds a durable batch to the index, and confirms the closes that have waited
+/// for its turns. Age is the time since the batch was written.
 void indexBatch(LedgerContext &Context, const LedgerBatch &Batch,
                 BatchLocation Place, Milliseconds Age);
 
@@ -19,6 +24,11 @@
 /// Returns a batch without the records that are already in the index.
 LedgerBatch withoutKnown(const LedgerState &State, LedgerBatch Batch);
 
+/// Makes the records of another replica's batch durable that are not in the
+/// index yet. Returns the ticket of the write, or nothing if all are known.
+std::optional<std::uint64_t> persistCopy(LedgerContext &Context,
+                                         const LedgerBatch &Batch);
+
 std::vector<TokenClaim> claimsOf(const LedgerState &State,
                                  const ProgramId &Program);
 
@@ -34,6 +44,10 @@
   std::optional<TurnId> MissingTurn;
 };
 
+/// Returns the newest turn of a chain that is not in the index, if any.
+std::optional<TurnId> missingTurnOf(const LedgerState &State,
+                                    const TurnId &Last);
+
 /// Returns the chain that ends with Last, which must be in the index.
 TurnChain chainOf(const LedgerState &State, const TurnId &Last);
 
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -4,6 +4,7 @@
 #include "LedgerContext.h"
 #include "LedgerMembership.h"
 #include "LedgerRecords.h"
+#include "MissingTurns.h"
 #include "PermitIssuing.h"
 #include "QuotaIssuing.h"
 #include "StartDecisions.h"
@@ -55,8 +56,12 @@
     sendOpened(this->Context, this->Peer, Request);
   }
   void operator()(const CloseTurn &Request) {
-    this->Context.send(this->Peer, TurnClosed{Request.Operation,
-                                              this->Context.State.Self.Holder});
+    const LedgerState &State = this->Context.State;
+    const auto Missing =
+        Request.IsKept ? missingTurnOf(State, Request.Turn) : std::nullopt;
+    confirmOrAwait(this->Context,
+                   UnconfirmedClose{this->Peer, Request.Operation}, Missing);
+    requestMissingTurns(this->Context);
   }
 
 private:
@@ -140,6 +145,12 @@
   void operator()(const RecordsPage &Page) {
     handleRecordsPage(this->Context, this->Peer, Page);
   }
+  void operator()(const TurnsQuery &Query) {
+    sendTurns(this->Context, this->Peer, Query);
+  }
+  void operator()(const TurnsFound &Reply) {
+    handleTurnsFound(this->Context, Reply);
+  }
   /// Ignores messages that are not meant for a replica.
   template <typename Other> void operator()(const Other &) {}
 
@@ -188,6 +199,7 @@
     beginKeepingStreams(this->State);
     sweepRecords(this->Context);
     continuePull(this->Context);
+    requestMissingTurns(this->Context);
     issueWaitingPermits(this->Context);
     sendTargetLoadViews(this->Context);
     expireStartReports(this->State);
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -117,6 +117,15 @@
     this->receive(Host, Close);
   }
 
+  /// Returns the number of closes that replicas have confirmed to the relay.
+  std::size_t confirmations() const {
+    return static_cast<std::size_t>(
+        std::count_if(this->RelayMessages.begin(), this->RelayMessages.end(),
+                      [](const Message &Each) {
+                        return std::holds_alternative<TurnClosed>(Each);
+                      }));
+  }
+
   bool hasTurn(const std::string &Host, const std::string &Turn) {
     return this->Nodes.at(HostId(Host)).State.Turns.count(TurnId(Turn)) > 0;
   }
@@ -156,6 +165,11 @@
       for (const BatchLocation &Each : Page->Batches)
         Body.Batches.push_back(At.Disk.at(Each.Offset));
       this->deliver(Host, Page->Peer, Body);
+    } else if (const auto *Turns = std::get_if<SendTurns>(&Effect)) {
+      TurnsFound Body = Turns->Header;
+      for (const BatchLocation &Each : Turns->Batches)
+        Body.Batches.push_back(At.Disk.at(Each.Offset));
+      this->deliver(Host, Turns->Peer, Body);
     } else if (const auto *History = std::get_if<SendHistory>(&Effect)) {
       TurnOpened Reply = History->Reply;
       Reply.History = std::to_string(History->Turns.size());
@@ -283,7 +297,7 @@
   Fixture.advanceTime(Milliseconds(5000));
   CHECK(Fixture.View.Version == ViewVersion(1));
   Fixture.storeTurn("h1", "t1");
-  Fixture.storeTurn("h2", "t2", TurnId("t1"));
+  Fixture.storeTurn("h2", "t2");
   Fixture.start("h4", "d");
   Fixture.advanceTime(Milliseconds(3000));
   CHECK_FALSE(Fixture.View.isChanging());
@@ -543,3 +557,78 @@
   CHECK(Fixture.Nodes.at(HostId("h1")).State.StoredBatches.empty());
   CHECK(Fixture.Nodes.at(HostId("h1")).State.BatchesInSegment.empty());
 }
+
+TEST_CASE("Ledger: the beginning of a chain in use does not expire at replicas "
+          "that missed a turn") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  // h3 misses the first turn and h1 the second one.
+  Fixture.storeTurn("h1", "t1");
+  Fixture.storeTurn("h2", "t1");
+  Fixture.storeTurn("h2", "t2", TurnId("t1"));
+  Fixture.storeTurn("h3", "t2", TurnId("t1"));
+  std::string Last = "t2";
+  for (const char *Next : {"t3", "t4", "t5", "t6"}) {
+    Fixture.advanceTime(Milliseconds(50000));
+    for (const char *Host : {"h1", "h2", "h3"})
+      Fixture.storeTurn(Host, Next, TurnId(Last));
+    Last = Next;
+  }
+  for (const char *Host : {"h1", "h2", "h3"}) {
+    for (const char *Turn : {"t1", "t2", "t3", "t4", "t5", "t6"}) {
+      INFO(Turn << " at " << Host);
+      CHECK(Fixture.hasTurn(Host, Turn));
+    }
+  }
+}
+
+TEST_CASE("Ledger: a replica confirms a turn only with its whole chain") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  for (const char *Host : {"h1", "h2"}) {
+    Fixture.storeTurn(Host, "t1");
+    Fixture.storeTurn(Host, "t2", TurnId("t1"));
+    Fixture.stop(Host);
+  }
+  Fixture.RelayMessages.clear();
+  Fixture.storeTurn("h3", "t3", TurnId("t2"));
+  Fixture.advanceTime(Milliseconds(2000));
+  CHECK(Fixture.confirmations() == 0);
+  Fixture.restart("h2");
+  Fixture.advanceTime(Milliseconds(2000));
+  CHECK(Fixture.confirmations() == 1);
+  CHECK(Fixture.hasTurn("h3", "t1"));
+  CHECK(Fixture.hasTurn("h3", "t2"));
+  CHECK(Fixture.Nodes.at(HostId("h3")).State.MissingTurns.empty());
+}
+
+TEST_CASE("Ledger: a turn whose chain is at no replica is confirmed") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  Fixture.RelayMessages.clear();
+  Fixture.storeTurn("h3", "t2", TurnId("lost"));
+  Fixture.advanceTime(Milliseconds(2000));
+  CHECK(Fixture.confirmations() == 1);
+}
+
+TEST_CASE("Ledger: more missing turns than one reply has room for are copied "
+          "in parts") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  for (const char *Host : {"h1", "h2"})
+    Fixture.Nodes.at(HostId(Host)).State.Options.PageBytes = 20;
+  for (int Number = 0; Number < 10; ++Number) {
+    const std::string First = "first-" + std::to_string(Number);
+    for (const char *Host : {"h1", "h2"}) {
+      Fixture.Nodes.at(HostId(Host)).IsUp = true;
+      Fixture.storeTurn(Host, First);
+      Fixture.Nodes.at(HostId(Host)).IsUp = false;
+    }
+    Fixture.storeTurn("h3", "next-" + std::to_string(Number), TurnId(First));
+  }
+  for (const char *Host : {"h1", "h2"})
+    Fixture.Nodes.at(HostId(Host)).IsUp = true;
+  Fixture.advanceTime(Milliseconds(5000));
+  for (int Number = 0; Number < 10; ++Number)
+    CHECK(Fixture.hasTurn("h3", "first-" + std::to_string(Number)));
+}
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -77,6 +77,18 @@
     this->Owner.sendTo(Effect.Peer, Page);
   }
 
+  void operator()(const SendTurns &Effect) {
+    TurnsFound Reply = Effect.Header;
+    for (const BatchLocation &At : Effect.Batches) {
+      auto Batch = this->Owner.Folder.readBatch(At);
+      if (Batch)
+        Reply.Batches.push_back(std::move(Batch.value()));
+      else
+        this->logReadFailure(Batch.error());
+    }
+    this->Owner.sendTo(Effect.Peer, Reply);
+  }
+
   void operator()(const DropSegment &Effect) {
     this->Owner.Folder.remove(Effect.Segment);
   }
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -41,6 +41,33 @@
   return Members;
 }
 
+std::vector<std::unique_ptr<wire::LedgerBatchT>>
+toRows(const std::vector<LedgerBatch> &Batches) {
+  std::vector<std::unique_ptr<wire::LedgerBatchT>> Rows;
+  for (const LedgerBatch &Each : Batches)
+    Rows.push_back(std::make_unique<wire::LedgerBatchT>(toTable(Each)));
+  return Rows;
+}
+
+std::vector<LedgerBatch>
+fromRows(const std::vector<std::unique_ptr<wire::LedgerBatchT>> &Rows) {
+  std::vector<LedgerBatch> Batches;
+  for (const auto &Each : Rows)
+    Batches.push_back(fromTable(*Each));
+  return Batches;
+}
+
+std::vector<std::string> toTexts(const std::vector<TurnId> &Turns) {
+  std::vector<std::string> Texts;
+  for (const TurnId &Each : Turns)
+    Texts.push_back(Each.Value);
+  return Texts;
+}
+
+std::vector<TurnId> fromTexts(const std::vector<std::string> &Texts) {
+  return std::vector<TurnId>(Texts.begin(), Texts.end());
+}
+
 std::unique_ptr<wire::LedgerViewTableT> toWire(const LedgerView &View) {
   auto Table = std::make_unique<wire::LedgerViewTableT>();
   Table->version = View.Version.Value;
@@ -321,9 +348,7 @@
   Table.holder = Body.Holder.Value;
   Table.next_cursor = Body.NextCursor;
   Table.is_last = Body.IsLast;
-  for (const LedgerBatch &Each : Body.Batches)
-    Table.batches.push_back(
-        std::make_unique<wire::LedgerBatchT>(toTable(Each)));
+  Table.batches = toRows(Body.Batches);
   return Table;
 }
 
@@ -333,11 +358,33 @@
   Body.Holder = HolderId(Table.holder);
   Body.NextCursor = Table.next_cursor;
   Body.IsLast = Table.is_last;
-  for (const auto &Each : Table.batches)
-    Body.Batches.push_back(fromTable(*Each));
+  Body.Batches = fromRows(Table.batches);
   return Body;
 }
 
+wire::TurnsQueryT toTable(const TurnsQuery &Body) {
+  wire::TurnsQueryT Table;
+  Table.turns = toTexts(Body.Turns);
+  return Table;
+}
+
+TurnsQuery fromTable(const wire::TurnsQueryT &Table) {
+  return TurnsQuery{fromTexts(Table.turns)};
+}
+
+wire::TurnsFoundT toTable(const TurnsFound &Body) {
+  wire::TurnsFoundT Table;
+  Table.holder = Body.Holder.Value;
+  Table.batches = toRows(Body.Batches);
+  Table.unknown = toTexts(Body.Unknown);
+  return Table;
+}
+
+TurnsFound fromTable(const wire::TurnsFoundT &Table) {
+  return TurnsFound{HolderId(Table.holder), fromRows(Table.batches),
+                    fromTexts(Table.unknown)};
+}
+
 wire::DirectoryChangesT toTable(const DirectoryChanges &Body) {
   wire::DirectoryChangesT Table;
   for (const DirectoryItem &Each : Body.Items) {
--- a/packages/wire/src/LedgerConversions.h
+++ b/packages/wire/src/LedgerConversions.h
@@ -29,6 +29,10 @@
 PullRecords fromTable(const wire::PullRecordsT &Table);
 wire::RecordsPageT toTable(const RecordsPage &Body);
 RecordsPage fromTable(const wire::RecordsPageT &Table);
+wire::TurnsQueryT toTable(const TurnsQuery &Body);
+TurnsQuery fromTable(const wire::TurnsQueryT &Table);
+wire::TurnsFoundT toTable(const TurnsFound &Body);
+TurnsFound fromTable(const wire::TurnsFoundT &Table);
 wire::DirectoryChangesT toTable(const DirectoryChanges &Body);
 DirectoryChanges fromTable(const wire::DirectoryChangesT &Table);
 
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -527,6 +527,10 @@
     return fromTable(*Body.AsPullRecords());
   case wire::Body::RecordsPage:
     return fromTable(*Body.AsRecordsPage());
+  case wire::Body::TurnsQuery:
+    return fromTable(*Body.AsTurnsQuery());
+  case wire::Body::TurnsFound:
+    return fromTable(*Body.AsTurnsFound());
   case wire::Body::DirectoryChanges:
     return fromTable(*Body.AsDirectoryChanges());
   case wire::Body::SuspectList:
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -148,6 +148,8 @@
       ViewOffer{sampleView()},
       PullRecords{sampleView(), 7},
       RecordsPage{ViewVersion(2), HolderId("h"), 8, true, {sampleBatch()}},
+      TurnsQuery{{TurnId("t"), TurnId("before")}},
+      TurnsFound{HolderId("h"), {sampleBatch()}, {TurnId("t")}},
       DirectoryChanges{{DirectoryItem{"key", "value", Revision(3), true}},
                        true},
       StreamStarted{CallerAttemptId("t"),
