Complete closes that a new view makes durable

A close that the members of the next view had confirmed, but not a quorum of the current ones, was not completed when the change of the view ended: completion was looked at only when a further replica confirmed, and none was left. The caller's answer hung until its deadline and was broken off, although its turn was stored. The review suspected this; LedgerRandomTest showed it in its model of a relay (answers that hung after a lost disk with two members left).

After a change of the view, pending closes are completed first and only the others are sent again. Test: RelayTest, "an answer is completed once a new view makes its turn durable"; failed before.

--- a/packages/decision/src/relay/TurnCloses.cpp
+++ b/packages/decision/src/relay/TurnCloses.cpp
@@ -22,19 +22,19 @@
   }
 }
 
-/// Completes a close if a quorum has confirmed it.
-void completeClose(RelayContext &Context, LedgerOperationId Operation) {
+/// Completes a close if a quorum has confirmed it. Returns whether it has.
+bool completeClose(RelayContext &Context, LedgerOperationId Operation) {
   RelayState &State = Context.State;
   const auto Found = State.PendingCloses.find(Operation);
   if (!State.View.hasWriteQuorum(Found->second.ConfirmedBy))
-    return;
+    return false;
   const auto WaitingCall = Found->second.WaitingCall;
   State.PendingCloses.erase(Found);
-  if (!WaitingCall)
-    return;
-  const auto Call = State.Calls.find(*WaitingCall);
+  const auto Call =
+      WaitingCall ? State.Calls.find(*WaitingCall) : State.Calls.end();
   if (Call != State.Calls.end())
     finishCall(Context, Call->second);
+  return true;
 }
 
 } // namespace
@@ -78,9 +78,14 @@
   completeClose(Context, Reply.Operation);
 }
 
-void resendCloses(RelayContext &Context) {
-  for (auto &[Operation, Close] : Context.State.PendingCloses)
-    sendClose(Context, Close);
+void reviewCloses(RelayContext &Context) {
+  std::vector<LedgerOperationId> Pending;
+  for (const auto &[Operation, Close] : Context.State.PendingCloses)
+    Pending.push_back(Operation);
+  for (const LedgerOperationId Operation : Pending) {
+    if (!completeClose(Context, Operation))
+      sendClose(Context, Context.State.PendingCloses.at(Operation));
+  }
 }
 
 void resendClosesTo(RelayContext &Context, const HolderId &Holder) {
--- a/packages/decision/src/relay/TurnCloses.h
+++ b/packages/decision/src/relay/TurnCloses.h
@@ -18,8 +18,9 @@
 void handleClosed(RelayContext &Context, const HolderId &Holder,
                   const TurnClosed &Reply);
 
-/// Resends all pending closes under the current view.
-void resendCloses(RelayContext &Context);
+/// Completes, after a change of the view, the closes that a quorum has
+/// confirmed, and resends the others to the members that have not.
+void reviewCloses(RelayContext &Context);
 /// Resends to a newly connected replica the closes that it has not confirmed.
 void resendClosesTo(RelayContext &Context, const HolderId &Holder);
 
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -595,7 +595,7 @@
     if (Found != State.Calls.end())
       openTurn(Context, Found->second);
   }
-  resendCloses(Context);
+  reviewCloses(Context);
 }
 
 void updateQuorumState(RelayContext &Context) {
--- a/packages/decision/tests/RelayTest.cpp
+++ b/packages/decision/tests/RelayTest.cpp
@@ -570,6 +570,36 @@
   CHECK(Sent[0].History == "1;2;");
 }
 
+TEST_CASE("Relay: an answer is completed once a new view makes its turn "
+          "durable, though no further replica confirms it") {
+  RelayFixture Fixture;
+  Fixture.makeReady();
+  LedgerView View;
+  View.Version = ViewVersion(2);
+  View.Current = {RelayFixture::member("a"), RelayFixture::member("b")};
+  View.Next = {RelayFixture::member("b"), RelayFixture::member("d")};
+  Fixture.apply(RelayLedgerViewObserved{View});
+  Fixture.apply(ReplicaConnected{HolderId("d")});
+  Fixture.askTurn(100000, 50);
+  Fixture.answerOpen("a");
+  Fixture.answerOpen("b");
+  Fixture.answerOpen("d");
+  const RelayAttemptId Attempt = Fixture.all<SendAttempt>().at(0).Attempt;
+  Fixture.apply(AttemptHeadReceived{Attempt, RelayFixture::head(200, true)});
+  Fixture.apply(AttemptBytesReceived{Attempt, "id: 1\ndata: e\n\n"});
+  Fixture.apply(AttemptEnded{Attempt, AttemptEnded::Kind::Complete});
+  // Replica a has lost its disk and does not confirm.
+  Fixture.confirmClose("b");
+  Fixture.confirmClose("d");
+  REQUIRE(Fixture.all<FinishAnswer>().empty());
+  View.Version = ViewVersion(3);
+  View.Current = View.Next;
+  View.Next.clear();
+  Fixture.apply(RelayLedgerViewObserved{View});
+  CHECK(Fixture.all<FinishAnswer>().size() == 1);
+  CHECK(Fixture.State.Calls.empty());
+}
+
 TEST_CASE("Relay: shutdown first fails readiness, then exits once idle") {
   RelayFixture Fixture;
   Fixture.makeReady();
