Answer every request that a stopping relay has read

It can happen here: nothing that admits, queues, retries or sends a call looked at the time that was left, and at the end of the grace period everything under way was cut with its connection, also calls that waited for a target.

While it shuts down, a relay sends a call only if twice the usual run time of its route, or its caller's time, ends before the exit; others are refused at once as not run. What is received after connections are no longer accepted is refused unless its caller's time ends before.

--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -129,6 +129,8 @@
   /// The relay cannot prove that its configuration is recent enough to accept
   /// keys.
   ConfigurationStale,
+  /// The relay shuts down before the call can end.
+  Stopping,
 };
 
 /// Returns the stable name of a reason, for logs and metrics.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -703,6 +703,9 @@
   /// Moving average of the time to first byte of each service, in milliseconds.
   std::map<ServiceName, double> TypicalFirstByteMillis;
   std::map<ServiceName, ServiceTimes> TypicalTimes;
+  /// Moving average of the time that calls of each route run at their targets,
+  /// in milliseconds.
+  std::map<RouteName, double> RunMillis;
   bool IsKeyValueServiceReachable = false;
   Instant KeyValueServiceRegainedAt;
   /// Everything that the key-value service had confirmed before this time is
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -6,6 +6,7 @@
 #include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestContent.h"
+#include "Shutdown.h"
 #include "Teams.h"
 #include "Turns.h"
 
@@ -100,6 +101,8 @@
   recordRequestedPath(State, Admitted);
   if (!hasTimeLeft(Context, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::DeadlinePassed);
+  else if (!mayAdmitBeforeExit(State, Admitted))
+    refuseCall(Context, Admitted, RelayRefusalReason::Stopping);
   else if (!mayUseKey(State, Admitted))
     refuseCall(Context, Admitted, RelayRefusalReason::ConfigurationStale);
   else if (isQuarantined(State, Admitted))
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -11,6 +11,7 @@
 #include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestPermits.h"
+#include "Shutdown.h"
 #include "StreamOrigins.h"
 #include "TargetHealth.h"
 #include "TargetLoads.h"
@@ -279,6 +280,7 @@
   }
   if (isSuccess(*Call.Head)) {
     recordCompletion(Context, Call);
+    recordRunTime(Context.State, Call);
     recordLoadSample(Context.State, Call);
   }
   if (!isStreamed(Call))
@@ -413,6 +415,10 @@
     refuseCall(Context, Call, *Fault);
     return;
   }
+  if (!Call.HasBegunAnswer && !mayEndBeforeExit(State, Call)) {
+    refuseCall(Context, Call, RelayRefusalReason::Stopping);
+    return;
+  }
   // The content may have been quarantined since the call was admitted.
   if (isQuarantined(State, Call)) {
     refuseCall(Context, Call, RelayRefusalReason::Quarantined);
@@ -511,6 +517,13 @@
   removeCall(Context, Call);
 }
 
+void refuseUnfinishedCall(RelayContext &Context, RelayCall &Call,
+                          RelayRefusalReason Reason) {
+  if (Call.Attempt.Value != 0)
+    Call.UncertainSends += Call.Hedge ? 2 : 1;
+  refuseCall(Context, Call, Reason);
+}
+
 void finishCall(RelayContext &Context, RelayCall &Call) {
   Context.logCall("answered", Call,
                   {{"status", std::to_string(Call.Head->Status)},
@@ -608,12 +621,9 @@
     if (!hasTimeLeft(Context, Call))
       Expired.push_back(Request);
   }
-  for (const RequestId Request : Expired) {
-    RelayCall &Call = Context.State.Calls.at(Request);
-    if (Call.Attempt.Value != 0)
-      Call.UncertainSends += Call.Hedge ? 2 : 1;
-    refuseCall(Context, Call, RelayRefusalReason::DeadlinePassed);
-  }
+  for (const RequestId Request : Expired)
+    refuseUnfinishedCall(Context, Context.State.Calls.at(Request),
+                         RelayRefusalReason::DeadlinePassed);
 }
 
 } // namespace tanagerlanding
--- a/packages/decision/src/relay/Attempts.h
+++ b/packages/decision/src/relay/Attempts.h
@@ -31,6 +31,10 @@
 void refuseCall(RelayContext &Context, RelayCall &Call,
                 RelayRefusalReason Reason);
 
+/// Does the same for a call that a target may be running.
+void refuseUnfinishedCall(RelayContext &Context, RelayCall &Call,
+                          RelayRefusalReason Reason);
+
 /// Completes the answer of a streamed call whose turn is durable or need not
 /// be. Destroys the call.
 void finishCall(RelayContext &Context, RelayCall &Call);
--- a/packages/decision/src/relay/Refusals.cpp
+++ b/packages/decision/src/relay/Refusals.cpp
@@ -46,6 +46,7 @@
   case RelayRefusalReason::LedgerUnavailable:
   case RelayRefusalReason::NoTarget:
   case RelayRefusalReason::Overloaded:
+  case RelayRefusalReason::Stopping:
     return State.Options.RetryAfter;
   case RelayRefusalReason::ConfigurationStale:
     return State.Options.StaleRetryAfter;
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -13,6 +13,7 @@
 #include "QuotaPermits.h"
 #include "RelayContext.h"
 #include "RequestPermits.h"
+#include "Shutdown.h"
 #include "StreamOrigins.h"
 #include "TargetLoads.h"
 #include "Turns.h"
@@ -21,33 +22,6 @@
 
 namespace {
 
-/// Advances the shutdown: the relay is reported as not ready first, so that the
-/// balancer can react; after DrainAcceptPeriod it accepts no new connections;
-/// it exits once nothing is in flight, or after DrainTimeout.
-void advanceDraining(RelayContext &Context) {
-  RelayState &State = Context.State;
-  if (!State.IsDraining || State.HasRequestedExit)
-    return;
-  const Milliseconds Passed = State.Now - State.DrainSince;
-  if (State.Options.DrainAcceptPeriod <= Passed && !State.HasStoppedAccepting) {
-    State.HasStoppedAccepting = true;
-    Context.log("accepting_stopped",
-                {{"calls", std::to_string(State.Calls.size())}});
-    Context.add(StopAccepting{});
-  }
-  const bool IsIdle = State.HasStoppedAccepting && State.Calls.empty() &&
-                      State.DeferredRequests.empty() &&
-                      State.PendingCloses.empty();
-  const bool IsOverdue = State.Options.DrainTimeout <= Passed;
-  if (!IsIdle && !IsOverdue)
-    return;
-  State.HasRequestedExit = true;
-  Context.log("relay_stopped",
-              {{"cut_calls", std::to_string(State.Calls.size())},
-               {"passed_ms", RelayContext::millis(Passed)}});
-  Context.add(ExitRelay{});
-}
-
 /// How often hints about targets are checked for eviction.
 constexpr Milliseconds HintExpiryInterval{1000};
 
@@ -94,7 +68,7 @@
     dispatchQueuedCalls(this->Context,
                         this->State.Options.MaxDispatchesPerTick);
     maintainProgramStarts(this->Context);
-    advanceDraining(this->Context);
+    advanceShutdown(this->Context);
   }
 
   void operator()(const CallerRequestReceived &Event) {
--- a/packages/decision/src/relay/RelayRefusal.cpp
+++ b/packages/decision/src/relay/RelayRefusal.cpp
@@ -46,6 +46,8 @@
     return "quota_exceeded";
   case RelayRefusalReason::ConfigurationStale:
     return "configuration_stale";
+  case RelayRefusalReason::Stopping:
+    return "stopping";
   }
   return "unknown";
 }
