Let a copy begin anew if its source was restarted

Cause: a copy goes on at the number of a batch at its source, and a source numbers its batches anew at each start, without those that settled claims replace. The copy skipped what lay between and was reported complete. Evidence: the page after a restart in the new test lacks records. A second way: a late page of an earlier request set the position of a copy that had begun anew.

Requests and pages name the process that has numbered the batches. A source that is asked with another one's number starts with its first batch, and a page counts only if it starts where the copy has arrived.

--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -161,9 +161,11 @@
 };
 
 /// Requests the records of a replica of View.Current, starting with the batch
-/// numbered Cursor.
+/// that the replica's process Run has numbered Cursor. Another process of the
+/// replica, which numbers batches anew, starts with its first one.
 struct PullRecords {
   LedgerView View;
+  InstanceId Run;
   std::uint64_t Cursor = 0;
 };
 
@@ -171,6 +173,10 @@
 struct RecordsPage {
   ViewVersion View;
   HolderId Holder;
+  /// The process that has numbered the batches, the number at which the page
+  /// starts, and the one at which the next page does.
+  InstanceId Run;
+  std::uint64_t Cursor = 0;
   std::uint64_t NextCursor = 0;
   /// Whether everything written under earlier views has been sent.
   bool IsLast = false;
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -293,6 +293,8 @@
 /// in a new view.
 struct RecordsPull {
   struct Source {
+    /// The process that has numbered the batches; empty before its first page.
+    InstanceId Run;
     std::uint64_t Cursor = 0;
     bool IsDone = false;
   };
@@ -310,6 +312,8 @@
 struct LedgerState {
   LedgerOptions Options;
   LedgerMember Self;
+  /// Identifies this process among those that have served the replica.
+  InstanceId Run;
   std::uint32_t ToleratedFailures = 1;
   Instant Now;
   LedgerView View;
--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -324,10 +324,18 @@
       return;
     --Needed;
     if (!(Each.Holder == State.Self.Holder))
-      Context.send(Each.Host, PullRecords{State.View, 0});
+      Context.send(Each.Host, PullRecords{State.View, {}, 0});
   }
 }
 
+/// Returns whether a page continues what was received from its source. A source
+/// that was restarted begins anew; late pages of earlier requests do neither.
+bool isNextPage(const RecordsPull::Source &Source, const RecordsPage &Page) {
+  if (Page.Run == Source.Run)
+    return Page.Cursor == Source.Cursor;
+  return Page.Cursor == 0;
+}
+
 } // namespace
 
 bool isCopying(const LedgerState &State) {
@@ -419,7 +427,8 @@
   for (const LedgerMember &Each : State.View.Current) {
     const auto Source = State.Pull->Sources.find(Each.Holder);
     if (Source != State.Pull->Sources.end() && !Source->second.IsDone)
-      Context.send(Each.Host, PullRecords{State.View, Source->second.Cursor});
+      Context.send(Each.Host, PullRecords{State.View, Source->second.Run,
+                                          Source->second.Cursor});
   }
 }
 
@@ -429,18 +438,20 @@
   if (!State.Pull || State.Pull->HasFailed || !(State.Pull->View == Page.View))
     return;
   const auto Source = State.Pull->Sources.find(Page.Holder);
-  if (Source == State.Pull->Sources.end() || Source->second.IsDone)
+  if (Source == State.Pull->Sources.end() || Source->second.IsDone ||
+      !isNextPage(Source->second, Page))
     return;
   for (const LedgerBatch &Each : Page.Batches) {
     if (const auto Ticket = persistCopy(Context, Each))
       State.Pull->PendingTickets.insert(*Ticket);
   }
-  const bool HasAdvanced = Source->second.Cursor < Page.NextCursor;
+  const bool HasAdvanced = Page.Cursor < Page.NextCursor;
+  Source->second.Run = Page.Run;
   Source->second.Cursor = Page.NextCursor;
   Source->second.IsDone = Page.IsLast;
   if (!Page.IsLast && HasAdvanced) {
     State.Pull->RequestedAt = State.Now;
-    Context.send(Peer, PullRecords{State.View, Page.NextCursor});
+    Context.send(Peer, PullRecords{State.View, Page.Run, Page.NextCursor});
   }
   completePull(Context);
 }
@@ -480,9 +491,11 @@
   Page.Peer = Peer;
   Page.Header.View = State.View.Version;
   Page.Header.Holder = State.Self.Holder;
-  Page.Header.NextCursor = Request.Cursor;
+  Page.Header.Run = State.Run;
+  Page.Header.Cursor = Request.Run == State.Run ? Request.Cursor : 0;
+  Page.Header.NextCursor = Page.Header.Cursor;
   std::uint32_t Bytes = 0;
-  auto Each = State.StoredBatches.lower_bound(Request.Cursor);
+  auto Each = State.StoredBatches.lower_bound(Page.Header.Cursor);
   for (; Each != State.StoredBatches.end() && Bytes < State.Options.PageBytes;
        ++Each) {
     Bytes += Each->second.Place.Length;
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -395,7 +395,7 @@
   View.Next = {memberOn("h2", "b"), memberOn("h3", "c"), memberOn("h4", "d")};
   const auto IsLast = [&State, &View] {
     const auto Effects = reduce(
-        State, LedgerMessageReceived{HostId("h4"), PullRecords{View, 0}});
+        State, LedgerMessageReceived{HostId("h4"), PullRecords{View, {}, 0}});
     return std::get<SendRecords>(Effects.back()).Header.IsLast;
   };
   CHECK_FALSE(IsLast());
@@ -403,6 +403,46 @@
   CHECK(IsLast());
 }
 
+TEST_CASE("Ledger: a copy skips no record if its source is restarted") {
+  LedgerState Source;
+  Source.Self = memberOn("h1", "a");
+  Source.Run = InstanceId("first");
+  Source.Options.PageBytes = 20;
+  LedgerView View;
+  View.Version = ViewVersion(1);
+  View.Current = {memberOn("h1", "a"), memberOn("h2", "b"),
+                  memberOn("h3", "c")};
+  View.Next = {memberOn("h1", "a"), memberOn("h2", "b"), memberOn("h4", "d")};
+  Source.View = View;
+  const auto RecordAt = [](std::uint64_t Offset) {
+    LedgerBatch Batch;
+    Batch.Retention = Milliseconds(60000);
+    Batch.Records = {TurnRecord{TurnId("t" + std::to_string(Offset)),
+                                std::nullopt, "", "", TargetId()}};
+    return LedgerBatchRecovered{BatchLocation{1, Offset, 10}, Batch};
+  };
+  for (std::uint64_t Offset = 0; Offset < 6; ++Offset)
+    reduce(Source, RecordAt(Offset));
+  const auto PageFor = [&Source](const PullRecords &Request) {
+    const auto Effects =
+        reduce(Source, LedgerMessageReceived{HostId("h4"), Request});
+    return std::get<SendRecords>(Effects.back());
+  };
+  const SendRecords First = PageFor({View, {}, 0});
+  REQUIRE(First.Batches.size() == 2);
+  // After its restart the source needs no longer keep one of the first batches.
+  Source = LedgerState();
+  Source.Self = memberOn("h1", "a");
+  Source.Run = InstanceId("second");
+  Source.View = View;
+  for (std::uint64_t Offset = 1; Offset < 6; ++Offset)
+    reduce(Source, RecordAt(Offset));
+  const SendRecords Rest =
+      PageFor({View, First.Header.Run, First.Header.NextCursor});
+  CHECK(Rest.Batches.size() == 5);
+  CHECK(Rest.Header.IsLast);
+}
+
 TEST_CASE("Ledger: a retiring host's records are copied before its report") {
   LedgerFixture Fixture;
   startThree(Fixture);
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -175,6 +175,7 @@
   for (const auto &[Segment, Batches] : this->State.BatchesInSegment)
     Needed.insert(Segment);
   this->Folder.removeOthers(Needed);
+  this->State.Run = this->Instance;
   this->State.View = this->Folder.view();
   this->State.ToleratedFailures = this->Settings.ToleratedFailures;
   this->State.Self = LedgerMember{
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -334,18 +334,21 @@
 wire::PullRecordsT toTable(const PullRecords &Body) {
   wire::PullRecordsT Table;
   Table.view = toWire(Body.View);
+  Table.run = Body.Run.Value;
   Table.cursor = Body.Cursor;
   return Table;
 }
 
 PullRecords fromTable(const wire::PullRecordsT &Table) {
-  return PullRecords{fromWire(Table.view), Table.cursor};
+  return PullRecords{fromWire(Table.view), InstanceId(Table.run), Table.cursor};
 }
 
 wire::RecordsPageT toTable(const RecordsPage &Body) {
   wire::RecordsPageT Table;
   Table.view = Body.View.Value;
   Table.holder = Body.Holder.Value;
+  Table.run = Body.Run.Value;
+  Table.cursor = Body.Cursor;
   Table.next_cursor = Body.NextCursor;
   Table.is_last = Body.IsLast;
   Table.batches = toRows(Body.Batches);
@@ -356,6 +359,8 @@
   RecordsPage Body;
   Body.View = ViewVersion(Table.view);
   Body.Holder = HolderId(Table.holder);
+  Body.Run = InstanceId(Table.run);
+  Body.Cursor = Table.cursor;
   Body.NextCursor = Table.next_cursor;
   Body.IsLast = Table.is_last;
   Body.Batches = fromRows(Table.batches);
