Keep no replica as a member whose host runs another one

Cause: the members are filled up with failed members of the view, also with one whose host has registered another replica. It has no disk and never answers, so a read needs both of the others. It also took the place of a live member that the key-value service turned away.

A replaced replica stays only while f or fewer live members would be left. One that has only been announced stays until its successor is registered, as before, so that the members don't copy everything in between.

Tests: LedgerTest, two cases; the first failed before. LedgerRandomTest with a retirement fails without the change.

--- a/packages/decision/src/ledger/LedgerMembership.cpp
+++ b/packages/decision/src/ledger/LedgerMembership.cpp
@@ -15,15 +15,20 @@
   return Names;
 }
 
-/// Returns whether a member counts as failed: another replica has been
-/// registered or announced on its host, or the member has had no registration
-/// for MissingRegistrationTimeout.
-bool hasFailed(const LedgerState &State, const LedgerMember &Member) {
+/// Returns whether another replica has been registered on the host of a member.
+/// The host has returned with an empty disk, so the member's records are lost
+/// for good.
+bool isReplaced(const LedgerState &State, const LedgerMember &Member) {
   const auto Present = State.RegisteredReplicas.find(Member.Host);
-  // The host has returned with an empty disk, so the replica has lost its
-  // records.
-  if (Present != State.RegisteredReplicas.end() &&
-      !(Present->second.Holder == Member.Holder))
+  return Present != State.RegisteredReplicas.end() &&
+         !(Present->second.Holder == Member.Holder);
+}
+
+/// Returns whether a member counts as failed: it has been replaced, another
+/// replica has been announced on its host, or it has had no registration for
+/// MissingRegistrationTimeout.
+bool hasFailed(const LedgerState &State, const LedgerMember &Member) {
+  if (isReplaced(State, Member))
     return true;
   const auto Announced = State.AnnouncedHolders.find(Member.Host);
   if (Announced != State.AnnouncedHolders.end() &&
@@ -63,6 +68,8 @@
 
 /// Returns the replicas that should be members. A failed member remains until
 /// another replica can replace it, since its disk may become available again.
+/// One that has been replaced has no records and never answers, so it only
+/// makes quorums harder to reach.
 std::vector<LedgerMember> desiredMembers(const LedgerState &State) {
   const std::size_t DesiredSize = 2 * State.ToleratedFailures + 1;
   std::vector<LedgerMember> Kept;
@@ -84,7 +91,7 @@
   }
   for (const LedgerMember &Each : State.View.Current) {
     if (Kept.size() < DesiredSize && !containsHolder(Kept, Each.Holder) &&
-        !isRetiring(State, Each))
+        !isRetiring(State, Each) && !isReplaced(State, Each))
       Kept.push_back(Each);
   }
   // Retiring and failed members remain if f or fewer live members would be
--- a/packages/decision/tests/LedgerTest.cpp
+++ b/packages/decision/tests/LedgerTest.cpp
@@ -458,6 +458,50 @@
   CHECK(Fixture.hasTurn("h2", "t1"));
 }
 
+TEST_CASE("Ledger: after a retirement, a replica that lost its disk does not "
+          "stay a member") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  for (auto &[Host, Node] : Fixture.Nodes)
+    Fixture.apply(Host, RetirementRequested{HostId("h3"), true});
+  Fixture.advanceTime(Milliseconds(4000));
+  Fixture.stop("h3");
+  REQUIRE(Fixture.View.Current.size() == 2);
+  Fixture.storeTurn("h1", "t1");
+  Fixture.storeTurn("h2", "t1");
+  for (const char *Host : {"h1", "h2"}) {
+    const std::string Successor = std::string(Host) + "-new";
+    Fixture.stop(Host);
+    Fixture.start(Host, Successor);
+    for (auto &[Other, Node] : Fixture.Nodes)
+      Fixture.apply(Other, RetirementRequested{HostId("h3"), true});
+    Fixture.advanceTime(Milliseconds(4000));
+    CHECK_FALSE(Fixture.View.isChanging());
+    CHECK(Fixture.View.Current.size() == 2);
+    CHECK(containsHolder(Fixture.View.Current, HolderId(Successor)));
+    CHECK(Fixture.hasTurn(Host, "t1"));
+  }
+}
+
+TEST_CASE("Ledger: a member that the key-value service turns away stays, and "
+          "one that lost its disk does not") {
+  LedgerFixture Fixture;
+  startThree(Fixture);
+  Fixture.storeTurn("h2", "t1");
+  Fixture.storeTurn("h3", "t1");
+  for (auto &[Host, Node] : Fixture.Nodes)
+    Fixture.apply(Host, ReplicaUnregistered{HostId("h2")});
+  Fixture.stop("h1");
+  Fixture.start("h1", "d");
+  for (auto &[Host, Node] : Fixture.Nodes)
+    Fixture.apply(Host, ReplicaUnregistered{HostId("h2")});
+  Fixture.advanceTime(Milliseconds(4000));
+  CHECK(containsHolder(Fixture.View.Current, HolderId("b")));
+  CHECK(containsHolder(Fixture.View.Current, HolderId("d")));
+  CHECK_FALSE(containsHolder(Fixture.View.allMembers(), HolderId("a")));
+  CHECK(Fixture.hasTurn("h1", "t1"));
+}
+
 TEST_CASE("Ledger: a retiring host stays while a write quorum needs it") {
   LedgerFixture Fixture;
   startThree(Fixture);
