Test targets that pour in all ways at once

Report of another operator: a machine kept bytes without end that were no answer, and ran out of memory with the requests of other callers. The new cases add heads of many lines, chunk extensions and trailers, and 78 requests that are poured into in 13 ways at once, through a relay with the memory of the smallest site, while another caller is served. No product code is changed.

--- a/tests/integration/PouringTargets.cpp
+++ b/tests/integration/PouringTargets.cpp
@@ -24,6 +24,10 @@
 /// A relay has 110 MB on the smallest site; this leaves room for several such
 /// targets at once.
 constexpr long MaxGrowthKilobytes = 16 * 1024;
+/// What the smallest site gives a relay, for targets that pour in all ways at
+/// once.
+constexpr unsigned RelayMemoryMegabytes = 110;
+constexpr unsigned CallersPerWay = 6;
 
 /// A target that pours on requests whose path names how, and answers others.
 class PouringTarget {
@@ -72,6 +76,16 @@
     if (Path == "/plain/chunk")
       return this->pour(
           Caller, Ok + Signed + "Transfer-Encoding: chunked\r\n\r\n5;", "x");
+    const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    if (Path == "/plain/head-lines")
+      return this->pour(Caller, Ok, "X: y\r\n");
+    if (Path == "/plain/trailer")
+      return this->pour(Caller, Ok + Signed + Chunked + "0\r\nX: ", "x");
+    if (Path == "/plain/trailer-lines")
+      return this->pour(Caller, Ok + Signed + Chunked + "0\r\n", "X: y\r\n");
+    if (Path == "/plain/extensions")
+      return this->pour(Caller, Ok + Signed + Chunked,
+                        "1;" + std::string(1000, 'x') + "\r\na\r\n");
     if (Path == "/plain/signed")
       return this->pour(Caller, Ok + Signed + "\r\n", "x");
     if (Path == "/stream/event")
@@ -109,7 +123,8 @@
 /// A relay in front of one target that pours.
 class PouringSite {
 public:
-  PouringSite() : Target(this->Site.Store) {
+  explicit PouringSite(unsigned MemoryMegabytes = 0)
+      : Site(1, false, MemoryMegabytes), Target(this->Site.Store) {
     this->Site.Store.remove("servers/i-1");
     this->Site.Store.remove("servers/i-2");
     this->Site.awaitTargets(0, 1);
@@ -131,14 +146,8 @@
 
   bool isOtherServed() { return this->ask("/once/x").Status == 200; }
 
-  /// Returns by how much the relay's largest use of memory has grown.
-  long growthKilobytes() { return this->peakKilobytes() - this->PeakBefore; }
-
-  PlatformSite Site;
-  PouringTarget Target;
-
-private:
-  long peakKilobytes() {
+  /// Returns the relay's largest use of memory.
+  long peakKilobytes() const {
     std::ifstream Status("/proc/" + std::to_string(this->Site.Relays[0].pid()) +
                          "/status");
     std::string Name;
@@ -150,6 +159,13 @@
     return 0;
   }
 
+  /// Returns by how much the relay's largest use of memory has grown.
+  long growthKilobytes() { return this->peakKilobytes() - this->PeakBefore; }
+
+  PlatformSite Site;
+  PouringTarget Target;
+
+private:
   std::atomic<unsigned> LastRequest{0};
   long PeakBefore = 0;
 };
@@ -173,8 +189,8 @@
 
 TEST_CASE("A target that pours bytes that are no answer holds up nothing and "
           "fails its request") {
-  const std::string Path =
-      GENERATE(as<std::string>(), "head", "interim", "foreign", "unsigned");
+  const std::string Path = GENERATE(as<std::string>(), "head", "head-lines",
+                                    "interim", "foreign", "unsigned");
   INFO(Path);
   const Response Result = checkPouring("/plain/" + Path);
   CHECK(Result.Status == 502);
@@ -185,8 +201,33 @@
   CHECK(checkPouring("/plain/not-run").Status == 503);
 }
 
-TEST_CASE("A target that pours into a chunk's head fails its request") {
-  CHECK(checkPouring("/plain/chunk").Status != 200);
+TEST_CASE("A target that pours between the parts of a body fails its request") {
+  const std::string Path = GENERATE(as<std::string>(), "chunk", "extensions",
+                                    "trailer", "trailer-lines");
+  INFO(Path);
+  CHECK(checkPouring("/plain/" + Path).Status != 200);
+}
+
+TEST_CASE("Targets that pour in all ways at once do not end the requests of "
+          "other callers") {
+  PouringSite Deployment(RelayMemoryMegabytes);
+  std::vector<std::future<Response>> Callers;
+  for (const char *Path :
+       {"/plain/head", "/plain/head-lines", "/plain/interim", "/plain/foreign",
+        "/plain/unsigned", "/plain/not-run", "/plain/chunk",
+        "/plain/extensions", "/plain/trailer", "/plain/trailer-lines",
+        "/plain/signed", "/stream/event", "/turn/output"}) {
+    for (unsigned Caller = 0; Caller < CallersPerWay; ++Caller)
+      Callers.push_back(std::async(std::launch::async,
+                                   [&, Path] { return Deployment.ask(Path); }));
+  }
+  REQUIRE(waitFor([&] { return Deployment.Target.Poured > CallersPerWay; }));
+  CHECK(Deployment.isOtherServed());
+  for (std::future<Response> &Each : Callers)
+    CHECK(Each.get().Status != 200);
+  CHECK(Deployment.Target.awaitClosed(CallerTime + CloseMargin));
+  CHECK(Deployment.isOtherServed());
+  CHECK(Deployment.peakKilobytes() < RelayMemoryMegabytes * 1024L);
 }
 
 TEST_CASE("A target that pours into one event fails its stream") {
