Test what a caller gets if a begun stream goes on with an error

Report of another operator: the text of an error, or its head, stood in the middle of a stream. Thirteen answers of the next target, for streams that the caller began or continues: the caller gets whole events of its stream only, and a visible end or the rest from a third target.

--- a/packages/decision/tests/RelayBrokenAnswerTest.cpp
+++ b/packages/decision/tests/RelayBrokenAnswerTest.cpp
@@ -137,6 +137,77 @@
   CHECK(Fixture.all<AbortAnswer>().size() == 1);
 }
 
+namespace {
+
+/// What the target does to which a begun stream goes on.
+struct NextAnswer {
+  const char *Name;
+  std::uint16_t Status;
+  bool IsStream;
+  std::string Bytes;
+  Kind Outcome;
+};
+
+std::vector<NextAnswer> failingAnswers() {
+  const std::string Text = "{\"error\":\"internal\"}";
+  return {
+      {"an error with a body", 500, false, Text, Kind::Complete},
+      {"an error without a body", 500, false, "", Kind::Complete},
+      {"an error that is a stream", 500, true, "id: 2\ndata: b\n\n",
+       Kind::Complete},
+      {"an error that breaks off", 500, false, "{\"err", Kind::Broken},
+      {"an error that is too large", 502, false, std::string(300 * 1024, 'x'),
+       Kind::Complete},
+      {"a caller's error", 404, false, Text, Kind::Complete},
+      {"a success that is no stream", 200, false, Text, Kind::Complete},
+      {"a redirect", 302, false, "", Kind::Complete},
+      {"no content", 204, false, "", Kind::Complete},
+      {"a refusal that may have run", 503, false, Text, Kind::Complete},
+      {"a stream that breaks off in an event", 200, true,
+       "id: 2\ndata:", Kind::Broken},
+      {"a stream without events that breaks off", 200, true, "", Kind::Broken},
+      {"a head only", 500, false, "", Kind::Broken}};
+}
+
+} // namespace
+
+TEST_CASE("Broken answers: whatever the next target answers, a caller gets "
+          "only whole events of its stream, or sees that it broke off") {
+  const auto Cases = failingAnswers();
+  const std::size_t Number =
+      GENERATE(range(std::size_t{0}, failingAnswers().size()));
+  const bool IsContinuation = GENERATE(false, true);
+  const NextAnswer &Next = Cases[Number];
+  INFO(Next.Name << (IsContinuation ? ", continued by the caller" : ""));
+  BrokenAnswerFixture Fixture;
+  Fixture.streamRoute().MaxAttempts = 3;
+  Fixture.ask("/stream/x");
+  if (IsContinuation) {
+    Fixture.State.Calls.begin()->second.LastEventId = 7;
+    Fixture.State.Calls.begin()->second.InboundRequest.ResumedAttempt =
+        CallerAttemptId("before");
+  }
+  const std::string First = "id: 1\ndata: a\n\n";
+  Fixture.answer(200, true, First);
+  Fixture.end(Kind::Broken);
+  REQUIRE(Fixture.all<SendAttempt>().size() == 2);
+  Fixture.answer(Next.Status, Next.IsStream, Next.Bytes);
+  Fixture.end(Next.Outcome);
+  CHECK(Fixture.body() == First);
+  CHECK(Fixture.all<BeginAnswer>().size() == 1);
+  CHECK(Fixture.all<FinishAnswer>().empty());
+  CHECK(Fixture.all<RefuseCaller>().empty());
+  // The third target completes the stream, or nobody does.
+  if (Fixture.all<SendAttempt>().size() == 3) {
+    Fixture.answer(200, true, "id: 2\ndata: b\n\n");
+    Fixture.end(Kind::Complete);
+    CHECK(Fixture.body() == First + "id: 2\ndata: b\n\n");
+    CHECK(Fixture.all<FinishAnswer>().size() == 1);
+  } else {
+    CHECK(Fixture.all<AbortAnswer>().size() == 1);
+  }
+}
+
 void checkCompleteWith(const std::string &Rest) {
   BrokenAnswerFixture Fixture;
   const std::string Stream = "id: 1\ndata: a\n\n" + Rest;
