--- a/tests/integration/Shutdown.cpp
+++ b/tests/integration/Shutdown.cpp
@@ -64,6 +64,18 @@
   return Document.dump();
 }
 
+/// Sends a request whose caller waits for longer than the grace period.
+Response sendPatiently(const PlatformSite &Site, const std::string &Id) {
+  Request Call;
+  Call.Method = "POST";
+  Call.Url =
+      "http://127.0.0.1:" + std::to_string(Site.CallerPorts[0]) + "/once/x";
+  Call.Headers = {std::string("Host: ") + PlatformSite::Host,
+                  "Request-Id: " + Id};
+  Call.Body = "input";
+  return send(Call);
+}
+
 bool hasRun(PlatformSite &Site, const std::string &Id) {
   const auto HasId = [&Id](const auto &Run) { return Run.RequestId == Id; };
   const auto First = Site.FirstWorker.runs();
@@ -81,9 +93,8 @@
   std::this_thread::sleep_for(milliseconds(1500));
   for (WorkerStandin *Each : {&Site.FirstWorker, &Site.SecondWorker})
     Each->setDelay(RunTime);
-  auto Running = std::async(std::launch::async, [&] {
-    return Site.sendCall("/once/x", "running", "input", 0);
-  });
+  auto Running = std::async(std::launch::async,
+                            [&] { return sendPatiently(Site, "running"); });
   REQUIRE(waitFor([&] { return hasRun(Site, "running"); }));
   SlowCaller Late(Site.CallerPorts[0], "late");
   Site.Relays[0].signal(SIGTERM);
