Look for missing turns only while there are gaps

Every close and tick copied the members of the view and walked the chain a second time, also at a replica that lacks nothing, which is the usual case. Both return at once now if no gap is recorded; a missing turn always has an entry, made when the turn that continues it is added to the index.

In the tests, one predicate tells whether a process serves a replica, in place of five copies.

--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -222,6 +222,9 @@
 
 std::optional<TurnId> missingTurnOf(const LedgerState &State,
                                     const TurnId &Last) {
+  // Gaps are recorded when a turn is added to the index.
+  if (State.MissingTurns.empty())
+    return std::nullopt;
   std::optional<TurnId> Next = Last;
   while (Next) {
     const auto Found = State.Turns.find(*Next);
--- a/packages/decision/src/ledger/MissingTurns.cpp
+++ b/packages/decision/src/ledger/MissingTurns.cpp
@@ -95,6 +95,8 @@
 
 void requestMissingTurns(LedgerContext &Context) {
   LedgerState &State = Context.State;
+  if (State.MissingTurns.empty())
+    return;
   const bool IsMember =
       containsHolder(State.View.allMembers(), State.Self.Holder);
   if (!IsMember || isCopying(State))
--- a/packages/decision/tests/ConnectedReplicas.cpp
+++ b/packages/decision/tests/ConnectedReplicas.cpp
@@ -50,6 +50,11 @@
   return const_cast<ConnectedReplicas *>(this)->find(Host);
 }
 
+bool ConnectedReplicas::isRunning(const LedgerMember &Member) const {
+  const Node *At = this->find(Member.Host);
+  return At->State && At->Stored.Holder == Member.Holder;
+}
+
 void ConnectedReplicas::emptyDisk(Node &At) {
   At.Stored = Disk();
   At.Stored.Holder = HolderId("r" + std::to_string(this->NextHolder++));
@@ -338,9 +343,7 @@
 void ConnectedReplicas::sendCloses() {
   for (auto &[Operation, Pending] : this->Closes) {
     for (const LedgerMember &Each : this->RelayView.allMembers()) {
-      const Node *To = this->find(Each.Host);
-      if (To->State && To->Stored.Holder == Each.Holder &&
-          Pending.ConfirmedBy.count(Each.Holder) == 0)
+      if (this->isRunning(Each) && Pending.ConfirmedBy.count(Each.Holder) == 0)
         this->sendClose(Pending, Each.Host);
     }
   }
@@ -425,16 +428,13 @@
   Open.Previous = Message.Previous;
   Open.Retention = Retention;
   for (const LedgerMember &Each : this->RelayView.allMembers()) {
-    const Node *To = this->find(Each.Host);
-    if (!To->State || !(To->Stored.Holder == Each.Holder))
-      continue;
-    this->send(Relay, Each.Host, Open);
+    if (this->isRunning(Each))
+      this->send(Relay, Each.Host, Open);
   }
   Of.IsClosing = true;
   Close &Kept = this->Closes[Message.Operation] = std::move(Pending);
   for (const LedgerMember &Each : this->RelayView.allMembers()) {
-    const Node *To = this->find(Each.Host);
-    if (To->State && To->Stored.Holder == Each.Holder)
+    if (this->isRunning(Each))
       this->sendClose(Kept, Each.Host);
   }
 }
@@ -445,8 +445,8 @@
     return std::any_of(this->View.Current.begin(), this->View.Current.end(),
                        [&](const LedgerMember &Each) {
                          const Node *At = this->find(Each.Host);
-                         return Lost.count(Each.Host) == 0 && At->State &&
-                                At->Stored.Holder == Each.Holder &&
+                         return Lost.count(Each.Host) == 0 &&
+                                this->isRunning(Each) &&
                                 At->State->Turns.count(Turn) > 0;
                        });
   });
@@ -476,8 +476,7 @@
     return "the change to view " + std::to_string(this->View.Version.Value) +
            " is not complete";
   for (const LedgerMember &Each : this->View.Current) {
-    const Node *At = this->find(Each.Host);
-    if (!At->State || !(At->Stored.Holder == Each.Holder))
+    if (!this->isRunning(Each))
       return Each.Holder.Value + " on " + Each.Host.Value +
              " is lost and still a member";
   }
--- a/packages/decision/tests/ConnectedReplicas.h
+++ b/packages/decision/tests/ConnectedReplicas.h
@@ -96,6 +96,8 @@
 
   Node *find(const HostId &Host);
   const Node *find(const HostId &Host) const;
+  /// Returns whether a process serves this very replica.
+  bool isRunning(const LedgerMember &Member) const;
   void emptyDisk(Node &At);
   void readDisk(Node &At);
   void apply(Node &At, const LedgerEvent &Event);
