--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,99 +1,130 @@
-"""A worker is slow for some seconds while it runs a long turn. The turn before
-it expires meanwhile, and the conversation can't go on."""
+"""A turn's stream is taken up at another front machine after the first one was
+killed. The next turn must get all that the turn before has said."""
 
 import os
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common-2"))
 from standins import *
 
-RETENTION_S = 60.0
-CONTACT_TIMEOUT_S = 3.0
-SLOWNESS, SLOW_FOR_S = 5.0, 6.5
-# The second turn: 1,111 tokens, 27 ms a token.
-LONG_EVENTS, LONG_INTERVAL_S = 101, 0.295
-PAUSE_S = 58.5
-TRIES = 6
+PROGRAMS = 6
+EVENTS = 7
 
 
-def case(record, has_trouble):
-    site = Site(record, fronts=2, storages=3)
-    try:
-        site.store.put("op/config", configuration(1, [
-            route("turns", "/turn/", "streaming", keepsHistory=True,
-                  retentionS=RETENTION_S, timeoutMs=60000, sticky=True, gapAimMs=400)]))
-        workers = [Worker(site.store, "i-%d" % n, events=3) for n in range(1, 10)]
-        site.start_all()
-        time.sleep(1)
+class Program(threading.Thread):
+    """A client that runs two turns. It takes up a stream that breaks, with
+    Last-Event-Id and the id of the attempt that brought its first event."""
+
+    def __init__(self, site, number, front):
+        super().__init__()
+        self.site, self.number, self.front = site, number, front
+        self.events = []
+        self.has_begun = threading.Event()
+        self.may_go_on = threading.Event()
+        self.last = None
+        self.next_id = None
+        self.attempts = 0
 
-        def turn(name, front, program, previous, body):
-            answer = send(site.front_port[front], "POST", "/turn/x",
-                          turn_headers(name, program, previous=previous, most=1200,
-                                       time_remaining=60000, program_deadline=200000),
-                          body, timeout=70)
-            site.record("%s at %s: %s" % (name, front, answer))
-            return answer
+    def attempt(self, front, name, body, **more):
+        headers = turn_headers(name, "p%d" % self.number, **more)
+        begun = []
 
-        def runs_of(name):
-            return [run for worker in workers for run in worker.ran(name)]
+        def on_events(events):
+            begun[:] = events
+            if len(self.events) + len(events) >= 2:
+                self.has_begun.set()
 
-        if not turn("turn1", "front-1", "p", None, b"first;").is_whole:
-            raise CannotRun("the first turn failed")
-        first_end = time.monotonic()
-        time.sleep(PAUSE_S)
-        for worker in workers:
-            worker.events, worker.interval = LONG_EVENTS, LONG_INTERVAL_S
+        answer = send(self.site.front_port[front], "POST", "/turn/x", headers, body,
+                      on_events=on_events)
+        self.site.record("%s at %s: %s" % (name, front, answer))
+        return answer
 
-        import threading
+    def run(self):
+        body = b"question %d;" % self.number
+        end = time.monotonic() + 3.0
+        first = None
+        front = self.front
+        for attempt in range(6):
+            name = "turn%d.%d" % (self.number, attempt)
+            more = {}
+            if self.events:
+                more = {"Last_Event_Id": self.events[-1][0], "Resumes": first}
+            left = int((end - time.monotonic()) * 1000)
+            answer = self.attempt(front, name, body, time_remaining=max(left, 1), **more)
+            if answer.events and not first:
+                first = name
+            self.events += answer.events
+            if answer.is_whole and answer.status == 200:
+                self.last = name
+                break
+            front = self.site.fronts[-1]
+            time.sleep(0.1)
+        self.attempts = attempt + 1
+        self.may_go_on.wait()
+        if not self.last:
+            return
+        for attempt in range(3):
+            self.next_id = "next%d.%d" % (self.number, attempt)
+            answer = self.attempt(self.site.fronts[-1], self.next_id, b"and then?",
+                                  previous=self.last)
+            if answer.status == 200:
+                break
+            time.sleep(0.25)
 
-        def slow_down():
-            time.sleep(5)
-            for worker in workers:
-                if any(run["id"] == "turn2" for run in worker.runs):
-                    site.record("%s turns slow" % worker.id)
-                    worker.slowness = SLOWNESS
-                    time.sleep(SLOW_FOR_S)
-                    worker.slowness = 1.0
-                    site.record("%s is no longer slow" % worker.id)
 
+def case(record, has_trouble):
+    site = Site(record, fronts=6, storages=3)
+    programs = []
+    try:
+        site.store.put("op/config", configuration(1, [
+            route("turns", "/turn/", "streaming", keepsHistory=True, retentionS=60.0,
+                  resumable=True, sticky=True, gapAimMs=150)]))
+        workers = [Worker(site.store, "i-%d" % n, events=EVENTS, interval=0.12)
+                   for n in range(1, 10)]
+        site.start_all()
+        time.sleep(1)
+        programs = [Program(site, n, site.fronts[0]) for n in range(PROGRAMS)]
+        for each in programs:
+            each.start()
+        for each in programs:
+            each.has_begun.wait(3)
+        if has_trouble:
+            site.kill(site.fronts[0])
+        time.sleep(3.5)
         if has_trouble:
-            threading.Thread(target=slow_down, daemon=True).start()
-        site.record("turn2 is sent %.1f s after the end of turn1" %
-                    (time.monotonic() - first_end))
-        second = turn("turn2", "front-1", "p", "turn1", b"second;")
-        second_end = time.monotonic()
-        if not second.is_whole or second.status != 200:
-            raise CannotRun("the second turn failed: " + str(second))
-        site.record("turn2 was answered whole %.1f s after the end of turn1" %
-                    (second_end - first_end))
-        for worker in workers:
-            worker.events, worker.interval = 3, 0.05
-        time.sleep(CONTACT_TIMEOUT_S + 0.2)
+            site.start(site.fronts[0])
+        for each in programs:
+            each.may_go_on.set()
+        for each in programs:
+            each.join()
 
-        reached, lost, first_reached = 0, 0, 0
-        for attempt in range(TRIES):
-            front = site.fronts[attempt % 2]
-            name = "turn3.%d" % attempt
-            answer = turn(name, front, "p", "turn2", b"third")
-            reached += bool(runs_of(name))
-            lost += answer.status in (404, 410)
-            other = "other%d" % attempt
-            turn(other, front, "q%d" % attempt, None, b"hello")
-            first_reached += bool(runs_of(other))
-            if reached:
-                break
-            time.sleep(0.3)
-        tried = attempt + 1
-        age = time.monotonic() - second_end
-        print("the third turn reached a worker in %d of %d tries, %d times 404, %.1f s after "
-              "the second; first turns: %d of %d" % (reached, tried, lost, age,
-                                                     first_reached, tried))
-        if first_reached * 10 < tried * 9:
-            raise CannotRun("first turns did not reach a worker either")
-        return reached > 0 and lost == 0
+        wrong = checked = 0
+        for each in programs:
+            numbers = [number for number, _ in each.events]
+            site.record("turn%d took %d attempts; its client has the events %s" %
+                        (each.number, each.attempts, numbers))
+            runs = [run for worker in workers for run in worker.ran(each.next_id)]
+            if numbers != list(range(1, EVENTS + 1)) or not runs:
+                continue
+            checked += 1
+            due = "question %d;" % each.number
+            due += "".join(data + "\n" for _, data in each.events) + "and then?"
+            for run in runs:
+                is_right = run["body"] == due
+                site.record("%s ran with %r, due was %r: %s" % (
+                    each.next_id, run["body"], due, "right" if is_right else "WRONG"))
+                wrong += not is_right
+        print("%d of %d second turns ran with another body than the chain's" % (wrong, checked))
+        if checked == 0:
+            raise CannotRun("no second turn ran")
+        return wrong == 0
     finally:
+        for each in programs:
+            each.may_go_on.set()
+            each.join()
         site.close()
 
 
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -58,10 +58,20 @@
         return line.rstrip(b"\r").decode("latin-1")
 
     def exactly(self, count):
-        while len(self.buffer) < count:
-            self.fill()
-        piece, self.buffer = self.buffer[:count], self.buffer[count:]
-        return piece
+        if len(self.buffer) >= count:
+            piece, self.buffer = self.buffer[:count], self.buffer[count:]
+            return piece
+        whole = bytearray(count)
+        filled = len(self.buffer)
+        whole[:filled] = self.buffer
+        self.buffer = b""
+        view = memoryview(whole)
+        while filled < count:
+            received = self.sock.recv_into(view[filled:])
+            if not received:
+                raise EOFError
+            filled += received
+        return bytes(whole)
 
     def head(self):
         """Returns the first line and the headers, with names in lower case."""
@@ -535,9 +545,11 @@
         self.front_port = {n: free_port() for n in self.fronts}
         self.ready_port = {n: free_port() for n in self.fronts}
         self.peer_port = {n: free_port() for n in self.storages}
-        # Where other machines find a storage machine: its own port, unless a
-        # proxy of the test stands before it.
-        self.seen_port = dict(self.peer_port)
+
+    def add_storage(self, name):
+        """A storage machine that is added, at an address of its own."""
+        self.storages.append(name)
+        self.peer_port[name] = free_port()
 
     def record(self, text):
         with self.record_lock:
