--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -23,10 +24,23 @@
     """The case could not be set up; it says nothing about the rule."""
 
 
+TAKEN_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing
+    channels, so that none of these takes it before it is used."""
+    while True:
+        port = random.randrange(15000, 30000)
+        if port in TAKEN_PORTS:
+            continue
+        TAKEN_PORTS.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def wait_for(condition, limit=20.0, step=0.02):
