Resume a stream after its last event, also if that has no data

Callers saw an event twice, or a continued stream from its start, if a stream broke off inside a call and the only events of the call so far had no data, or no ids after the one that the caller had named.

Cause: an attempt was resumed after the last event only if the call had counted an event with data. Otherwise it went out with the caller's own Last-Event-Id, or without one; and a call that continued a stream did not know the id that its caller had named.

Both new cases of RelayBrokenAnswerTest failed before.

A call that has sent any event to its caller now resumes after the last one, and the last one of a continuation is at least the one that its caller named.

--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -57,6 +57,9 @@
   /// continues; empty if the caller does not name it. Absent if the request
   /// continues no stream.
   std::optional<CallerAttemptId> ResumedAttempt;
+  /// The last event that the caller has of that stream; absent if the request
+  /// names none or its id is no number.
+  std::optional<std::uint64_t> LastEventId;
   /// Tokens of the whole prompt.
   TokenCount PromptTokens;
   /// Maximum number of tokens in the answer.
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -549,6 +549,8 @@
   std::string BufferedBody;
   EventSplitter Splitter;
   std::uint32_t EventsSent = 0;
+  /// The last event that the caller has, also from an earlier attempt; 0 if it
+  /// has none.
   std::uint64_t LastEventId = 0;
   /// Where the stream began, once its first event was received or if the caller
   /// continues it. Only targets of the same version may go on with it.
--- a/packages/decision/src/relay/Admission.cpp
+++ b/packages/decision/src/relay/Admission.cpp
@@ -96,6 +96,7 @@
   Call.Arrived = Arrived;
   Call.Deadline = Arrived + std::min(Route->Timeout,
                                      Inbound.TimeLeft.value_or(Route->Timeout));
+  Call.LastEventId = Inbound.LastEventId.value_or(0);
   Call.InboundRequest = std::move(Inbound);
   RelayCall &Admitted = State.Calls[Request] = std::move(Call);
   recordRequestedPath(State, Admitted);
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -463,7 +463,7 @@
   Send.IsCredentialWithheld =
       Call.Team.has_value() || State.Configuration->needsKeys();
   Send.History = Call.Ledger.History;
-  if (Call.EventsSent > 0)
+  if (Call.IsAnswerStreamed)
     Send.ResumeAfter = Call.LastEventId;
   Send.SendBefore = sendDeadlineOf(State, Call);
   Context.logCall(
--- a/packages/decision/tests/RelayBrokenAnswerTest.cpp
+++ b/packages/decision/tests/RelayBrokenAnswerTest.cpp
@@ -75,6 +75,36 @@
   CHECK(Fixture.all<AbortAnswer>().size() == 1);
 }
 
+// Guards against events that the caller gets twice.
+TEST_CASE(
+    "Broken answers: a stream that breaks off after an event without data "
+    "is resumed after that event") {
+  BrokenAnswerFixture Fixture;
+  const std::string First = "id: 1\n\n";
+  Fixture.ask("/stream/x");
+  Fixture.answer(200, true, First);
+  Fixture.end(Kind::Broken);
+  REQUIRE(Fixture.all<SendAttempt>().size() == 2);
+  CHECK(Fixture.all<SendAttempt>().back().ResumeAfter == 1);
+}
+
+// Guards against streams that begin anew after a continuation breaks off.
+TEST_CASE("Broken answers: a continued stream without further ids is resumed "
+          "after the last event that its caller named") {
+  BrokenAnswerFixture Fixture;
+  CallerRequest Inbound;
+  Inbound.Id = CallerAttemptId("next");
+  Inbound.Method = "POST";
+  Inbound.Host = "shop.example";
+  Inbound.RequestTarget = "/stream/x";
+  Inbound.LastEventId = 7;
+  Fixture.apply(CallerRequestReceived{RequestId(9), Inbound});
+  Fixture.answer(200, true, "data: a\n\n");
+  Fixture.end(Kind::Broken);
+  REQUIRE(Fixture.all<SendAttempt>().size() == 2);
+  CHECK(Fixture.all<SendAttempt>().back().ResumeAfter == 7);
+}
+
 TEST_CASE("Broken answers: a stream that ends inside an event is resumed after "
           "its last whole event") {
   BrokenAnswerFixture Fixture;
