Store a continued turn with the output that its caller already has

Callers took up the stream of a turn at another relay and got all of its events, once.

Cause: a relay stored as a turn's output what its own call had forwarded. What earlier attempts had brought was known only to the relays of these attempts.

Ruled out: replicas that lose a part or join the history wrongly (the close itself lacked it); that only killed relays matter (the drawn test shows the same body where only the caller's connection broke).

Relays report the outputs of streams on routes that both keep history and may be resumed to the replicas, up to 50 times a second before their events go to the callers and otherwise with the next tick. A relay that continues such a stream asks for the output with OpenTurn and stores the turn whole. It refuses, as not run, what a read quorum does not know for certain. Other routes send nothing.

--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -225,7 +225,8 @@
     TurnClosed, LedgerRefused, ViewOffer, PullRecords, RecordsPage, TurnsQuery,
     TurnsFound, DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
     TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch,
-    TargetLoadReport, TargetLoadView, ProgramStartRequest, ProgramStartGrant>;
+    TargetLoadReport, TargetLoadView, ProgramStartRequest, ProgramStartGrant,
+    StreamOutputs, ContinuationFailed>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -78,6 +78,78 @@
   Milliseconds Retention{0};
 };
 
+/// The size that the output of a stream has at the end of an event.
+struct OutputMark {
+  std::uint64_t EventId = 0;
+  std::uint64_t Bytes = 0;
+
+  bool operator==(const OutputMark &Other) const {
+    return this->EventId == Other.EventId && this->Bytes == Other.Bytes;
+  }
+};
+
+/// Part of the output that the caller of a stream gets from one attempt. The
+/// output of an attempt that continues a stream begins with what the caller has
+/// from the attempts before.
+struct StreamOutput {
+  /// Hash of the attempt that began the stream.
+  Fingerprint Stream;
+  /// Identifies the turn that the stream answers, whichever attempt it has.
+  Fingerprint TurnKey;
+  /// Hash of the attempt that the caller gets the output from.
+  Fingerprint Attempt;
+  /// The last event that the caller had when it sent the attempt; 0 if it had
+  /// none.
+  std::uint64_t ContinuedAfter = 0;
+  /// Whether nothing of the attempt was reported before.
+  bool IsFirst = false;
+  /// Where Data is in the output, in bytes.
+  std::uint64_t Offset = 0;
+  std::string Data;
+  /// The ends of the events of this attempt within Data.
+  std::vector<OutputMark> Marks;
+  /// How long the caller may still continue the stream.
+  Milliseconds Retention{0};
+};
+
+/// Reports what callers get of streams that they may continue and whose turns
+/// are kept.
+struct StreamOutputs {
+  std::vector<StreamOutput> Rows;
+};
+
+/// Reports that an attempt to continue a stream has ended and its caller got
+/// nothing from it.
+struct ContinuationFailed {
+  /// See StreamOutput::TurnKey.
+  Fingerprint TurnKey;
+  Fingerprint Attempt;
+};
+
+/// Where a caller continues a stream whose turn is kept.
+struct StreamPosition {
+  /// The last event that the caller has.
+  std::uint64_t After = 0;
+  /// See StreamOutput::TurnKey.
+  Fingerprint TurnKey;
+};
+
+/// What a replica that has known a stream since its first event knows of the
+/// output at the position where a caller continues it.
+struct ResumedOutput {
+  Fingerprint Stream;
+  /// The last attempt that may have brought events before the position, and the
+  /// event that it went on after. Attempts at lower positions ended before.
+  Fingerprint Attempt;
+  std::uint64_t ContinuedAfter = 0;
+  /// Whether several attempts may have brought the last events before the
+  /// position.
+  bool IsAmbiguous = false;
+  /// The output up to the position; absent if the replica does not have all of
+  /// it.
+  std::optional<std::string> Output;
+};
+
 /// Opens a turn before it may run: requests a claim on its program's budget,
 /// the existing claims, and the history of the conversation.
 struct OpenTurn {
@@ -96,6 +168,8 @@
   /// The content of the stream that the caller continues, if the caller does
   /// not name the attempt.
   std::optional<Fingerprint> ResumedContent;
+  /// Where the caller continues that stream; absent unless the turn is kept.
+  std::optional<StreamPosition> ResumedAt;
 };
 
 /// Reply to OpenTurn, sent once the claim is durable.
@@ -121,6 +195,9 @@
   /// For how long the replica has kept the origins of all streams that were
   /// reported to it.
   Milliseconds StreamsKeptFor{0};
+  /// The output before ResumedAt; absent if the replica has not known the
+  /// stream since its first event.
+  std::optional<ResumedOutput> Resumed;
 };
 
 /// Ends a turn: settles its claim, and stores the turn if its answer is
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -11,6 +11,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace tanagerlanding {
 
@@ -86,6 +88,12 @@
   /// Number of streams whose origin is kept. A stream above it can't be
   /// continued by its caller.
   std::size_t StartedStreamLimit = 100000;
+  /// Size of the kept outputs of streams that callers may continue. A stream
+  /// above it can't be continued by its caller.
+  std::size_t StreamOutputBytesLimit = std::size_t{16} * 1024 * 1024;
+  /// How long the output of a stream is kept after its end, which its caller
+  /// may have missed.
+  Milliseconds EndedOutputRetention{3000};
   /// How long the clock of a relay is kept after its last heartbeat.
   Milliseconds RelayClockRetention{5000};
   /// Relays get no vouch for a time that is less than this after the last one,
@@ -156,6 +164,27 @@
   Instant ExpiresAt;
 };
 
+/// What the caller of a stream gets from one attempt, as far as it is known.
+struct AttemptOutput {
+  /// The last event that the caller had before the attempt.
+  std::uint64_t ContinuedAfter = 0;
+  /// The stream's output, with that of the attempts before.
+  std::string Data;
+  /// The ends of this attempt's events in Data.
+  std::vector<OutputMark> Marks;
+};
+
+/// The output of a stream that its caller may continue and whose turn is kept.
+/// It was reported here from its first event on, so each attempt to continue it
+/// that was opened here since is known.
+struct KnownStreamOutput {
+  Fingerprint TurnKey;
+  Instant ExpiresAt;
+  /// Whether reports about one attempt have differed.
+  bool IsContradictory = false;
+  std::map<Fingerprint, AttemptOutput> Attempts;
+};
+
 /// A team's quota, absent if it has none, and the version of the configuration
 /// that states it.
 struct TeamQuota {
@@ -363,6 +392,12 @@
   /// the process, or the last time that one exceeded the limit or was reported
   /// without its content.
   std::optional<Instant> StreamsCompleteSince;
+  /// Outputs by the hash of the attempt that began the stream. Like the
+  /// origins, they are not stored on disk.
+  std::map<Fingerprint, KnownStreamOutput> StreamOutputs;
+  /// Their keys by TurnKey.
+  std::set<std::pair<Fingerprint, Fingerprint>> StreamsByTurnKey;
+  std::size_t StreamOutputBytes = 0;
   std::map<std::uint64_t, StoredBatch> StoredBatches;
   std::map<std::uint64_t, std::uint32_t> BatchesInSegment;
   std::uint64_t NextBatch = 1;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -186,6 +186,10 @@
   /// Number of streams of this relay whose origins are reported again to
   /// replicas that connect.
   std::size_t ReportedStreamLimit = 5000;
+  /// Reports of outputs per second, and at once, that are sent without waiting
+  /// for the next tick.
+  RequestRate ImmediateOutputReports{50};
+  double OutputReportBurst = 25;
   /// How long a permit is valid from the time when it was asked for, and how
   /// long a replica may take to grant it.
   Milliseconds PermitLifetime{1500};
@@ -452,6 +456,10 @@
   std::set<HolderId> RefusedBy;
   /// Those that have kept the origins of all streams for long enough.
   std::set<HolderId> AnsweredWithAllStreams;
+  /// Those that have known the stream since its first event, and what they
+  /// know of its output.
+  std::set<HolderId> AnsweredWithOutput;
+  std::optional<ResumedOutput> Resumed;
   /// Whether the replicas' answers suffice, but the key-value service has to
   /// confirm what this relay knows of it.
   bool IsAwaitingDirectory = false;
@@ -557,6 +565,11 @@
   std::optional<StreamOrigin> Origin;
   /// Data of the events, stored as the turn's output in the history.
   std::string Output;
+  /// The ends of this call's events in Output, if the caller may continue the
+  /// stream, and how much of both the replicas were sent.
+  std::vector<OutputMark> OutputMarks;
+  std::size_t ReportedBytes = 0;
+  std::size_t ReportedMarks = 0;
   /// Whether the answer's head has been sent to the caller, and whether events
   /// follow it.
   bool HasBegunAnswer = false;
@@ -698,6 +711,10 @@
   std::map<RouteName, Instant> ServicesChangedAt;
   /// Streams that callers may continue, by the attempts that began them here.
   std::map<CallerAttemptId, ReportedStream> ReportedStreams;
+  /// Calls with output that the replicas were not sent, and the reports that
+  /// may be sent before the next tick.
+  std::set<RequestId> UnreportedOutputs;
+  PermitBucket OutputReports;
   /// Times to first byte from which hedge delays are taken, and the hedges that
   /// the share allows by now. Both are empty while hedging is off.
   std::map<FirstByteSamples::Key, FirstByteSamples> FirstByteTimes;
--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -2,6 +2,7 @@
 
 #include "MissingTurns.h"
 #include "StartedStreams.h"
+#include "StreamOutputs.h"
 
 #include <algorithm>
 
@@ -196,6 +197,7 @@
   State.SweptAt = State.Now;
   expireEvidence(State.Suspects, State.Now);
   expireStartedStreams(State);
+  expireStreamOutputs(State);
   for (auto Turn = State.Turns.begin(); Turn != State.Turns.end();) {
     if (State.Now < Turn->second.ExpiresAt) {
       ++Turn;
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -9,6 +9,7 @@
 #include "QuotaIssuing.h"
 #include "StartDecisions.h"
 #include "StartedStreams.h"
+#include "StreamOutputs.h"
 #include "SuspectReplication.h"
 #include "TargetLoadGathering.h"
 
@@ -29,6 +30,7 @@
   Reply.Claims = claimsOf(State, Request.Program);
   Reply.ResumedOrigin = originOf(State, Request);
   Reply.StreamsKeptFor = streamsKeptFor(State);
+  Reply.Resumed = resumedOutputOf(State, Request);
   if (Request.Previous) {
     const auto Previous = State.Turns.find(*Request.Previous);
     Reply.HasPrevious = Previous != State.Turns.end();
@@ -86,6 +88,7 @@
   void operator()(const OpenTurn &Request) {
     if (this->refuseForView(Request.View, Request.Operation))
       return;
+    recordContinuation(this->Context.State, Request);
     if (!Request.Claimed) {
       sendOpened(this->Context, this->Peer, Request);
       return;
@@ -105,16 +108,24 @@
       Records.push_back(TokenClaimRecord{
           Request.Program,
           TokenClaim{fingerprintOf(Request.Turn), *Request.Used, true}});
-    if (Request.IsKept)
+    if (Request.IsKept) {
       Records.push_back(TurnRecord{Request.Turn, Request.Previous,
                                    Request.Input, Request.Output,
                                    Request.Target});
+      endStreamOutput(this->Context.State, Request.Turn);
+    }
     this->persist(Request, Request.View, Request.Retention, std::move(Records));
   }
 
   void operator()(const StreamStarted &Started) {
     recordStartedStream(this->Context, Started);
   }
+  void operator()(const StreamOutputs &Reported) {
+    recordStreamOutputs(this->Context, Reported);
+  }
+  void operator()(const ContinuationFailed &Failed) {
+    forgetContinuation(this->Context.State, Failed);
+  }
   void operator()(const Heartbeat &Beat) {
     recordRelayClock(this->Context, this->Peer, Beat);
   }
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -8,6 +8,7 @@
 #include "Hedging.h"
 #include "LimitObservations.h"
 #include "LoadCurve.h"
+#include "OutputReports.h"
 #include "QuotaPermits.h"
 #include "Refusals.h"
 #include "RequestPermits.h"
@@ -109,6 +110,8 @@
   releaseAttempt(Context, Call);
   Context.State.PendingOpens.erase(Call.Ledger.OpenRequest.Operation);
   releaseQuotaClaim(Context.State, Call);
+  reportOutput(Context, Call);
+  reportFailedContinuation(Context, Call);
   const RequestId Request = Call.Request;
   Context.State.QueuedCalls.erase(Request);
   Context.State.Calls.erase(Request);
@@ -118,6 +121,8 @@
 void abortCall(RelayContext &Context, RelayCall &Call, const char *Cause) {
   cancelAttempt(Context, Call);
   closeTurn(Context, Call, false);
+  // The caller may continue the stream as soon as its answer ends.
+  reportOutput(Context, Call);
   Context.logCall("answer_broken_off", Call,
                   {{"cause", Cause},
                    {"target", Call.Target.Value},
@@ -152,6 +157,7 @@
     Call.HasBegunAnswer = true;
     Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
   }
+  reportOutput(Context, Call);
   const auto Operation = closeTurn(Context, Call, Call.Route.KeepsHistory);
   // A caller that sees the end of its answer may continue from the turn, so
   // the end is held back until the turn is durable. Settling a claim need not
@@ -300,6 +306,7 @@
                      {"version", Call.Origin->Version.Value}});
     Context.add(BeginAnswer{Call.Request, *Call.Head, std::nullopt});
   }
+  reportOutputsIfDue(Context);
   Context.add(ContinueAnswer{Call.Request, std::move(Events)});
 }
 
@@ -310,11 +317,10 @@
     Whole += Each.Bytes;
     if (Each.Id)
       Call.LastEventId = *Each.Id;
-    if (!Each.HasData)
-      continue;
-    ++Call.EventsSent;
+    if (Each.HasData)
+      ++Call.EventsSent;
     if (Call.Route.KeepsHistory)
-      Call.Output += Each.Data + '\n';
+      appendOutput(Context.State, Call, Each);
   }
   if (!Whole.empty())
     sendEvents(Context, Call, std::move(Whole));
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -8,6 +8,7 @@
 #include "Directory.h"
 #include "Hedging.h"
 #include "LimitObservations.h"
+#include "OutputReports.h"
 #include "Placement.h"
 #include "ProgramStarts.h"
 #include "QuotaPermits.h"
@@ -54,6 +55,7 @@
     }
     if (this->State.Options.MaxUnwatchedTime < Stalled)
       this->State.VersionsUnwatchedAt = Event.Now;
+    reportOutputs(this->Context);
     refuseExpiredCalls(this->Context);
     handleFirstByteTimeouts(this->Context);
     sendDueHedges(this->Context);
--- a/packages/decision/src/relay/StreamOrigins.cpp
+++ b/packages/decision/src/relay/StreamOrigins.cpp
@@ -36,14 +36,6 @@
   return Started;
 }
 
-/// Returns how long the caller of a call that begins a stream may continue it.
-Milliseconds retentionOf(const RelayState &State, const RelayCall &Call) {
-  const Milliseconds Unstated =
-      std::max(Call.Route.Timeout, State.Options.MaxCallerTime);
-  return Call.InboundRequest.TimeLeft.value_or(Unstated) +
-         State.Options.StreamOriginMargin;
-}
-
 /// Tells the replicas the origin of a stream, and keeps it to tell replicas
 /// that connect later.
 void reportOrigin(RelayContext &Context, const RelayCall &Call) {
@@ -54,7 +46,7 @@
                         *Call.Origin,
                         Call.SentTo.run(),
                         State.Now,
-                        State.Now + retentionOf(State, Call)};
+                        State.Now + streamRetentionOf(State, Call)};
   const auto Found = State.ReportedStreams.find(Attempt);
   if (Found != State.ReportedStreams.end()) {
     Stream.ExpiresAt = std::max(Stream.ExpiresAt, Found->second.ExpiresAt);
@@ -162,6 +154,13 @@
          State.Options.StreamOriginMargin;
 }
 
+Milliseconds streamRetentionOf(const RelayState &State, const RelayCall &Call) {
+  const Milliseconds Unstated =
+      std::max(Call.Route.Timeout, State.Options.MaxCallerTime);
+  return Call.InboundRequest.TimeLeft.value_or(Unstated) +
+         State.Options.StreamOriginMargin;
+}
+
 std::optional<StreamOrigin> soleOriginOf(const RelayState &State,
                                          const RelayCall &Call) {
   const Milliseconds Window = streamLifetimeOf(State, Call);
--- a/packages/decision/src/relay/StreamOrigins.h
+++ b/packages/decision/src/relay/StreamOrigins.h
@@ -25,6 +25,10 @@
 /// stream. It counts from the first attempt of the caller.
 Milliseconds streamLifetimeOf(const RelayState &State, const RelayCall &Call);
 
+/// Returns how long after its arrival the caller of a call may continue its
+/// stream.
+Milliseconds streamRetentionOf(const RelayState &State, const RelayCall &Call);
+
 /// Returns the origin of a stream that no replica knows: it is certain only if
 /// the route has had one service, and all targets of the service one version,
 /// for as long as a stream may last, and this relay has watched them meanwhile.
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -4,6 +4,7 @@
 #include "ConfigurationProof.h"
 #include "CrashDetection.h"
 #include "LimitObservations.h"
+#include "OutputReports.h"
 #include "ProgramStarts.h"
 #include "RequestPermits.h"
 #include "StreamOrigins.h"
@@ -60,6 +61,8 @@
   Ledger.AnsweredBy.clear();
   Ledger.RefusedBy.clear();
   Ledger.AnsweredWithAllStreams.clear();
+  Ledger.AnsweredWithOutput.clear();
+  Ledger.Resumed.reset();
   Ledger.IsAwaitingDirectory = false;
   OpenTurn &Open = Ledger.OpenRequest = OpenTurn();
   Open.Operation = LedgerOperationId(State.NextOperation++);
@@ -72,6 +75,7 @@
   Open.ResumedAttempt = resumedAttemptOf(Call);
   if (isUnnamedContinuation(Call))
     Open.ResumedContent = Call.Content;
+  Open.ResumedAt = positionOf(Call);
   if (IsFirst && hasBudget(Call)) {
     Open.Claimed = Call.InboundRequest.MaxTokens;
     Ledger.HasClaim = true;
@@ -216,6 +220,15 @@
   return Waiting;
 }
 
+/// Returns what is known of the earlier output of a stream, for logs.
+const char *earlierOutputText(const TurnLedger &Ledger) {
+  if (!Ledger.Resumed)
+    return "unknown";
+  if (Ledger.Resumed->IsAmbiguous)
+    return "ambiguous";
+  return Ledger.Resumed->Output ? "known" : "incomplete";
+}
+
 void refuseUnknownStream(RelayContext &Context, RelayCall &Call) {
   const TurnLedger &Ledger = Call.Ledger;
   const bool IsAmbiguous = Call.Origin && Call.Origin->Version.Value.empty();
@@ -224,6 +237,8 @@
       {{"begun_by", Call.InboundRequest.ResumedAttempt->Value},
        {"answered", std::to_string(Ledger.AnsweredBy.size())},
        {"complete", std::to_string(Ledger.AnsweredWithAllStreams.size())},
+       {"after", std::to_string(Call.InboundRequest.LastEventId.value_or(0))},
+       {"output", earlierOutputText(Ledger)},
        {"ambiguous", IsAmbiguous ? "yes" : "no"},
        {"directory",
         Ledger.IsAwaitingDirectory ? "unconfirmed" : "confirmed"}});
@@ -271,6 +286,22 @@
   return false;
 }
 
+/// Determines what the caller already has of the output of a turn that is kept.
+/// Returns whether the call may go on; it may have been refused, or it has to
+/// wait for further answers.
+bool settleEarlierOutput(RelayContext &Context, RelayCall &Call) {
+  if (!needsEarlierOutput(Call))
+    return true;
+  const bool HasPosition = positionOf(Call).has_value();
+  if (HasPosition && isEarlierOutputKnown(Context.State, Call)) {
+    adoptEarlierOutput(Call);
+    return true;
+  }
+  if (!HasPosition || !areAnswersPending(Context.State, Call))
+    refuseUnknownStream(Context, Call);
+  return false;
+}
+
 /// Dispatches, confirms or refuses a turn once a quorum has answered, or
 /// refuses it if a quorum can no longer be reached.
 void evaluateOpen(RelayContext &Context, RelayCall &Call) {
@@ -289,7 +320,7 @@
     refuseCall(Context, Call, RelayRefusalReason::UnknownTurn);
     return;
   }
-  if (!settleOrigin(Context, Call))
+  if (!settleOrigin(Context, Call) || !settleEarlierOutput(Context, Call))
     return;
   if (hasBudget(Call)) {
     const TokenCount Budget = *Call.InboundRequest.Program->Budget;
@@ -349,6 +380,8 @@
     mergeResumedOrigin(State, Call, *Reply.ResumedOrigin);
   if (streamLifetimeOf(State, Call) <= Reply.StreamsKeptFor)
     Ledger.AnsweredWithAllStreams.insert(Holder);
+  if (Reply.Resumed)
+    mergeResumedOutput(Ledger, Holder, *Reply.Resumed);
   mergeHistory(Call, Reply);
   Ledger.AnsweredBy.insert(Holder);
   if (!WasCollecting) {
@@ -520,6 +553,7 @@
   resendClosesTo(Context, Holder);
   sendEvidenceTo(Context, Holder);
   sendReportedStreamsTo(Context, Holder);
+  repeatOutputsTo(Context, Holder);
   exchangeLimits(Context, Holder);
 }
 
--- a/packages/decision/tests/ConnectedReplicas.cpp
+++ b/packages/decision/tests/ConnectedReplicas.cpp
@@ -243,6 +243,8 @@
   Queue.pop_front();
   if (Between.second == Relay)
     this->receiveAtRelay(Between.first, Body);
+  else if (!To)
+    this->ReceiveAtRelay(Between.second, Between.first, Body);
   else if (const auto *Greeting = std::get_if<Hello>(&Body))
     this->apply(*To, ReplicaHelloReceived{Greeting->Host, *Greeting->Holder});
   else
@@ -266,6 +268,42 @@
   return Found;
 }
 
+std::string ConnectedReplicas::historyOf(const Node &At,
+                                         const SendHistory &Asked) const {
+  std::string History;
+  for (const auto &[Turn, Place] : Asked.Turns) {
+    const LedgerBatch Batch = this->read(At, {Place}).front();
+    for (const LedgerRecord &Each : Batch.Records) {
+      const auto *Kept = std::get_if<TurnRecord>(&Each);
+      if (Kept && Kept->Turn == Turn)
+        History += Kept->Input + Kept->Output;
+    }
+  }
+  return History;
+}
+
+void ConnectedReplicas::setRelayReceiver(RelayReceiver Receiver) {
+  this->ReceiveAtRelay = std::move(Receiver);
+}
+
+void ConnectedReplicas::sendFromRelay(const HostId &From, const HostId &To,
+                                      Message Body) {
+  const Node *At = this->find(To);
+  if (At && At->State)
+    this->send(From, To, std::move(Body));
+}
+
+void ConnectedReplicas::disconnectRelay(const HostId &From, const HostId &Host,
+                                        bool IsRelayLost) {
+  this->Links[Link(Host, From)].clear();
+  std::deque<Message> &Sent = this->Links[Link(From, Host)];
+  Sent.resize(IsRelayLost ? this->draw(Sent.size() + 1) : 0);
+}
+
+bool ConnectedReplicas::isReachable(const LedgerMember &Member) const {
+  return this->isRunning(Member) && !this->find(Member.Host)->IsFrozen;
+}
+
 void ConnectedReplicas::perform(Node &At, const LedgerEffect &Effect) {
   if (const auto *Persist = std::get_if<PersistLedgerBatch>(&Effect)) {
     At.Unpersisted.push_back(*Persist);
@@ -273,8 +311,12 @@
     At.Stored.View = Persisted->View;
   } else if (const auto *Sent = std::get_if<SendHost>(&Effect)) {
     const Node *To = this->find(Sent->Host);
-    if (Sent->Host == Relay || (To && To->State))
+    if (!To || To->State)
       this->send(At.Host, Sent->Host, Sent->Body);
+  } else if (const auto *Asked = std::get_if<SendHistory>(&Effect)) {
+    TurnOpened Reply = Asked->Reply;
+    Reply.History = this->historyOf(At, *Asked);
+    this->send(At.Host, Asked->Peer, std::move(Reply));
   } else if (const auto *Page = std::get_if<SendRecords>(&Effect)) {
     RecordsPage Body = Page->Header;
     Body.Batches = this->read(At, Page->Batches);
--- a/packages/decision/tests/ConnectedReplicas.h
+++ b/packages/decision/tests/ConnectedReplicas.h
@@ -7,6 +7,7 @@
 #include "tanagerlanding/decision.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -25,6 +26,10 @@
   /// How long turns are kept; short, so that runs see them expire.
   static constexpr Milliseconds Retention{10000};
 
+  /// Receives a message that a replica of a host has sent to a relay.
+  using RelayReceiver = std::function<void(
+      const HostId &Relay, const HostId &From, const Message &)>;
+
   /// Starts HostCount replicas.
   ConnectedReplicas(std::uint64_t Seed, unsigned HostCount);
 
@@ -48,6 +53,20 @@
   /// answered longer ago than Retention.
   void runTurn(unsigned Chain);
 
+  /// Passes messages to further relays on; these connect by themselves.
+  void setRelayReceiver(RelayReceiver Receiver);
+  /// Sends a message of such a relay. It is lost if the process ends before.
+  void sendFromRelay(const HostId &Relay, const HostId &To, Message Body);
+  /// Drops what such a relay and a host have in flight. The last messages of
+  /// the relay may still arrive if IsRelayLost is set.
+  void disconnectRelay(const HostId &Relay, const HostId &Host,
+                       bool IsRelayLost);
+  /// Returns whether a process serves this very replica, and whether it is not
+  /// frozen either.
+  bool isRunning(const LedgerMember &Member) const;
+  bool isReachable(const LedgerMember &Member) const;
+  const LedgerView &view() const { return this->View; }
+
   /// Returns the chains whose last answered turn must be kept and that can't be
   /// read whole without the given hosts.
   std::vector<std::string> unreadableChains(const std::set<HostId> &Lost) const;
@@ -96,8 +115,6 @@
 
   Node *find(const HostId &Host);
   const Node *find(const HostId &Host) const;
-  /// Returns whether a process serves this very replica.
-  bool isRunning(const LedgerMember &Member) const;
   void emptyDisk(Node &At);
   void readDisk(Node &At);
   void apply(Node &At, const LedgerEvent &Event);
@@ -109,6 +126,7 @@
   void receiveAtRelay(const HostId &From, const Message &Body);
   void persistNext(Node &At);
   void carryOutCall(Node &At, const LedgerEffect &Call);
+  std::string historyOf(const Node &At, const SendHistory &Asked) const;
   std::vector<LedgerBatch> read(const Node &At,
                                 const std::vector<BatchLocation> &Places) const;
   void sendClose(Close &Pending, const HostId &To);
@@ -120,6 +138,7 @@
                   const std::set<HostId> &Lost) const;
 
   std::mt19937_64 Random;
+  RelayReceiver ReceiveAtRelay;
   Instant Now;
   std::vector<Node> Nodes;
   std::map<Link, std::deque<Message>> Links;
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -110,6 +110,58 @@
   return StreamOrigin{ServiceName(Row.service), SoftwareVersion(Row.version)};
 }
 
+wire::StreamOutputRowT toRow(const StreamOutput &Output) {
+  wire::StreamOutputRowT Row;
+  Row.stream = Output.Stream.Value;
+  Row.turn_key = Output.TurnKey.Value;
+  Row.attempt = Output.Attempt.Value;
+  Row.continued_after = Output.ContinuedAfter;
+  Row.is_first = Output.IsFirst;
+  Row.offset = Output.Offset;
+  Row.data = Output.Data;
+  for (const OutputMark &Each : Output.Marks)
+    Row.marks.emplace_back(Each.EventId, Each.Bytes);
+  Row.retention_ms = Output.Retention.count();
+  return Row;
+}
+
+StreamOutput fromRow(const wire::StreamOutputRowT &Row) {
+  StreamOutput Output;
+  Output.Stream = Fingerprint(Row.stream);
+  Output.TurnKey = Fingerprint(Row.turn_key);
+  Output.Attempt = Fingerprint(Row.attempt);
+  Output.ContinuedAfter = Row.continued_after;
+  Output.IsFirst = Row.is_first;
+  Output.Offset = Row.offset;
+  Output.Data = Row.data;
+  for (const wire::OutputMarkRow &Each : Row.marks)
+    Output.Marks.push_back(OutputMark{Each.event_id(), Each.bytes()});
+  Output.Retention = Milliseconds(Row.retention_ms);
+  return Output;
+}
+
+wire::ResumedOutputRowT toRow(const ResumedOutput &Resumed) {
+  wire::ResumedOutputRowT Row;
+  Row.stream = Resumed.Stream.Value;
+  Row.attempt = Resumed.Attempt.Value;
+  Row.continued_after = Resumed.ContinuedAfter;
+  Row.ambiguous = Resumed.IsAmbiguous;
+  Row.has_output = Resumed.Output.has_value();
+  Row.output = Resumed.Output.value_or(std::string());
+  return Row;
+}
+
+ResumedOutput fromRow(const wire::ResumedOutputRowT &Row) {
+  ResumedOutput Resumed;
+  Resumed.Stream = Fingerprint(Row.stream);
+  Resumed.Attempt = Fingerprint(Row.attempt);
+  Resumed.ContinuedAfter = Row.continued_after;
+  Resumed.IsAmbiguous = Row.ambiguous;
+  if (Row.has_output)
+    Resumed.Output = Row.output;
+  return Resumed;
+}
+
 /// Visitor that fills a row from a ledger record.
 struct RecordEncoder {
   void operator()(const TurnRecord &Kept) const {
@@ -188,6 +240,32 @@
   return Body;
 }
 
+wire::StreamOutputsT toTable(const StreamOutputs &Body) {
+  wire::StreamOutputsT Table;
+  for (const StreamOutput &Each : Body.Rows)
+    Table.rows.push_back(std::make_unique<wire::StreamOutputRowT>(toRow(Each)));
+  return Table;
+}
+
+StreamOutputs fromTable(const wire::StreamOutputsT &Table) {
+  StreamOutputs Body;
+  for (const auto &Row : Table.rows)
+    Body.Rows.push_back(fromRow(*Row));
+  return Body;
+}
+
+wire::ContinuationFailedT toTable(const ContinuationFailed &Body) {
+  wire::ContinuationFailedT Table;
+  Table.turn_key = Body.TurnKey.Value;
+  Table.attempt = Body.Attempt.Value;
+  return Table;
+}
+
+ContinuationFailed fromTable(const wire::ContinuationFailedT &Table) {
+  return ContinuationFailed{Fingerprint(Table.turn_key),
+                            Fingerprint(Table.attempt)};
+}
+
 wire::OpenTurnT toTable(const OpenTurn &Body) {
   wire::OpenTurnT Table;
   Table.operation = Body.Operation.Value;
@@ -204,6 +282,10 @@
   Table.resumed = turnText(Body.ResumedAttempt);
   Table.has_resumed_content = Body.ResumedContent.has_value();
   Table.resumed_content = Body.ResumedContent.value_or(Fingerprint()).Value;
+  const StreamPosition Position = Body.ResumedAt.value_or(StreamPosition());
+  Table.has_position = Body.ResumedAt.has_value();
+  Table.after_event = Position.After;
+  Table.turn_key = Position.TurnKey.Value;
   return Table;
 }
 
@@ -221,6 +303,9 @@
   Body.ResumedAttempt = makeOptionalTurn(Table.has_resumed, Table.resumed);
   if (Table.has_resumed_content)
     Body.ResumedContent = Fingerprint(Table.resumed_content);
+  if (Table.has_position)
+    Body.ResumedAt =
+        StreamPosition{Table.after_event, Fingerprint(Table.turn_key)};
   return Body;
 }
 
@@ -241,6 +326,9 @@
   if (Body.ResumedOrigin)
     Table.resumed_origin = toRow(*Body.ResumedOrigin);
   Table.streams_kept_ms = Body.StreamsKeptFor.count();
+  if (Body.Resumed)
+    Table.resumed =
+        std::make_unique<wire::ResumedOutputRowT>(toRow(*Body.Resumed));
   return Table;
 }
 
@@ -259,6 +347,8 @@
   if (Table.resumed_origin)
     Body.ResumedOrigin = fromRow(*Table.resumed_origin);
   Body.StreamsKeptFor = Milliseconds(Table.streams_kept_ms);
+  if (Table.resumed)
+    Body.Resumed = fromRow(*Table.resumed);
   return Body;
 }
 
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -555,6 +555,10 @@
     return fromTable(*Body.AsProgramStartRequest());
   case wire::Body::ProgramStartGrant:
     return fromTable(*Body.AsProgramStartGrant());
+  case wire::Body::StreamOutputs:
+    return fromTable(*Body.AsStreamOutputs());
+  case wire::Body::ContinuationFailed:
+    return fromTable(*Body.AsContinuationFailed());
   }
   return std::nullopt;
 }
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -84,6 +84,8 @@
   Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
   Reply.ResumedOrigin = StreamOrigin{ServiceName("s"), SoftwareVersion("v1")};
   Reply.StreamsKeptFor = Milliseconds(6);
+  Reply.Resumed =
+      ResumedOutput{Fingerprint(7), Fingerprint(8), 3, true, "output"};
   return Reply;
 }
 
@@ -138,7 +140,8 @@
       sampleBatch(),
       OpenTurn{LedgerOperationId(1), ViewVersion(2), TurnId("t"),
                ProgramId("p"), TokenCount{5}, TurnId("before"), true,
-               Milliseconds(9), CallerAttemptId("resumed"), Fingerprint(5)},
+               Milliseconds(9), CallerAttemptId("resumed"), Fingerprint(5),
+               StreamPosition{3, Fingerprint(6)}},
       sampleOpened(),
       CloseTurn{LedgerOperationId(1), ViewVersion(2), ProgramId("p"),
                 TokenCount{4}, TurnId("t"), true, TurnId("before"), "in", "out",
@@ -177,7 +180,17 @@
                           0.75,
                           6},
       ProgramStartGrant{ServiceName("app"), Instant{Milliseconds(9)}, 2, 7,
-                        Milliseconds(30)}};
+                        Milliseconds(30)},
+      StreamOutputs{{StreamOutput{Fingerprint(7),
+                                  Fingerprint(6),
+                                  Fingerprint(8),
+                                  3,
+                                  true,
+                                  11,
+                                  "output",
+                                  {OutputMark{4, 17}},
+                                  Milliseconds(9)}}},
+      ContinuationFailed{Fingerprint(6), Fingerprint(8)}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
