Take a response for an answer only once its head is whole

A cut head from the key-value service could end a lease (404) or a history (410).

Cause: libcurl reports success if the connection is closed within a head that has stated no length so far, and HttpClient passed that on.

HttpClient now notes the empty line that ends a head, which libcurl passes to the header callback, and counts a response without it as broken. The client of the integration tests has the same check.

--- a/packages/engine/include/tanagerlanding/engine/HttpClient.h
+++ b/packages/engine/include/tanagerlanding/engine/HttpClient.h
@@ -49,6 +49,7 @@
   };
 
   Kind Ended = Kind::Broken;
+  /// 0 if the head of the response was not received whole.
   std::uint16_t Status = 0;
   std::string ContentType;
   /// Empty if the body was passed to a PieceCallback.
@@ -94,6 +95,8 @@
   /// onConnected().
   void rememberSocket(void *Easy);
   static int onClose(void *Owner, int Socket);
+  static std::size_t onHeadLine(char *Bytes, std::size_t Size,
+                                std::size_t Count, void *Owner);
   static std::size_t onBody(char *Bytes, std::size_t Size, std::size_t Count,
                             void *Owner);
 
--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace tanagerlanding {
@@ -20,6 +21,8 @@
 constexpr int KeepAliveProbes = 2;
 constexpr unsigned UserTimeoutMillis = 2500;
 
+constexpr std::string_view StatusLineStart = "HTTP/";
+
 /// Sets the socket options that libcurl does not offer.
 int prepareSocket(void *, curl_socket_t Socket, curlsocktype) {
   setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes,
@@ -35,11 +38,13 @@
   return recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
-/// Returns the outcome of a transfer with this result code.
-HttpOutcome::Kind outcomeKindFor(CURLcode Code) {
+/// Returns the outcome of a transfer with this result code. libcurl reports a
+/// response whose head was cut off as complete, without a body.
+HttpOutcome::Kind outcomeKindFor(CURLcode Code, bool HasWholeHead) {
   switch (Code) {
   case CURLE_OK:
-    return HttpOutcome::Kind::Answered;
+    return HasWholeHead ? HttpOutcome::Kind::Answered
+                        : HttpOutcome::Kind::Broken;
   case CURLE_COULDNT_CONNECT:
   case CURLE_COULDNT_RESOLVE_HOST:
   case CURLE_URL_MALFORMAT:
@@ -66,6 +71,8 @@
   DoneCallback OnDone;
   std::string Body;
   curl_slist *Headers = nullptr;
+  /// Whether the empty line that ends the last head has been received.
+  bool HasWholeHead = false;
   /// Whether a kept connection had unread bytes before the request was sent.
   bool HasStrayBytes = false;
   bool IsCancelled = false;
@@ -176,6 +183,8 @@
     NewTransfer->Headers =
         curl_slist_append(NewTransfer->Headers, Header.c_str());
   curl_easy_setopt(Easy, CURLOPT_HTTPHEADER, NewTransfer->Headers);
+  curl_easy_setopt(Easy, CURLOPT_HEADERFUNCTION, &HttpClient::onHeadLine);
+  curl_easy_setopt(Easy, CURLOPT_HEADERDATA, NewTransfer.get());
   curl_easy_setopt(Easy, CURLOPT_WRITEFUNCTION, &HttpClient::onBody);
   curl_easy_setopt(Easy, CURLOPT_WRITEDATA, NewTransfer.get());
   this->Running[Easy] = std::move(NewTransfer);
@@ -224,14 +233,16 @@
 
   this->rememberSocket(Easy);
   HttpOutcome Outcome;
-  Outcome.Ended = outcomeKindFor(static_cast<CURLcode>(Code));
+  Outcome.Ended =
+      outcomeKindFor(static_cast<CURLcode>(Code), Done->HasWholeHead);
   // A time-out before the connection was established means nothing was sent.
   curl_off_t ConnectMicros = 0;
   curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &ConnectMicros);
   if (Code == CURLE_OPERATION_TIMEDOUT && ConnectMicros == 0)
     Outcome.Ended = HttpOutcome::Kind::NeverSent;
   long Status = 0;
-  curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
+  if (Done->HasWholeHead)
+    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
   Outcome.Status = static_cast<std::uint16_t>(Status);
   const char *ContentType = nullptr;
   curl_easy_getinfo(Easy, CURLINFO_CONTENT_TYPE, &ContentType);
@@ -279,6 +290,19 @@
   return close(Socket);
 }
 
+std::size_t HttpClient::onHeadLine(char *Bytes, std::size_t Size,
+                                   std::size_t Count, void *Owner) {
+  const std::string_view Line(Bytes, Size * Count);
+  auto *Each = static_cast<Transfer *>(Owner);
+  // Interim responses have heads of their own. Lines of a trailer follow the
+  // body and are no status lines.
+  if (Line.substr(0, StatusLineStart.size()) == StatusLineStart)
+    Each->HasWholeHead = false;
+  else if (Line == "\r\n" || Line == "\n")
+    Each->HasWholeHead = true;
+  return Size * Count;
+}
+
 std::size_t HttpClient::onBody(char *Bytes, std::size_t Size, std::size_t Count,
                                void *Owner) {
   auto *Each = static_cast<Transfer *>(Owner);
--- a/packages/engine/tests/HttpClientTest.cpp
+++ b/packages/engine/tests/HttpClientTest.cpp
@@ -35,16 +35,20 @@
                        [this](const HttpOutcome &Ended) { Outcome = Ended; });
   }
 
-  /// Reads a request and answers it with Body and the bytes of Behind.
-  static void answer(tcp::socket &Peer, const std::string &Body,
-                     const std::string &Behind = {}) {
+  /// Reads a request and answers it with Bytes.
+  static void answerWith(tcp::socket &Peer, const std::string &Bytes) {
     std::string Head;
     boost::asio::read_until(Peer, boost::asio::dynamic_buffer(Head),
                             "\r\n\r\n");
-    const std::string Answer =
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
-        "\r\n\r\n" + Body + Behind;
-    boost::asio::write(Peer, boost::asio::buffer(Answer));
+    boost::asio::write(Peer, boost::asio::buffer(Bytes));
+  }
+
+  /// Reads a request and answers it with Body and the bytes of Behind.
+  static void answer(tcp::socket &Peer, const std::string &Body,
+                     const std::string &Behind = {}) {
+    answerWith(Peer, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(Body.size()) + "\r\n\r\n" + Body +
+                         Behind);
   }
 
   /// Waits for the end of the request; returns its status and body.
@@ -105,3 +109,68 @@
   HttpFixture::answer(Next, "two");
   CHECK(Fixture.await() == "200 two");
 }
+
+// Guards against answers that are empty and look whole.
+TEST_CASE("HttpClient: a response that is cut off anywhere is no answer") {
+  const auto Whole = GENERATE(
+      as<std::string>(),
+      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+      "HTTP/1.1 404 Not Found\r\nContent-Length: 2\r\nX-Long: 1\r\n\r\nok",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: 1\r\n"
+      "Content-Length: 2\r\n\r\nok");
+  const bool IsKept = GENERATE(false, true);
+  // libcurl repeats a request whose kept connection is reset.
+  const bool IsReset = !IsKept && GENERATE(false, true);
+  CAPTURE(Whole, IsReset, IsKept);
+  const std::size_t Step = IsKept ? 9 : 1;
+  // Without the very last byte, the body is whole nevertheless.
+  for (std::size_t Length = 1; Length + 1 < Whole.size(); Length += Step) {
+    HttpFixture Fixture;
+    Fixture.start("/1");
+    tcp::socket Peer = Fixture.Acceptor.accept();
+    if (IsKept) {
+      HttpFixture::answer(Peer, "one");
+      REQUIRE(Fixture.await() == "200 one");
+      Fixture.start("/2");
+    }
+    HttpFixture::answerWith(Peer, Whole.substr(0, Length));
+    if (IsReset)
+      Peer.set_option(boost::asio::socket_base::linger(true, 0));
+    Peer.close();
+    Fixture.await();
+    CAPTURE(Whole.substr(0, Length));
+    CHECK(Fixture.Outcome->Ended == HttpOutcome::Kind::Broken);
+  }
+}
+
+TEST_CASE(
+    "HttpClient: a response without a length is whole once its connection "
+    "is closed behind the head") {
+  HttpFixture Fixture;
+  Fixture.start("/1");
+  tcp::socket Peer = Fixture.Acceptor.accept();
+  const std::string Head = "HTTP/1.1 200 OK\r\nX: 1\r\n";
+  SECTION("with the empty line") {
+    HttpFixture::answerWith(Peer, Head + "\r\n");
+    Peer.close();
+    CHECK(Fixture.await() == "200 ");
+    CHECK(Fixture.Outcome->Ended == HttpOutcome::Kind::Answered);
+  }
+  SECTION("without it") {
+    HttpFixture::answerWith(Peer, Head);
+    Peer.close();
+    CHECK(Fixture.await() == "0 ");
+    CHECK(Fixture.Outcome->Ended == HttpOutcome::Kind::Broken);
+  }
+}
+
+TEST_CASE("HttpClient: a chunked response with a trailer is an answer") {
+  HttpFixture Fixture;
+  Fixture.start("/1");
+  tcp::socket Peer = Fixture.Acceptor.accept();
+  HttpFixture::answerWith(Peer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                                "\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n");
+  CHECK(Fixture.await() == "200 ok");
+  CHECK(Fixture.Outcome->Ended == HttpOutcome::Kind::Answered);
+}
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -159,6 +159,35 @@
   CHECK(Fixture.Ends[0] == Kind::Broken);
 }
 
+// Guards against answers that are empty and look whole.
+TEST_CASE("Targets: a response whose head is cut off anywhere is no answer") {
+  const auto Head =
+      GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nId: 2\r\nX: 1\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+               "HTTP/1.1 503 No\r\nNot-Run: 1\r\nId: 2\r\nX: 1\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 2\r\n\r\n",
+               // A late response to another request comes first.
+               "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 2\r\n\r\nok"
+               "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n");
+  const bool IsReset = GENERATE(false, true);
+  CAPTURE(Head, IsReset);
+  for (std::size_t Length = 1; Length < Head.size(); ++Length) {
+    TargetFixture Fixture;
+    RawPeer &First = Fixture.send("1");
+    First.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(Fixture.awaitEnds(1));
+    RawPeer &Target = Fixture.send("2");
+    Target.send(Head.substr(0, Length));
+    if (IsReset)
+      Target.Socket.set_option(boost::asio::socket_base::linger(true, 0));
+    Target.Socket.close();
+    REQUIRE(Fixture.awaitEnds(2));
+    CAPTURE(Head.substr(0, Length));
+    CHECK(Fixture.Ends[1] == Kind::Broken);
+    CHECK(Fixture.Statuses.size() == 1);
+  }
+}
+
 TEST_CASE("Targets: a response without a length ends with its connection") {
   TargetFixture Fixture;
   RawPeer &Target = Fixture.send("1");
--- a/tests/harness/Client.cpp
+++ b/tests/harness/Client.cpp
@@ -17,6 +17,8 @@
 struct TransferState {
   Response Result;
   std::size_t DisconnectAfterBytes = 0;
+  /// Whether the empty line that ends the last head has been received.
+  bool HasWholeHead = false;
 };
 
 std::size_t onBody(char *Bytes, std::size_t Size, std::size_t Count,
@@ -32,12 +34,16 @@
 std::size_t onHeader(char *Bytes, std::size_t Size, std::size_t Count,
                      void *Owner) {
   const std::string Line(Bytes, Size * Count);
+  auto *State = static_cast<TransferState *>(Owner);
+  if (Line.rfind("HTTP/", 0) == 0)
+    State->HasWholeHead = false;
+  else if (Line == "\r\n" || Line == "\n")
+    State->HasWholeHead = true;
   const std::size_t Colon = Line.find(": ");
   if (Colon != std::string::npos) {
     std::string Value = Line.substr(Colon + 2);
     Value.erase(Value.find_last_not_of("\r\n") + 1);
-    static_cast<TransferState *>(Owner)->Result.Headers[Line.substr(0, Colon)] =
-        Value;
+    State->Result.Headers[Line.substr(0, Colon)] = Value;
   }
   return Size * Count;
 }
@@ -126,7 +132,8 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, &State);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, onHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, &State);
-  if (curl_easy_perform(Handle) == CURLE_OK) {
+  // libcurl reports a response whose head was cut off as complete.
+  if (curl_easy_perform(Handle) == CURLE_OK && State.HasWholeHead) {
     long Status = 0;
     curl_easy_getinfo(Handle, CURLINFO_RESPONSE_CODE, &Status);
     State.Result.Status = static_cast<int>(Status);
