--- a/packages/decision/tests/ConnectedRelays.cpp
+++ b/packages/decision/tests/ConnectedRelays.cpp
@@ -125,6 +125,10 @@
         this->apply(Number, DirectoryConfirmed{this->Now});
     }
     for (int Times = 0; Times < 40; ++Times) {
+      if (Times == 20) {
+        for (const auto &Each : std::exchange(this->Pending, {}))
+          Each();
+      }
       this->makeProgress(
           static_cast<unsigned>(this->draw(this->Relays.size())));
       this->proceedRun();
@@ -135,6 +139,10 @@
   }
 }
 
+void ConnectedRelays::doWithinStep(std::function<void()> Action) {
+  this->Pending.push_back(std::move(Action));
+}
+
 void ConnectedRelays::connectReplicas(unsigned Number) {
   Relay &At = this->Relays[Number];
   const LedgerView View = this->Replicas.view();
--- a/packages/decision/tests/ConnectedRelays.h
+++ b/packages/decision/tests/ConnectedRelays.h
@@ -8,6 +8,7 @@
 #include "RelayFixture.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,6 +27,8 @@
                   unsigned CallerCount);
 
   void advance(Milliseconds Span);
+  /// Does something in the middle of the next step, while much is under way.
+  void doWithinStep(std::function<void()> Action);
   /// Kills a relay's process. What it has sent may still arrive.
   void killRelay(unsigned Relay);
   void startRelay(unsigned Relay);
@@ -125,6 +128,7 @@
   std::vector<Caller> Callers;
   std::map<std::pair<unsigned, RequestId>, Attempt> Attempts;
   std::deque<Run> Runs;
+  std::vector<std::function<void()>> Pending;
   Instant Now{Milliseconds(100000)};
   std::uint64_t NextRequest = 1;
   std::uint64_t NextRun = 1;
