--- a/tests/harness/FaultProxy.cpp
+++ b/tests/harness/FaultProxy.cpp
@@ -118,18 +118,32 @@
       this->close(Each);
       return;
     }
+    const bool IsCut = !IsRequest && this->isCutDue(*Each);
+    if (IsCut)
+      Count = this->bytesBeforeCut(*Each, Count);
     tcp::socket &To = IsRequest ? Each->UpstreamSocket : Each->ClientSocket;
     auto &Buffer = IsRequest ? Each->RequestBuffer : Each->ResponseBuffer;
     boost::asio::async_write(
         To, boost::asio::buffer(Buffer.data(), Count),
-        [this, Each, IsRequest](const auto &Error, std::size_t) {
-          if (Error)
+        [this, Each, IsRequest, IsCut](const auto &Error, std::size_t) {
+          if (Error || IsCut)
             this->close(Each);
           else
             this->readNext(Each, IsRequest);
         });
   }
 
+  bool isCutDue(const Connection &Each) const {
+    const std::uint64_t Limit = this->Owner.CutAfterBytes;
+    return Limit > 0 && Each.ResponseBytes >= Limit;
+  }
+
+  /// Returns how many of the last Count bytes of a response are forwarded.
+  std::size_t bytesBeforeCut(const Connection &Each, std::size_t Count) const {
+    const std::uint64_t Excess = Each.ResponseBytes - this->Owner.CutAfterBytes;
+    return Excess < Count ? Count - static_cast<std::size_t>(Excess) : 0;
+  }
+
   bool isCloseDue(Connection &Each, std::size_t Count) {
     Each.ResponseBytes += Count;
     const std::uint64_t Limit = this->Owner.CloseAfterBytes;
@@ -174,6 +188,10 @@
 
 void FaultProxy::closeConnections() { this->ActiveWorker->closeConnections(); }
 
+void FaultProxy::setCutAfterResponseBytes(std::uint64_t Bytes) {
+  this->CutAfterBytes = Bytes;
+}
+
 void FaultProxy::setCloseAfterResponseBytes(std::uint64_t Bytes) {
   this->CloseAfterBytes = Bytes;
 }
--- a/tests/harness/FaultProxy.h
+++ b/tests/harness/FaultProxy.h
@@ -34,6 +34,9 @@
   /// Closes each connection once its upstream has sent this many bytes;
   /// 0 means never.
   void setCloseAfterResponseBytes(std::uint64_t Bytes);
+  /// Forwards only this many bytes of the responses on each connection and
+  /// closes it; 0 means all.
+  void setCutAfterResponseBytes(std::uint64_t Bytes);
 
 private:
   class Worker;
@@ -43,6 +46,7 @@
   std::atomic<bool> IsStalling{false};
   std::atomic<bool> IsDiscardingResponses{false};
   std::atomic<std::uint64_t> CloseAfterBytes{0};
+  std::atomic<std::uint64_t> CutAfterBytes{0};
   std::unique_ptr<Worker> ActiveWorker;
 };
 
