Refuse to continue a kept turn's stream that its caller does not name

A turn that its caller had begun anew could be stored with the output of its first stream. Its caller continued the second stream without naming the attempt that began it; the replicas that answered knew only the first one.

The new case of RelayOutputTest failed without the check.

Only an attempt that is named tells the two streams apart, as the first event of a stream is sent to its caller before a quorum is known to have it. Such a continuation is refused as not run. On other routes nothing changes.

--- a/packages/decision/src/ledger/StreamOutputs.cpp
+++ b/packages/decision/src/ledger/StreamOutputs.cpp
@@ -42,18 +42,18 @@
   return Found;
 }
 
-/// Returns the known streams that a caller may mean: the one whose first
-/// attempt it names, or all that answer the same turn.
-std::vector<Fingerprint> resumedStreamsOf(const LedgerState &State,
-                                          const OpenTurn &Request) {
-  std::vector<Fingerprint> Streams =
-      streamsOf(State, Request.ResumedAt->TurnKey);
-  if (!Request.ResumedAttempt)
-    return Streams;
+/// Returns the stream whose first attempt a caller names, if it is known and
+/// answers the same turn.
+std::optional<Fingerprint> resumedStreamOf(const LedgerState &State,
+                                           const OpenTurn &Request) {
+  if (!Request.ResumedAt || !Request.ResumedAttempt)
+    return std::nullopt;
   const Fingerprint Named = fingerprintOf(*Request.ResumedAttempt);
-  const bool IsKnown =
-      std::find(Streams.begin(), Streams.end(), Named) != Streams.end();
-  return IsKnown ? std::vector<Fingerprint>{Named} : std::vector<Fingerprint>();
+  const auto Found = State.StreamOutputs.find(Named);
+  if (Found == State.StreamOutputs.end() ||
+      !(Found->second.TurnKey == Request.ResumedAt->TurnKey))
+    return std::nullopt;
+  return Named;
 }
 
 /// Returns the stream that a report is about. Only the first report of the
@@ -166,16 +166,15 @@
 }
 
 void recordContinuation(LedgerState &State, const OpenTurn &Request) {
-  if (!Request.ResumedAt)
+  const auto Key = resumedStreamOf(State, Request);
+  if (!Key)
     return;
-  for (const Fingerprint Each : resumedStreamsOf(State, Request)) {
-    KnownStreamOutput &Stream = State.StreamOutputs.at(Each);
-    const std::uint64_t After = Request.ResumedAt->After;
-    const auto Attempt = Stream.Attempts.emplace(fingerprintOf(Request.Turn),
-                                                 AttemptOutput{After, {}, {}});
-    if (Attempt.first->second.ContinuedAfter != After)
-      Stream.IsContradictory = true;
-  }
+  KnownStreamOutput &Stream = State.StreamOutputs.at(*Key);
+  const std::uint64_t After = Request.ResumedAt->After;
+  const auto Attempt = Stream.Attempts.emplace(fingerprintOf(Request.Turn),
+                                               AttemptOutput{After, {}, {}});
+  if (Attempt.first->second.ContinuedAfter != After)
+    Stream.IsContradictory = true;
 }
 
 void forgetContinuation(LedgerState &State, const ContinuationFailed &Failed) {
@@ -187,16 +186,13 @@
 
 std::optional<ResumedOutput> resumedOutputOf(const LedgerState &State,
                                              const OpenTurn &Request) {
-  if (!Request.ResumedAt)
-    return std::nullopt;
-  const std::vector<Fingerprint> Streams = resumedStreamsOf(State, Request);
-  if (Streams.empty())
+  const auto Key = resumedStreamOf(State, Request);
+  if (!Key)
     return std::nullopt;
   ResumedOutput Found =
-      outputBefore(State.StreamOutputs.at(Streams.front()),
-                   Request.ResumedAt->After, fingerprintOf(Request.Turn));
-  Found.Stream = Streams.front();
-  Found.IsAmbiguous = Found.IsAmbiguous || Streams.size() > 1;
+      outputBefore(State.StreamOutputs.at(*Key), Request.ResumedAt->After,
+                   fingerprintOf(Request.Turn));
+  Found.Stream = *Key;
   return Found;
 }
 
--- a/packages/decision/src/relay/OutputReports.cpp
+++ b/packages/decision/src/relay/OutputReports.cpp
@@ -73,7 +73,7 @@
 
 std::optional<StreamPosition> positionOf(const RelayCall &Call) {
   const auto &LastEvent = Call.InboundRequest.LastEventId;
-  if (!needsEarlierOutput(Call) || !LastEvent)
+  if (!needsEarlierOutput(Call) || isUnnamedContinuation(Call) || !LastEvent)
     return std::nullopt;
   return StreamPosition{*LastEvent, turnKeyOf(Call)};
 }
--- a/packages/decision/src/relay/OutputReports.h
+++ b/packages/decision/src/relay/OutputReports.h
@@ -15,7 +15,8 @@
 bool needsEarlierOutput(const RelayCall &Call);
 
 /// Returns where the caller of such a call continues its stream; absent if it
-/// names no event.
+/// does not name the event, or not the attempt that began the stream: a turn
+/// that was begun anew has two streams, and the replicas may know only one.
 std::optional<StreamPosition> positionOf(const RelayCall &Call);
 
 /// Merges what a replica knows of the earlier output.
--- a/packages/decision/tests/RelayOutputRandomTest.cpp
+++ b/packages/decision/tests/RelayOutputRandomTest.cpp
@@ -110,7 +110,7 @@
   }
   for (const std::string &Each : Deployment.Faults)
     FAIL_CHECK(Each);
-  // Unnamed streams are refused for a while after each restart of replicas.
+  // Streams that are not named are refused.
   if (!IsNaming)
     return;
   Totals::add(Sum.Begun, Deployment.Begun);
--- a/packages/decision/tests/RelayOutputTest.cpp
+++ b/packages/decision/tests/RelayOutputTest.cpp
@@ -166,6 +166,19 @@
   CHECK(Fixture.refusalReason() == RelayRefusalReason::UnknownStream);
 }
 
+// Guards against the output of another stream of a turn that was begun anew.
+TEST_CASE("Relay: a stream of a kept turn is not continued unless its caller "
+          "names the attempt that began it") {
+  OutputFixture Fixture;
+  Fixture.send("second", CallerAttemptId(), 2);
+  CHECK_FALSE(Fixture.sentToReplicas<OpenTurn>().back().ResumedAt);
+  Fixture.answerOutput("a", "one\ntwo\n");
+  Fixture.answerOutput("b", "one\ntwo\n");
+  Fixture.answerOutput("c", "one\ntwo\n");
+  CHECK(Fixture.all<SendAttempt>().empty());
+  CHECK(Fixture.refusalReason() == RelayRefusalReason::UnknownStream);
+}
+
 TEST_CASE("Relay: events of a stream that may be continued are reported before "
           "the caller gets them") {
   OutputFixture Fixture;
