Take the request of an answer from its queue in the simulation of relays

ConnectedRelays::receive() found the request of an effect with a visitor over its type, although the answers are queued by request. It now gets that key. The two sizeOf() of the replicas' outputs were the same code for a kept and a reported output; they are one.

--- a/packages/decision/src/ledger/StreamOutputs.cpp
+++ b/packages/decision/src/ledger/StreamOutputs.cpp
@@ -8,12 +8,9 @@
 
 using StreamEntry = std::map<Fingerprint, KnownStreamOutput>::iterator;
 
-std::size_t sizeOf(const AttemptOutput &Output) {
-  return Output.Data.size() + Output.Marks.size() * sizeof(OutputMark);
-}
-
-std::size_t sizeOf(const StreamOutput &Row) {
-  return Row.Data.size() + Row.Marks.size() * sizeof(OutputMark);
+/// Returns the size of a kept or a reported output.
+template <typename Output> std::size_t sizeOf(const Output &Part) {
+  return Part.Data.size() + Part.Marks.size() * sizeof(OutputMark);
 }
 
 void dropAttempt(LedgerState &State, KnownStreamOutput &Stream,
--- a/packages/decision/tests/ConnectedRelays.cpp
+++ b/packages/decision/tests/ConnectedRelays.cpp
@@ -1,7 +1,6 @@
 #include "ConnectedRelays.h"
 
 #include <algorithm>
-#include <type_traits>
 #include <utility>
 
 namespace tanagerlanding::test {
@@ -240,11 +239,12 @@
       return;
     auto Each = At.Answers.begin();
     std::advance(Each, this->draw(At.Answers.size()));
+    const RequestId Request = Each->first;
     const RelayEffect Effect = std::move(Each->second.front());
     Each->second.pop_front();
     if (Each->second.empty())
       At.Answers.erase(Each);
-    this->receive(Number, Effect);
+    this->receive(Number, Request, Effect);
   } else if (!At.Process || At.IsFrozen) {
     return;
   } else if (Kind == 2 && !At.Inbox.empty()) {
@@ -339,18 +339,8 @@
   this->apply(At, CallerRequestReceived{Request, Inbound});
 }
 
-void ConnectedRelays::receive(unsigned Number, const RelayEffect &Effect) {
-  const auto RequestOf = [](const auto &Each) -> RequestId {
-    if constexpr (std::is_same_v<std::decay_t<decltype(Each)>, RefuseCaller> ||
-                  std::is_same_v<std::decay_t<decltype(Each)>,
-                                 ContinueAnswer> ||
-                  std::is_same_v<std::decay_t<decltype(Each)>, FinishAnswer> ||
-                  std::is_same_v<std::decay_t<decltype(Each)>, AbortAnswer>)
-      return Each.Request;
-    else
-      return RequestId();
-  };
-  const RequestId Request = std::visit(RequestOf, Effect);
+void ConnectedRelays::receive(unsigned Number, RequestId Request,
+                              const RelayEffect &Effect) {
   const auto Found = this->Attempts.find({Number, Request});
   if (Found == this->Attempts.end())
     return;
--- a/packages/decision/tests/ConnectedRelays.h
+++ b/packages/decision/tests/ConnectedRelays.h
@@ -116,7 +116,7 @@
   void proceedRun();
   void sendNext(unsigned Number);
   CallerRequest makeRequest(const Caller &From) const;
-  void receive(unsigned Number, const RelayEffect &Effect);
+  void receive(unsigned Number, RequestId Request, const RelayEffect &Effect);
   void countSuccess(Attempt &Of);
   void receiveEvents(Caller &To, const std::string &Bytes);
   void completeTurn(Caller &To);
