--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -34,7 +34,7 @@
           {"faultTolerance", {{"machines", 1}}},
           {"bounds",
            {{"graceS", 8},
-            {"strictRevocation", Site.IsRevocationStrict},
+            {"strictRevocation", Site.Options.IsRevocationStrict},
             {"revokeMs", 5000}}},
           {"platform", {{"address", loopback(Site.Store.port())}}}};
 }
@@ -61,13 +61,27 @@
   return Route;
 }
 
+PlatformSiteOptions optionsFor(std::size_t RelayCount, bool IsRevocationStrict,
+                               unsigned RelayMemoryMegabytes) {
+  PlatformSiteOptions Options;
+  Options.RelayCount = RelayCount;
+  Options.IsRevocationStrict = IsRevocationStrict;
+  Options.RelayMemoryMegabytes = RelayMemoryMegabytes;
+  Options.AreBuffersLimited = RelayMemoryMegabytes > 0;
+  return Options;
+}
+
 } // namespace
 
 PlatformSite::PlatformSite(std::size_t RelayCount, bool IsRevocationStrict,
                            unsigned RelayMemoryMegabytes)
-    : IsRevocationStrict(IsRevocationStrict),
-      RelayMemoryMegabytes(RelayMemoryMegabytes), Folder(newFolderPath()),
-      FirstWorker("i-1"), SecondWorker("i-2"), Relays(RelayCount) {
+    : PlatformSite(
+          optionsFor(RelayCount, IsRevocationStrict, RelayMemoryMegabytes)) {}
+
+PlatformSite::PlatformSite(const PlatformSiteOptions &Options)
+    : Options(Options), Folder(newFolderPath()), FirstWorker("i-1"),
+      SecondWorker("i-2"), Relays(Options.RelayCount) {
+  const std::size_t RelayCount = Options.RelayCount;
   fs::remove_all(this->Folder);
   fs::create_directories(this->Folder);
   for (std::size_t Number = 0; Number < RelayCount; ++Number) {
@@ -76,7 +90,7 @@
   }
   for (std::uint16_t &Port : this->PeerPorts)
     Port = freePort();
-  this->Store.put("op/config", configuration(1));
+  this->Store.put("op/config", configuration(1, Options));
   this->Store.put("servers/i-1", this->FirstWorker.registration("app"));
   this->Store.put("servers/i-2", this->SecondWorker.registration("app"));
   for (std::size_t Number = 0; Number < ReplicaCount; ++Number)
@@ -99,7 +113,9 @@
     fs::remove_all(this->Folder);
 }
 
-std::string PlatformSite::configuration(int Version) {
+std::string PlatformSite::configuration(int Version,
+                                        const PlatformSiteOptions &Options) {
+  const ClientLimits &Limits = Options.Limits;
   const Json Document = {
       {"version", Version},
       {"routes",
@@ -108,13 +124,13 @@
         resumableRoute("/stream-again/", 4)}},
       {"services",
        {{{"name", "app"},
-         {"connectionLimit", 64},
+         {"connectionLimit", Options.ConnectionLimit},
          {"engine", {{"tokensPerEvent", TokensPerEvent}}}}}},
       {"limits",
-       {{"headerBytes", 16384},
-        {"bodyBytes", 1000000},
-        {"headerTimeoutMs", 3000},
-        {"idleTimeoutMs", 15000}}}};
+       {{"headerBytes", Limits.HeaderBytes},
+        {"bodyBytes", Limits.BodyBytes},
+        {"headerTimeoutMs", Limits.HeaderTimeoutMillis},
+        {"idleTimeoutMs", Limits.IdleTimeoutMillis}}}};
   return Document.dump();
 }
 
@@ -135,8 +151,10 @@
   Json Boot = bootSettings(*this, Name);
   Boot["listenAddresses"] = {{"front", loopback(this->CallerPorts[Number])},
                              {"ready", loopback(this->StatusPorts[Number])}};
-  if (this->RelayMemoryMegabytes > 0)
-    Boot["limits"] = {{"memoryMb", this->RelayMemoryMegabytes}};
+  if (this->Options.RelayMemoryMegabytes > 0)
+    Boot["limits"]["memoryMb"] = this->Options.RelayMemoryMegabytes;
+  if (this->Options.RelayDescriptors > 0)
+    Boot["limits"]["fileDescriptors"] = this->Options.RelayDescriptors;
   this->Relays[Number] = this->start(Name, "relay", Boot.dump());
 }
 
@@ -147,7 +165,7 @@
   std::ofstream(File) << Settings;
   ::setenv("TANAGERLANDING_BOOT", File.c_str(), 1);
   std::vector<std::string> Arguments = {Role};
-  if (Role == "relay" && this->RelayMemoryMegabytes > 0)
+  if (Role == "relay" && this->Options.AreBuffersLimited)
     Arguments.push_back("--limit-buffers");
   return ChildProcess("tanagerlandingd", Arguments,
                       (this->Folder / (Name + ".log")).string());
--- a/tests/harness/PlatformSite.h
+++ b/tests/harness/PlatformSite.h
@@ -25,6 +25,29 @@
   int Budget = 10000;
 };
 
+/// What clients may send, as the operators' configuration states it.
+struct ClientLimits {
+  std::size_t HeaderBytes = 16384;
+  std::size_t BodyBytes = 1000000;
+  unsigned HeaderTimeoutMillis = 3000;
+  unsigned IdleTimeoutMillis = 15000;
+};
+
+/// Size and settings of a PlatformSite.
+struct PlatformSiteOptions {
+  std::size_t RelayCount = 1;
+  /// Whether relays accept keys only with a proof of their configuration.
+  bool IsRevocationStrict = false;
+  /// Memory and descriptors that the relays' settings state, unless 0.
+  unsigned RelayMemoryMegabytes = 0;
+  unsigned RelayDescriptors = 0;
+  /// Whether the relays are started with --limit-buffers.
+  bool AreBuffersLimited = false;
+  ClientLimits Limits;
+  /// Connections that a target accepts.
+  unsigned ConnectionLimit = 64;
+};
+
 /// Runs relays, three ledger replicas, a store and two workers. The folder of
 /// settings, logs and records is deleted on destruction, unless the environment
 /// variable TANAGERLANDING_KEEP_FOLDERS is set.
@@ -38,7 +61,8 @@
 
   /// Starts all processes and waits until the relays are ready. Throws
   /// std::runtime_error if a relay does not become ready.
-  /// RelayMemoryMegabytes is stated in the relays' settings, unless it is 0.
+  explicit PlatformSite(const PlatformSiteOptions &Options);
+  /// With RelayMemoryMegabytes, the relays' buffers are limited too.
   explicit PlatformSite(std::size_t RelayCount = 1,
                         bool IsRevocationStrict = false,
                         unsigned RelayMemoryMegabytes = 0);
@@ -47,7 +71,8 @@
   PlatformSite &operator=(const PlatformSite &) = delete;
 
   /// Returns the operators' configuration with a version number, as JSON.
-  static std::string configuration(int Version);
+  static std::string configuration(int Version,
+                                   const PlatformSiteOptions &Options = {});
 
   void startLedger(std::size_t Number);
   void startRelay(std::size_t Number);
@@ -71,9 +96,7 @@
                                const std::string &Previous,
                                const std::string &Input);
 
-  /// Whether relays accept keys only with a proof of their configuration.
-  const bool IsRevocationStrict;
-  const unsigned RelayMemoryMegabytes;
+  const PlatformSiteOptions Options;
   const std::filesystem::path Folder;
   StoreStandin Store;
   WorkerStandin FirstWorker;
--- a/tests/harness/Processes.cpp
+++ b/tests/harness/Processes.cpp
@@ -80,6 +80,19 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
 }
 
+ScopedDescriptorLimit::ScopedDescriptorLimit(unsigned Descriptors) {
+  ::getrlimit(RLIMIT_NOFILE, &this->Before);
+  if (Descriptors == 0)
+    return;
+  rlimit Lowered = this->Before;
+  Lowered.rlim_cur = Descriptors;
+  ::setrlimit(RLIMIT_NOFILE, &Lowered);
+}
+
+ScopedDescriptorLimit::~ScopedDescriptorLimit() {
+  ::setrlimit(RLIMIT_NOFILE, &this->Before);
+}
+
 std::uint16_t freePort() {
   // Below the system's ephemeral port range: an outgoing connection could
   // otherwise take the port before it is used.
--- a/tests/harness/Processes.h
+++ b/tests/harness/Processes.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <sys/resource.h>
 #include <sys/types.h>
 #include <vector>
 
@@ -38,6 +39,19 @@
   pid_t Pid = -1;
 };
 
+/// Sets this process's soft limit of open descriptors, which child processes
+/// inherit, until destruction; 0 changes nothing.
+class ScopedDescriptorLimit {
+public:
+  explicit ScopedDescriptorLimit(unsigned Descriptors);
+  ~ScopedDescriptorLimit();
+  ScopedDescriptorLimit(const ScopedDescriptorLimit &) = delete;
+  ScopedDescriptorLimit &operator=(const ScopedDescriptorLimit &) = delete;
+
+private:
+  rlimit Before{};
+};
+
 /// Returns a port on 127.0.0.1 that is free and was not returned before.
 std::uint16_t freePort();
 
--- a/tests/harness/Site.cpp
+++ b/tests/harness/Site.cpp
@@ -155,6 +155,8 @@
       Settings["program_idle_ms"] = this->Options.ProgramIdleMillis;
       Settings["prefix_hold_ms"] = this->Options.PrefixHoldMillis;
       Settings["routing"] = this->Options.Routing;
+      if (this->Options.MaxRequestBytes > 0)
+        Settings["max_request_bytes"] = this->Options.MaxRequestBytes;
     } else {
       Settings["target_url"] =
           loopbackUrl(this->Proxies.at(Name + "-target")->port(), "");
@@ -165,6 +167,9 @@
 
 void Site::start(const std::string &Name) {
   Node &Each = this->Nodes.at(Name);
+  const bool IsEntry = this->HttpPorts.count(Name) > 0;
+  const ScopedDescriptorLimit Limit(IsEntry ? this->Options.EntryDescriptors
+                                            : 0);
   Each.Process = ChildProcess(Each.Program, Each.Arguments,
                               this->Folder + "/" + Name + ".log");
 }
--- a/tests/harness/Site.h
+++ b/tests/harness/Site.h
@@ -30,6 +30,10 @@
   std::string Routing = "least_expected_finish";
   /// Whether every third engine runs at half speed, as on older hardware.
   bool HasOldHardware = false;
+  /// Entry: max_request_bytes, unless 0.
+  unsigned MaxRequestBytes = 0;
+  /// Soft limit of an entry's open descriptors, unless 0.
+  unsigned EntryDescriptors = 0;
 
   SiteOptions &withEntries(unsigned Count) {
     this->Entries = Count;
