Limit the first lines of chunks and trailers from callers

Cause: Beast consumes a chunk's first line and a trailer only as a whole, and its header_limit covers the head alone. CallerServer went on reading as long as the parser needed more, so the connection's input grew without a bound. That the idle time-out ends such a request did not help: a fast sender fills the memory before.

What remains in the input after the parser has consumed what it can is one of these parts, so its size is checked against HeaderBytes.

Reading a request is a class of its own now, RequestReader, as CallerServer.cpp had become too long for one purpose.

--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -1,13 +1,11 @@
 #include "tanagerlanding/relay/CallerServer.h"
 
 #include "HttpHead.h"
+#include "RequestReader.h"
 #include "tanagerlanding/runtime/Acceptor.h"
 #include "tanagerlanding/runtime/Log.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <vector>
 
@@ -16,7 +14,6 @@
 namespace {
 
 using boost::asio::ip::tcp;
-namespace http = boost::beast::http;
 
 constexpr Milliseconds TimeoutCheckInterval{250};
 /// After the last response on a connection, the caller's input is drained for
@@ -36,7 +33,6 @@
 /// that the budget does not see. With 32 KiB, less than a segment on loopback,
 /// 32 MiB took more than 5 s.
 constexpr int SendBufferBytes = 128 * 1024;
-constexpr unsigned Http10 = 10;
 constexpr std::uint16_t NoContent = 204;
 constexpr std::uint16_t NotModified = 304;
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -46,25 +42,6 @@
   return !IsHeadRequest && Status != NoContent && Status != NotModified;
 }
 
-RelayRefusalReason refusalReasonFor(const boost::system::error_code &Error) {
-  if (Error == http::error::header_limit)
-    return RelayRefusalReason::HeadersTooLarge;
-  if (Error == http::error::body_limit)
-    return RelayRefusalReason::BodyTooLarge;
-  return RelayRefusalReason::Malformed;
-}
-
-/// Returns whether the end of a request's body is unambiguous. Otherwise a
-/// second request could be smuggled past a peer that parses it differently.
-bool hasUnambiguousLength(const http::request_header<> &Head) {
-  const auto Codings = Head.equal_range(http::field::transfer_encoding);
-  if (Codings.first == Codings.second)
-    return Head.count(http::field::content_length) <= 1;
-  const bool IsOne = std::next(Codings.first) == Codings.second;
-  return IsOne && boost::beast::iequals(Codings.first->value(), "chunked") &&
-         Head.count(http::field::content_length) == 0;
-}
-
 } // namespace
 
 /// A caller's connection.
@@ -74,7 +51,8 @@
   std::uint64_t Id = 0;
   tcp::socket Socket;
   boost::beast::flat_buffer Input;
-  std::unique_ptr<http::request_parser<http::string_body>> Parser;
+  /// The request that is arriving; null if none.
+  std::unique_ptr<RequestReader> Reader;
   bool IsReading = false;
   bool HasSentContinue = false;
   /// The request being served; 0 if none.
@@ -192,61 +170,38 @@
 void CallerServer::parse(const ConnectionPtr &Caller) {
   while (Caller->Input.size() > 0 && Caller->Current.Value == 0 &&
          !Caller->IsLingering && !Caller->IsInputDiscarded) {
-    if (!Caller->Parser) {
-      Caller->Parser =
-          std::make_unique<http::request_parser<http::string_body>>();
-      Caller->Parser->eager(true);
-      Caller->Parser->header_limit(
-          static_cast<std::uint32_t>(this->Limits.HeaderBytes));
-      Caller->Parser->body_limit(this->Limits.BodyBytes);
+    if (!Caller->Reader) {
+      Caller->Reader = std::make_unique<RequestReader>(this->Limits);
       Caller->HasSentContinue = false;
       Caller->WaitStart = this->Loop.now();
     }
-    boost::system::error_code Error;
-    const std::size_t Consumed =
-        Caller->Parser->put(Caller->Input.data(), Error);
-    Caller->Input.consume(Consumed);
-    if (Error && Error != http::error::need_more) {
-      this->rejectRequest(Caller, refusalReasonFor(Error));
+    const auto IsComplete = Caller->Reader->read(Caller->Input);
+    if (!IsComplete) {
+      this->rejectRequest(Caller, IsComplete.error());
       return;
     }
-    const auto &Message = Caller->Parser->get();
-    if (Caller->Parser->is_header_done() &&
-        !hasUnambiguousLength(Message.base())) {
-      this->rejectRequest(Caller, RelayRefusalReason::Malformed);
-      return;
-    }
-    if (Caller->Parser->is_done()) {
+    if (IsComplete.value()) {
       this->handleRequest(Caller);
       continue;
     }
-    if (Caller->Parser->is_header_done() && this->Buffers.isFull()) {
+    if (Caller->Reader->hasHead() && this->Buffers.isFull()) {
       this->rejectRequest(Caller, RelayRefusalReason::Overloaded);
       return;
     }
-    const bool IsContinueExpected =
-        Caller->Parser->is_header_done() && !Caller->HasSentContinue &&
-        boost::beast::iequals(Message[http::field::expect], "100-continue");
-    if (IsContinueExpected) {
+    if (!Caller->HasSentContinue && Caller->Reader->isContinueExpected()) {
       Caller->HasSentContinue = true;
       this->write(Caller, ContinueLine);
     }
-    if (Error == http::error::need_more)
-      return;
+    return;
   }
 }
 
 void CallerServer::handleRequest(const ConnectionPtr &Caller) {
-  auto Message = Caller->Parser->release();
-  Caller->Parser.reset();
-  RawRequest Raw;
-  Raw.Method = std::string(Message.method_string());
-  Raw.Target = std::string(Message.target());
-  Raw.Headers = endToEndFields(Message.base());
-  Caller->IsHttp10 = Message.version() <= Http10;
+  Caller->IsHttp10 = Caller->Reader->isHttp10();
+  Caller->IsCloseRequested = Caller->Reader->isCloseRequested();
+  RawRequest Raw = Caller->Reader->take();
+  Caller->Reader.reset();
   Caller->IsHeadRequest = Raw.Method == "HEAD";
-  Caller->IsCloseRequested = !Message.keep_alive();
-  Raw.Body = std::move(Message.body());
   auto Decoded = this->Protocol.DecodeRequest(std::move(Raw));
   if (!Decoded) {
     this->rejectRequest(Caller, Decoded.error());
@@ -270,7 +225,7 @@
                                       ? FullRetryAfter
                                       : Milliseconds(0);
   if (Reason == RelayRefusalReason::Overloaded) {
-    Caller->Parser.reset();
+    Caller->Reader.reset();
     Caller->IsInputDiscarded = true;
   }
   this->writeRefusal(Caller,
@@ -388,8 +343,7 @@
   // A closed connection is released by close().
   if (this->Connections.count(Caller.Id) == 0)
     return;
-  const std::size_t Parsed =
-      Caller.Parser ? Caller.Parser->get().body().capacity() : 0;
+  const std::size_t Parsed = Caller.Reader ? Caller.Reader->bodyCapacity() : 0;
   this->accountAs(Caller, Caller.Input.size() + Parsed + Caller.ServedBodyBytes,
                   Caller.Queued.capacity() + Caller.Writing.capacity());
 }
@@ -509,7 +463,7 @@
   const auto OpenConnections = this->Connections;
   for (const auto &[Id, Caller] : OpenConnections) {
     const bool IsIdle = Caller->Current.Value == 0 && !Caller->IsWriting &&
-                        Caller->Queued.empty() && !Caller->Parser;
+                        Caller->Queued.empty() && !Caller->Reader;
     if (IsIdle)
       this->close(Caller);
   }
@@ -536,9 +490,8 @@
       if (Caller->IsLingering) {
         if (LingerTimeout <= Waited)
           this->close(Caller);
-      } else if (Caller->Parser) {
-        if (this->Limits.HeaderTimeout <= Waited &&
-            !Caller->Parser->is_header_done())
+      } else if (Caller->Reader) {
+        if (this->Limits.HeaderTimeout <= Waited && !Caller->Reader->hasHead())
           this->rejectRequest(Caller, RelayRefusalReason::HeaderTimeout);
         else if (this->Limits.IdleTimeout <= Waited)
           this->close(Caller);
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -156,6 +156,48 @@
   CHECK(Fixture.Requests.empty());
 }
 
+TEST_CASE("Callers: a trailer, a chunk's size or an extension without end is "
+          "refused") {
+  CallerFixture Fixture;
+  CallerLimits Limits;
+  Limits.HeaderBytes = 512;
+  Fixture.Server.setLimits(Limits);
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  const std::string Head = "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const auto [Start, Piece] =
+      GENERATE(table<std::string, std::string>({{"1\r\nx\r\n0\r\n", "X: y\r\n"},
+                                                {"1\r\nx\r\n0\r\nX: ", "y"},
+                                                {"0;", "x"},
+                                                {"1;", "x"},
+                                                {"", "0"},
+                                                {"1\r\nx\r\n", "0"}}));
+  std::string Endless;
+  while (Endless.size() < 4 * Limits.HeaderBytes)
+    Endless += Piece;
+  Caller.send(Head + Start + Endless);
+  CHECK(runUntil(Fixture.Loop, [&] { return Caller.has("431"); }));
+  CHECK(runUntil(Fixture.Loop, [&] { return Caller.IsClosed; }));
+  CHECK(Fixture.Requests.empty());
+}
+
+TEST_CASE("Callers: chunks of one byte, with extensions and a trailer, are one "
+          "body") {
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  Caller.send("POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n");
+  constexpr std::size_t BodyBytes = 20000;
+  std::string Chunks;
+  for (std::size_t Number = 0; Number < BodyBytes; ++Number)
+    Chunks += "1;a=b\r\nx\r\n";
+  Caller.send(Chunks + "0;c\r\nX: y\r\n\r\n");
+  REQUIRE(Fixture.awaitRequests(1));
+  CHECK(Fixture.Requests[0].Body == std::string(BodyBytes, 'x'));
+}
+
 TEST_CASE("Callers: Expect: 100-continue is answered with 100 Continue") {
   CallerFixture Fixture;
   RawPeer Caller(Fixture.Loop);
