Keep the fields of a trailer out of a request's head

A trailer's "Connection: close" closed the connection as well.

Cause: Beast inserts the fields of a trailer into the message of the head, and the request's fields were taken from it when the body was complete. They are now taken when the head is, with what else is read from it; the parser's copy is dropped. RFC 9110, 6.5.1, allows merging only for fields whose definition says so, and none of those that a relay reads does.

--- a/packages/relay/src/RequestReader.cpp
+++ b/packages/relay/src/RequestReader.cpp
@@ -34,7 +34,6 @@
 } // namespace
 
 RequestReader::RequestReader(const CallerLimits &Limits) : Limits(Limits) {
-  this->Parser.eager(true);
   this->Parser.header_limit(static_cast<std::uint32_t>(Limits.HeaderBytes));
   this->Parser.body_limit(Limits.BodyBytes);
 }
@@ -43,12 +42,16 @@
 RequestReader::read(boost::beast::flat_buffer &Input) {
   boost::system::error_code Error;
   Input.consume(this->Parser.put(Input.data(), Error));
+  if (!Error && !this->Head) {
+    if (!this->adoptHead())
+      return RelayRefusalReason::Malformed;
+    if (Input.size() > 0 && !this->Parser.is_done())
+      Input.consume(this->Parser.put(Input.data(), Error));
+  }
   if (Error && Error != http::error::need_more)
     return refusalReasonFor(Error);
-  if (!this->hasHead())
+  if (!this->Head)
     return false;
-  if (!hasUnambiguousLength(this->Parser.get().base()))
-    return RelayRefusalReason::Malformed;
   if (this->Parser.is_done())
     return true;
   // The parser consumes a chunk's first line and a trailer only as a whole.
@@ -57,18 +60,23 @@
   return false;
 }
 
-bool RequestReader::isContinueExpected() const {
-  return this->hasHead() &&
-         boost::beast::iequals(this->Parser.get()[http::field::expect],
-                               "100-continue");
-}
-
-bool RequestReader::isHttp10() const {
-  return this->Parser.get().version() <= Http10;
-}
-
-bool RequestReader::isCloseRequested() const {
-  return !this->Parser.get().keep_alive();
+bool RequestReader::adoptHead() {
+  auto &Message = this->Parser.get();
+  if (!hasUnambiguousLength(Message.base()))
+    return false;
+  ReadHead NewHead;
+  NewHead.Request.Method = std::string(Message.method_string());
+  NewHead.Request.Target = std::string(Message.target());
+  NewHead.Request.Headers = endToEndFields(Message.base());
+  NewHead.IsHttp10 = Message.version() <= Http10;
+  NewHead.IsCloseRequested = !Message.keep_alive();
+  NewHead.IsContinueExpected =
+      boost::beast::iequals(Message[http::field::expect], "100-continue");
+  this->Head = std::move(NewHead);
+  // The parser's own copy of the fields is not needed for the body.
+  Message.base().clear();
+  this->Parser.eager(true);
+  return true;
 }
 
 std::size_t RequestReader::bodyCapacity() const {
@@ -76,12 +84,8 @@
 }
 
 RawRequest RequestReader::take() {
-  auto Message = this->Parser.release();
-  RawRequest Raw;
-  Raw.Method = std::string(Message.method_string());
-  Raw.Target = std::string(Message.target());
-  Raw.Headers = endToEndFields(Message.base());
-  Raw.Body = std::move(Message.body());
+  RawRequest Raw = std::move(this->Head->Request);
+  Raw.Body = std::move(this->Parser.get().body());
   return Raw;
 }
 
--- a/packages/relay/src/RequestReader.h
+++ b/packages/relay/src/RequestReader.h
@@ -9,6 +9,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <optional>
+
 namespace tanagerlanding {
 
 /// Reads one request, within limits, as its bytes arrive.
@@ -25,22 +27,41 @@
   /// bytes behind the request.
   Result<bool, RelayRefusalReason> read(boost::beast::flat_buffer &Input);
 
-  bool hasHead() const { return this->Parser.is_header_done(); }
+  bool hasHead() const { return this->Head.has_value(); }
   /// Returns whether the client waits for 100 Continue before it sends the
   /// body.
-  bool isContinueExpected() const;
-  bool isHttp10() const;
+  bool isContinueExpected() const {
+    return this->Head && this->Head->IsContinueExpected;
+  }
+  /// The following are valid once hasHead() returns true.
+  bool isHttp10() const { return this->Head->IsHttp10; }
   /// Returns whether the client closes its connection after the response.
-  bool isCloseRequested() const;
+  bool isCloseRequested() const { return this->Head->IsCloseRequested; }
   /// Returns the memory that the body occupies so far, in bytes.
   std::size_t bodyCapacity() const;
 
-  /// Returns the complete request.
+  /// Returns the complete request. Fields of a trailer are not part of it, as
+  /// a field may be merged into the head only if its definition allows it
+  /// (RFC 9110, section 6.5.1).
   RawRequest take();
 
 private:
+  /// What a head states.
+  struct ReadHead {
+    /// Without a body.
+    RawRequest Request;
+    bool IsHttp10 = false;
+    bool IsCloseRequested = false;
+    bool IsContinueExpected = false;
+  };
+
+  /// Keeps the head of the message, to which the parser adds the fields of a
+  /// trailer. Returns false if the length of the body is ambiguous.
+  bool adoptHead();
+
   const CallerLimits Limits;
   boost::beast::http::request_parser<boost::beast::http::string_body> Parser;
+  std::optional<ReadHead> Head;
 };
 
 } // namespace tanagerlanding
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -198,6 +198,31 @@
   CHECK(Fixture.Requests[0].Body == std::string(BodyBytes, 'x'));
 }
 
+TEST_CASE("Callers: a trailer adds no fields to the head") {
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  const std::string Head = "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string Body = "1\r\nx\r\n0\r\nId: 2\r\nX: y\r\n"
+                           "Connection: close\r\n\r\n";
+  SECTION("all at once") { Caller.send(Head + Body); }
+  SECTION("the trailer apart") {
+    Caller.send(Head);
+    runUntil(
+        Fixture.Loop, [] { return false; }, Milliseconds(20));
+    Caller.send(Body);
+  }
+  REQUIRE(Fixture.awaitRequests(1));
+  CHECK(Fixture.Requests[0].Id == CallerAttemptId("1"));
+  CHECK(Fixture.Requests[0].Headers ==
+        HeaderFields{{"Host", "h"}, {"Id", "1"}});
+  CHECK(Fixture.Requests[0].Body == "x");
+  Fixture.answer(0, "ok");
+  CHECK(runUntil(Fixture.Loop, [&] { return Caller.has("ok"); }));
+  CHECK_FALSE(Caller.has("close"));
+}
+
 TEST_CASE("Callers: Expect: 100-continue is answered with 100 Continue") {
   CallerFixture Fixture;
   RawPeer Caller(Fixture.Loop);
