Bound what the requests of all callers occupy in a relay

Cause: each request is limited, but nothing limited the sum.

ReceiveBudget counts what each connection's request occupies until its response is complete. Over a quarter of limits.memoryMb, those arriving requests are refused as not run that have made no progress for longest; small requests have room beside them, and requests that are served are never ended. Connections read into one buffer of the server and keep only bytes that are not parsed yet, so that a refused or idle one holds none; Beast's own buffers could not be freed while a read was pending.

--- a/packages/relay/include/tanagerlanding/relay.h
+++ b/packages/relay/include/tanagerlanding/relay.h
@@ -7,6 +7,7 @@
 #include "tanagerlanding/relay/AttemptClient.h"
 #include "tanagerlanding/relay/BufferBudget.h"
 #include "tanagerlanding/relay/CallerServer.h"
+#include "tanagerlanding/relay/ReceiveBudget.h"
 #include "tanagerlanding/relay/RelayProcess.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
 
--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/relay/include/tanagerlanding/relay/CallerServer.h
@@ -4,12 +4,14 @@
 #define TANAGERLANDING_RELAY_CALLERSERVER_H
 
 #include "tanagerlanding/relay/BufferBudget.h"
+#include "tanagerlanding/relay/ReceiveBudget.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
 #include "tanagerlanding/runtime/EventLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <vector>
@@ -43,8 +45,11 @@
     CallerAttemptId Attempt;
   };
 
+  /// ReceiveLimit bounds what the requests of all connections occupy, in
+  /// bytes; see ReceiveBudget.
   CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
-               BufferBudget &Buffers, Listener &Callbacks);
+               BufferBudget &Buffers, std::size_t ReceiveLimit,
+               Listener &Callbacks);
   ~CallerServer();
   CallerServer(const CallerServer &) = delete;
   CallerServer &operator=(const CallerServer &) = delete;
@@ -54,7 +59,7 @@
                                    std::uint16_t Port);
 
   /// Sets the limits for requests that begin after this call.
-  void setLimits(const CallerLimits &Limits) { this->Limits = Limits; }
+  void setLimits(const CallerLimits &Limits);
 
   /// Sends a refusal that the relay itself has generated.
   void refuse(RequestId Request, const RelayRefusal &Refusal);
@@ -82,6 +87,9 @@
   /// Stops accepting connections and closes those without a request.
   void stopAccepting();
 
+  /// Returns what the requests of all connections occupy, in bytes.
+  std::size_t receivedBytes() const { return this->Received.total(); }
+
   /// Returns whether all queued bytes are written to the sockets.
   bool isFlushed() const;
 
@@ -92,7 +100,10 @@
   void accept();
   void addConnection(boost::asio::ip::tcp::socket Socket);
   void read(const ConnectionPtr &Caller);
-  void handleRead(const ConnectionPtr &Caller, bool IsClosed);
+  /// Reads what has arrived, up to a limit that depends on what the connection
+  /// is used for at the moment.
+  void handleReadable(const ConnectionPtr &Caller);
+  void handleBytes(const ConnectionPtr &Caller, std::size_t Count);
   void parse(const ConnectionPtr &Caller);
   void handleRequest(const ConnectionPtr &Caller);
   void rejectRequest(const ConnectionPtr &Caller, RelayRefusalReason Reason);
@@ -106,6 +117,10 @@
   /// Updates the budget after a change of a connection's buffers.
   void account(Connection &Caller);
   void accountAs(Connection &Caller, std::size_t Received, std::size_t Queued);
+  /// Refuses arriving requests while the budget for them is exceeded.
+  void refuseForRoom();
+  void rejectForRoom(const ConnectionPtr &Caller);
+  ReceivedRequest receivedOn(const Connection &Caller) const;
   void checkTimeouts();
   ConnectionPtr findConnection(RequestId Request) const;
   bool shouldClose(const Connection &Caller) const;
@@ -113,11 +128,15 @@
   EventLoop &Loop;
   const RelayProtocol &Protocol;
   BufferBudget &Buffers;
+  ReceiveBudget Received;
   Listener &Callbacks;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::steady_timer AcceptRetryTimer;
   boost::asio::steady_timer TimeoutTimer;
   CallerLimits Limits;
+  /// Where bytes are read before they are added to a connection's input, so
+  /// that connections without input hold no buffer.
+  std::array<char, 16 * 1024> ReadBuffer{};
   std::uint64_t NextConnection = 1;
   std::uint64_t NextRequest = 1;
   std::map<std::uint64_t, ConnectionPtr> Connections;
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -45,6 +45,8 @@
   /// the service above which none are sent.
   double HedgeShare = 0;
   double HedgeMaxLoad = 0.7;
+  /// Memory that the process may use, in bytes; absent: that of the host.
+  std::optional<std::size_t> MemoryBytes;
   /// Bytes that all buffers to callers and from targets may hold together;
   /// absent: no such limit.
   std::optional<std::size_t> BufferBytes;
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -22,9 +22,19 @@
 constexpr Milliseconds LingerTimeout{1000};
 /// Delay after a failed accept: descriptors are freed as responses complete.
 constexpr Milliseconds AcceptRetryDelay{100};
-constexpr std::size_t ReadBytes = 16 * 1024;
 /// Maximum number of bytes buffered while a response is pending.
 constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
+/// Bytes of a body that count as progress.
+constexpr std::size_t ProgressBytes = 64 * 1024;
+/// Copies of a body while its request is served: in the call and in an attempt.
+constexpr std::size_t BodyCopies = 2;
+/// Copies of the fields of a head: in the call, and those of an attempt with
+/// their text on the wire.
+constexpr std::size_t HeadCopies = 3;
+/// Blocks of less than some 100 KB leave holes in the heap when they are freed.
+constexpr std::size_t HeapSlack = 2;
+/// What a head of the shortest fields occupies as a multiple of its size.
+constexpr std::size_t MaxHeadExpansion = 16;
 /// Delay that a caller is asked for whose request body found the budget full;
 /// ending connections frees an eighth of the budget within one tick.
 constexpr Milliseconds FullRetryAfter{400};
@@ -67,8 +77,13 @@
   /// Since when the oldest bytes of Writing and Queued wait.
   Instant WritingSince;
   Instant QueuedSince;
-  /// Size of the body of the request being served.
+  /// Size of the body of the request being served, and what the request
+  /// occupies.
   std::size_t ServedBodyBytes = 0;
+  std::size_t ServedBytes = 0;
+  /// When the arriving request last made progress, and what has come since.
+  Instant ProgressAt;
+  std::size_t BytesSinceProgress = 0;
   /// What the budget counts for this connection.
   std::size_t CountedReceived = 0;
   std::size_t CountedQueued = 0;
@@ -84,10 +99,12 @@
 };
 
 CallerServer::CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
-                           BufferBudget &Buffers, Listener &Callbacks)
-    : Loop(Loop), Protocol(Protocol), Buffers(Buffers), Callbacks(Callbacks),
-      Acceptor(Loop.context()), AcceptRetryTimer(Loop.context()),
-      TimeoutTimer(Loop.context()) {
+                           BufferBudget &Buffers, std::size_t ReceiveLimit,
+                           Listener &Callbacks)
+    : Loop(Loop), Protocol(Protocol), Buffers(Buffers), Received(ReceiveLimit),
+      Callbacks(Callbacks), Acceptor(Loop.context()),
+      AcceptRetryTimer(Loop.context()), TimeoutTimer(Loop.context()) {
+  this->setLimits(CallerLimits());
   this->checkTimeouts();
 }
 
@@ -106,6 +123,13 @@
   return success();
 }
 
+void CallerServer::setLimits(const CallerLimits &Limits) {
+  this->Limits = Limits;
+  this->Received.setLargestRequest(BodyCopies * Limits.BodyBytes +
+                                   HeadCopies * MaxHeadExpansion *
+                                       Limits.HeaderBytes);
+}
+
 void CallerServer::accept() {
   this->Acceptor.async_accept([this](const auto &Error, tcp::socket Socket) {
     if (!this->IsAccepting || Error == boost::asio::error::operation_aborted)
@@ -127,6 +151,7 @@
 void CallerServer::addConnection(tcp::socket Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  Socket.non_blocking(true, Ignored);
   if (this->Buffers.isLimited())
     Socket.set_option(
         boost::asio::socket_base::send_buffer_size(SendBufferBytes), Ignored);
@@ -143,28 +168,47 @@
   if (Caller->IsReading || IsFull || !Caller->Socket.is_open())
     return;
   Caller->IsReading = true;
-  Caller->Socket.async_read_some(
-      Caller->Input.prepare(ReadBytes),
-      [this, Caller](const auto &Error, std::size_t Count) {
-        Caller->IsReading = false;
-        Caller->Input.commit(Count);
-        this->handleRead(Caller, static_cast<bool>(Error));
-      });
-}
-
-void CallerServer::handleRead(const ConnectionPtr &Caller, bool IsClosed) {
-  if (this->Connections.count(Caller->Id) == 0)
-    return;
-  if (IsClosed) {
+  Caller->Socket.async_wait(tcp::socket::wait_read,
+                            [this, Caller](const auto &Error) {
+                              Caller->IsReading = false;
+                              if (this->Connections.count(Caller->Id) == 0)
+                                return;
+                              if (Error)
+                                this->close(Caller);
+                              else
+                                this->handleReadable(Caller);
+                            });
+}
+
+void CallerServer::handleReadable(const ConnectionPtr &Caller) {
+  boost::system::error_code Error;
+  const std::size_t Count =
+      Caller->Socket.read_some(boost::asio::buffer(this->ReadBuffer), Error);
+  if (Error && Error != boost::asio::error::would_block) {
     this->close(Caller);
     return;
   }
+  this->handleBytes(Caller, Count);
+  this->read(Caller);
+}
+
+void CallerServer::handleBytes(const ConnectionPtr &Caller, std::size_t Count) {
   if (Caller->IsLingering || Caller->IsInputDiscarded)
-    Caller->Input.consume(Caller->Input.size());
-  else if (Caller->Current.Value == 0)
+    return;
+  const auto Bytes = boost::asio::buffer(this->ReadBuffer, Count);
+  Caller->Input.commit(
+      boost::asio::buffer_copy(Caller->Input.prepare(Count), Bytes));
+  if (Caller->Current.Value == 0)
     this->parse(Caller);
+  if (Caller->Input.size() == 0)
+    Caller->Input.shrink_to_fit();
+  Caller->BytesSinceProgress += Count;
+  if (ProgressBytes <= Caller->BytesSinceProgress) {
+    Caller->BytesSinceProgress = 0;
+    Caller->ProgressAt = this->Loop.now();
+  }
   this->account(*Caller);
-  this->read(Caller);
+  this->refuseForRoom();
 }
 
 void CallerServer::parse(const ConnectionPtr &Caller) {
@@ -174,6 +218,8 @@
       Caller->Reader = std::make_unique<RequestReader>(this->Limits);
       Caller->HasSentContinue = false;
       Caller->WaitStart = this->Loop.now();
+      Caller->ProgressAt = Caller->WaitStart;
+      Caller->BytesSinceProgress = 0;
     }
     const auto IsComplete = Caller->Reader->read(Caller->Input);
     if (!IsComplete) {
@@ -210,7 +256,16 @@
   Caller->Current = RequestId(this->NextRequest++);
   Caller->CurrentAttempt = Decoded.value().Id;
   Caller->ServedBodyBytes = Decoded.value().Body.size();
+  Caller->ServedBytes =
+      BodyCopies * Caller->ServedBodyBytes +
+      HeapSlack * HeadCopies * bytesOf(Decoded.value().Headers);
   this->account(*Caller);
+  this->refuseForRoom();
+  if (!this->Received.hasRoom(CallerConnectionId(Caller->Id))) {
+    Caller->Current = RequestId();
+    this->rejectForRoom(Caller);
+    return;
+  }
   this->Requests[Caller->Current] = Caller->Id;
   this->Callbacks.onCallerRequest(Caller->Current, std::move(Decoded.value()));
 }
@@ -224,10 +279,11 @@
   const Milliseconds RetryAfter = Reason == RelayRefusalReason::Overloaded
                                       ? FullRetryAfter
                                       : Milliseconds(0);
-  if (Reason == RelayRefusalReason::Overloaded) {
-    Caller->Reader.reset();
-    Caller->IsInputDiscarded = true;
-  }
+  // What remains of the request must not be taken for another one.
+  Caller->IsInputDiscarded = true;
+  Caller->Reader.reset();
+  Caller->Input.consume(Caller->Input.size());
+  Caller->Input.shrink_to_fit();
   this->writeRefusal(Caller,
                      RelayRefusal{Reason, Execution::NotRun, RetryAfter});
   this->completeResponse(Caller);
@@ -344,10 +400,46 @@
   if (this->Connections.count(Caller.Id) == 0)
     return;
   const std::size_t Parsed = Caller.Reader ? Caller.Reader->bodyCapacity() : 0;
+  this->Received.update(CallerConnectionId(Caller.Id),
+                        this->receivedOn(Caller));
   this->accountAs(Caller, Caller.Input.size() + Parsed + Caller.ServedBodyBytes,
                   Caller.Queued.capacity() + Caller.Writing.capacity());
 }
 
+ReceivedRequest CallerServer::receivedOn(const Connection &Caller) const {
+  ReceivedRequest Request;
+  Request.Bytes = HeapSlack * Caller.Input.capacity();
+  Request.ProgressAt = Caller.ProgressAt;
+  if (Caller.Current.Value != 0) {
+    Request.Bytes += Caller.ServedBytes;
+    return Request;
+  }
+  Request.IsArriving = !Caller.IsLingering && !Caller.IsInputDiscarded;
+  if (Caller.Reader)
+    Request.Bytes +=
+        HeapSlack * Caller.Reader->headBytes() + Caller.Reader->bodyCapacity();
+  return Request;
+}
+
+void CallerServer::refuseForRoom() {
+  for (const CallerConnectionId Id : this->Received.selectRefused()) {
+    const auto Found = this->Connections.find(Id.Value);
+    if (Found != this->Connections.end())
+      this->rejectForRoom(Found->second);
+  }
+}
+
+void CallerServer::rejectForRoom(const ConnectionPtr &Caller) {
+  const ReceivedRequest Request = this->receivedOn(*Caller);
+  const Milliseconds Quiet = this->Loop.now() - Request.ProgressAt;
+  logEvent("room_for_requests_full",
+           {{"connection", std::to_string(Caller->Id)},
+            {"request_bytes", std::to_string(Request.Bytes)},
+            {"all_requests_bytes", std::to_string(this->Received.total())},
+            {"quiet_ms", std::to_string(Quiet.count())}});
+  this->rejectRequest(Caller, RelayRefusalReason::Overloaded);
+}
+
 void CallerServer::accountAs(Connection &Caller, std::size_t Received,
                              std::size_t Queued) {
   this->Buffers.resize(BufferKind::RequestBodies, Caller.CountedReceived,
@@ -365,6 +457,7 @@
   this->Requests.erase(Caller->Current);
   Caller->Current = RequestId();
   Caller->ServedBodyBytes = 0;
+  Caller->ServedBytes = 0;
   this->account(*Caller);
   Caller->WaitStart = this->Loop.now();
   if (this->shouldClose(*Caller)) {
@@ -446,6 +539,7 @@
   if (this->Connections.erase(Caller->Id) == 0)
     return;
   this->accountAs(*Caller, 0, 0);
+  this->Received.release(CallerConnectionId(Caller->Id));
   boost::system::error_code Ignored;
   Caller->Socket.close(Ignored);
   const RequestId Disconnected = Caller->Current;
--- a/packages/relay/src/HttpHead.cpp
+++ b/packages/relay/src/HttpHead.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <sstream>
 #include <vector>
 
@@ -57,6 +58,8 @@
 
 HeaderFields endToEndFields(const http::fields &Fields) {
   HeaderFields Kept;
+  Kept.reserve(
+      static_cast<std::size_t>(std::distance(Fields.begin(), Fields.end())));
   for (const auto &Each : Fields) {
     if (!isConnectionField(Each.name_string()) &&
         !isNamedByConnection(Fields, Each.name_string()))
@@ -65,6 +68,15 @@
   return Kept;
 }
 
+std::size_t bytesOf(const HeaderFields &Headers) {
+  std::size_t Sum = Headers.capacity() * sizeof(HeaderFields::value_type);
+  for (const auto &[Name, Value] : Headers) {
+    for (const std::string *Text : {&Name, &Value})
+      Sum += Text->capacity() < sizeof(std::string) ? 0 : Text->capacity();
+  }
+  return Sum;
+}
+
 std::string writeResponseHead(std::uint16_t Status, const HeaderFields &Headers,
                               BodyFraming Body, bool ShouldClose) {
   http::response_header<> Head;
--- a/packages/relay/src/HttpHead.h
+++ b/packages/relay/src/HttpHead.h
@@ -16,6 +16,10 @@
 /// and Content-Length.
 HeaderFields endToEndFields(const boost::beast::http::fields &Fields);
 
+/// Returns the memory that fields occupy, in bytes; several times their size on
+/// the wire if they are short.
+std::size_t bytesOf(const HeaderFields &Headers);
+
 /// How the end of a message's body is marked.
 struct BodyFraming {
   enum class Kind { None, ContentLength, Chunked, UntilClose };
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -30,6 +30,13 @@
 /// Part of the grace period that is reserved for the shutdown itself.
 constexpr Milliseconds StopMargin{700};
 
+/// The part of the memory that may hold what callers send.
+constexpr std::size_t ReceivePartOfMemory = 4;
+
+std::size_t receiveLimitFor(const RelaySettings &Settings) {
+  return Settings.MemoryBytes.value_or(hostMemoryBytes()) / ReceivePartOfMemory;
+}
+
 Milliseconds maxProofAge(const RelaySettings &Settings) {
   return Settings.RevocationTime - RevocationMargin;
 }
@@ -125,7 +132,8 @@
       Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
       Keys(Loop, Service, {{}, watchTimingFor(Settings).Timeout}, *this),
       Buffers(Settings.BufferBytes),
-      Callers(Loop, this->Protocols.Relay, Buffers, *this),
+      Callers(Loop, this->Protocols.Relay, Buffers, receiveLimitFor(Settings),
+              *this),
       Targets(Loop, this->Protocols.Relay, Buffers, *this),
       Status(Settings.Status.Address, Settings.Status.Port,
              {[this] { return this->IsReady.load(); },
@@ -496,6 +504,8 @@
     this->ProcessMetrics.set(
         "relay_configuration_proof_age_ms",
         static_cast<double>(configurationProofAge(this->State).count()));
+  this->ProcessMetrics.set("relay_received_bytes",
+                           static_cast<double>(this->Callers.receivedBytes()));
   this->ProcessMetrics.set("relay_calls",
                            static_cast<double>(this->State.Calls.size()));
   this->ProcessMetrics.set("relay_targets",
--- a/packages/relay/src/RequestReader.cpp
+++ b/packages/relay/src/RequestReader.cpp
@@ -11,6 +11,8 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned Http10 = 10;
+/// A body may occupy this part more than its size.
+constexpr std::size_t MaxSlackPart = 8;
 
 RelayRefusalReason refusalReasonFor(const boost::system::error_code &Error) {
   if (Error == http::error::header_limit)
@@ -72,6 +74,7 @@
   NewHead.IsCloseRequested = !Message.keep_alive();
   NewHead.IsContinueExpected =
       boost::beast::iequals(Message[http::field::expect], "100-continue");
+  this->HeadBytes = bytesOf(NewHead.Request.Headers);
   this->Head = std::move(NewHead);
   // The parser's own copy of the fields is not needed for the body.
   Message.base().clear();
@@ -86,6 +89,9 @@
 RawRequest RequestReader::take() {
   RawRequest Raw = std::move(this->Head->Request);
   Raw.Body = std::move(this->Parser.get().body());
+  // A chunked body grows by doubling.
+  if (Raw.Body.size() + Raw.Body.size() / MaxSlackPart < Raw.Body.capacity())
+    Raw.Body.shrink_to_fit();
   return Raw;
 }
 
--- a/packages/relay/src/RequestReader.h
+++ b/packages/relay/src/RequestReader.h
@@ -37,8 +37,10 @@
   bool isHttp10() const { return this->Head->IsHttp10; }
   /// Returns whether the client closes its connection after the response.
   bool isCloseRequested() const { return this->Head->IsCloseRequested; }
-  /// Returns the memory that the body occupies so far, in bytes.
+  /// Return the memory that the body and the head's fields occupy so far, in
+  /// bytes.
   std::size_t bodyCapacity() const;
+  std::size_t headBytes() const { return this->HeadBytes; }
 
   /// Returns the complete request. Fields of a trailer are not part of it, as
   /// a field may be merged into the head only if its definition allows it
@@ -62,6 +64,7 @@
   const CallerLimits Limits;
   boost::beast::http::request_parser<boost::beast::http::string_body> Parser;
   std::optional<ReadHead> Head;
+  std::size_t HeadBytes = 0;
 };
 
 } // namespace tanagerlanding
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -10,12 +10,14 @@
 
 /// More than the buffers of any test that does not fill it on purpose.
 constexpr std::size_t BudgetBytes = 32 * 1024 * 1024;
+constexpr std::size_t ReceiveLimit = 1024 * 1024;
 
 /// A server that records its requests and the callers' disconnections.
 class CallerFixture : public CallerServer::Listener {
 public:
   CallerFixture()
-      : Protocol(makeTestProtocol()), Server(Loop, Protocol, Buffers, *this) {
+      : Protocol(makeTestProtocol()),
+        Server(Loop, Protocol, Buffers, ReceiveLimit, *this) {
     this->Port = freeTestPort(this->Loop);
     REQUIRE(this->Server.listen("127.0.0.1", this->Port));
   }
@@ -198,6 +200,67 @@
   CHECK(Fixture.Requests[0].Body == std::string(BodyBytes, 'x'));
 }
 
+TEST_CASE("Callers: bodies that stop short of their end give way to others") {
+  CallerFixture Fixture;
+  CallerLimits Limits;
+  Limits.BodyBytes = ReceiveLimit / 4;
+  Limits.HeaderBytes = 1024;
+  Fixture.Server.setLimits(Limits);
+  const std::string Head = "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                           "Content-Length: " +
+                           std::to_string(Limits.BodyBytes) + "\r\n\r\n";
+  std::vector<std::unique_ptr<RawPeer>> Stalled;
+  for (unsigned Number = 0; Number < 8; ++Number) {
+    Stalled.push_back(std::make_unique<RawPeer>(Fixture.Loop));
+    Stalled.back()->connect(Fixture.Port);
+    Stalled.back()->send(Head + std::string(Limits.BodyBytes - 1, 'x'));
+    runUntil(
+        Fixture.Loop, [] { return false; }, Milliseconds(20));
+    CHECK(Fixture.Server.receivedBytes() <= ReceiveLimit);
+  }
+  CHECK(runUntil(Fixture.Loop, [&] { return Stalled[0]->has("503"); }));
+  CHECK_FALSE(Stalled.back()->has("503"));
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  Caller.send(Head + std::string(Limits.BodyBytes, 'x'));
+  CHECK(Fixture.awaitRequests(1));
+  CHECK(Fixture.Requests[0].Body == std::string(Limits.BodyBytes, 'x'));
+}
+
+TEST_CASE("Callers: a request for which there is no room beside those that are "
+          "served is refused, and a small one is served") {
+  CallerFixture Fixture;
+  CallerLimits Limits;
+  Limits.BodyBytes = ReceiveLimit / 4;
+  Limits.HeaderBytes = 1024;
+  Fixture.Server.setLimits(Limits);
+  const std::string Large = "POST /a HTTP/1.1\r\nHost: h\r\nId: 1\r\n"
+                            "Content-Length: " +
+                            std::to_string(Limits.BodyBytes) + "\r\n\r\n" +
+                            std::string(Limits.BodyBytes, 'x');
+  std::vector<std::unique_ptr<RawPeer>> Callers;
+  for (unsigned Number = 0; Number < 4; ++Number) {
+    Callers.push_back(std::make_unique<RawPeer>(Fixture.Loop));
+    Callers.back()->connect(Fixture.Port);
+    Callers.back()->send(Large);
+    runUntil(
+        Fixture.Loop, [] { return false; }, Milliseconds(20));
+  }
+  CHECK(Callers.back()->has("503"));
+  CHECK(Fixture.Requests.size() < Callers.size());
+  const std::size_t Served = Fixture.Requests.size();
+  RawPeer Small(Fixture.Loop);
+  Small.connect(Fixture.Port);
+  Small.send(Plain);
+  REQUIRE(Fixture.awaitRequests(Served + 1));
+  Fixture.answer(0, "ok");
+  CHECK(runUntil(Fixture.Loop, [&] { return Callers[0]->has("ok"); }));
+  RawPeer Next(Fixture.Loop);
+  Next.connect(Fixture.Port);
+  Next.send(Large);
+  CHECK(Fixture.awaitRequests(Served + 2));
+}
+
 TEST_CASE("Callers: a trailer adds no fields to the head") {
   CallerFixture Fixture;
   RawPeer Caller(Fixture.Loop);
--- a/packages/runtime/include/tanagerlanding/runtime.h
+++ b/packages/runtime/include/tanagerlanding/runtime.h
@@ -8,6 +8,7 @@
 #include "tanagerlanding/runtime/Acceptor.h"
 #include "tanagerlanding/runtime/ConnectionHub.h"
 #include "tanagerlanding/runtime/EventLoop.h"
+#include "tanagerlanding/runtime/HostResources.h"
 #include "tanagerlanding/runtime/Identity.h"
 #include "tanagerlanding/runtime/Log.h"
 #include "tanagerlanding/runtime/Metrics.h"
--- a/tests/integration/ClientCrowds.cpp
+++ b/tests/integration/ClientCrowds.cpp
@@ -158,6 +158,7 @@
     REQUIRE(this->isServed());
   }
 
+  pid_t pid() const { return this->Site.Relays[0].pid(); }
   std::uint16_t port() const { return this->Site.CallerPorts[0]; }
 
   /// Returns the start of a request with a chunked body.
@@ -234,7 +235,8 @@
     std::ostringstream Text;
     for (const auto &[Status, Count] : Crowd.statuses())
       Text << Status << ": " << Count << "; ";
-    WARN("answers of the crowd: " << Text.str());
+    WARN("answers of the crowd: " << Text.str() << "peak in KiB: "
+                                  << peakKilobytes(Deployment.pid()));
   }
   Deployment.checkRelay();
 }
--- a/tests/integration/EntryCrowds.cpp
+++ b/tests/integration/EntryCrowds.cpp
@@ -35,6 +35,7 @@
 public:
   CrowdSite() : Deployment(siteOptions()) { REQUIRE(this->isServed()); }
 
+  pid_t pid() { return this->Deployment.process(Site::entryName(0)).pid(); }
   std::uint16_t port() const { return this->Deployment.httpPort(0); }
 
   /// Returns a request's head without the empty line.
@@ -99,7 +100,8 @@
     std::ostringstream Text;
     for (const auto &[Status, Count] : Crowd.statuses())
       Text << Status << ": " << Count << "; ";
-    WARN("answers of the crowd: " << Text.str());
+    WARN("answers of the crowd: " << Text.str() << "peak in KiB: "
+                                  << peakKilobytes(Deployment.pid()));
   }
   Deployment.checkEntry();
 }
