Bound the connections of callers by descriptors and memory

Cause: CallerServer accepted until the system refused, and then only waited.

Callers may have half of the sockets, as each request may need one to a target, less a reserve, and no more than an eighth of the memory bears. At the limit, connections on which no request is served are closed for the new one: refused, never used, longest idle, and without progress for longest, in this order.

Ruled out: closing the longest idle connection whatever it was used for. Connections that never brought a request would push out those of callers that come back.

--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/relay/include/tanagerlanding/relay/CallerServer.h
@@ -45,10 +45,15 @@
     CallerAttemptId Attempt;
   };
 
-  /// ReceiveLimit bounds what the requests of all connections occupy, in
-  /// bytes; see ReceiveBudget.
+  /// What all connections may occupy together.
+  struct Capacity {
+    /// Bytes of requests, see ReceiveBudget.
+    std::size_t RequestBytes = 0;
+    std::size_t Connections = 0;
+  };
+
   CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
-               BufferBudget &Buffers, std::size_t ReceiveLimit,
+               BufferBudget &Buffers, const Capacity &Limits,
                Listener &Callbacks);
   ~CallerServer();
   CallerServer(const CallerServer &) = delete;
@@ -98,6 +103,9 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   void accept();
+  /// Closes connections on which no request is being served. Returns whether
+  /// there was any.
+  bool closeForRoom();
   void addConnection(boost::asio::ip::tcp::socket Socket);
   void read(const ConnectionPtr &Caller);
   /// Reads what has arrived, up to a limit that depends on what the connection
@@ -129,6 +137,7 @@
   const RelayProtocol &Protocol;
   BufferBudget &Buffers;
   ReceiveBudget Received;
+  const std::size_t MaxConnections;
   Listener &Callbacks;
   boost::asio::ip::tcp::acceptor Acceptor;
   boost::asio::steady_timer AcceptRetryTimer;
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -47,6 +47,8 @@
   double HedgeMaxLoad = 0.7;
   /// Memory that the process may use, in bytes; absent: that of the host.
   std::optional<std::size_t> MemoryBytes;
+  /// Sockets that the process may open; absent: the limit of the system.
+  std::optional<std::size_t> Sockets;
   /// Bytes that all buffers to callers and from targets may hold together;
   /// absent: no such limit.
   std::optional<std::size_t> BufferBytes;
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include "tanagerlanding/relay/CallerServer.h"
 
+#include "ClosableConnections.h"
 #include "HttpHead.h"
 #include "RequestReader.h"
 #include "tanagerlanding/runtime/Acceptor.h"
@@ -22,6 +23,11 @@
 constexpr Milliseconds LingerTimeout{1000};
 /// Delay after a failed accept: descriptors are freed as responses complete.
 constexpr Milliseconds AcceptRetryDelay{100};
+/// The first bytes of a new connection may be on their way for this long.
+constexpr Milliseconds MinUnusedTime{250};
+/// At the limit of connections, this part of them is closed at once, so that
+/// they are not searched for each new one.
+constexpr std::size_t CloseParts = 64;
 /// Maximum number of bytes buffered while a response is pending.
 constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
 /// Bytes of a body that count as progress.
@@ -93,15 +99,17 @@
   /// Whether the rest of a refused request's body is still being received,
   /// which must not be taken for another request.
   bool IsInputDiscarded = false;
+  bool HasServed = false;
   /// Start of the current wait: for a request, for the rest of its header, or
   /// for the end of the connection.
   Instant WaitStart;
 };
 
 CallerServer::CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
-                           BufferBudget &Buffers, std::size_t ReceiveLimit,
+                           BufferBudget &Buffers, const Capacity &Limits,
                            Listener &Callbacks)
-    : Loop(Loop), Protocol(Protocol), Buffers(Buffers), Received(ReceiveLimit),
+    : Loop(Loop), Protocol(Protocol), Buffers(Buffers),
+      Received(Limits.RequestBytes), MaxConnections(Limits.Connections),
       Callbacks(Callbacks), Acceptor(Loop.context()),
       AcceptRetryTimer(Loop.context()), TimeoutTimer(Loop.context()) {
   this->setLimits(CallerLimits());
@@ -140,6 +148,10 @@
       return;
     }
     logEvent("accept_failed", {{"errno", std::to_string(Error.value())}});
+    if (Error == boost::asio::error::no_descriptors && this->closeForRoom()) {
+      this->accept();
+      return;
+    }
     this->AcceptRetryTimer.expires_after(AcceptRetryDelay);
     this->AcceptRetryTimer.async_wait([this](const auto &TimerError) {
       if (!TimerError)
@@ -148,7 +160,45 @@
   });
 }
 
+bool CallerServer::closeForRoom() {
+  using Use = ClosableConnection::Use;
+  std::vector<ClosableConnection> Closable;
+  for (const auto &[Id, Caller] : this->Connections) {
+    const bool IsRefused = Caller->IsLingering || Caller->IsInputDiscarded;
+    const bool IsServed = Caller->Current.Value != 0 ||
+                          (Caller->IsWriting && !Caller->IsInputDiscarded);
+    if (IsServed)
+      continue;
+    const bool IsNew = !Caller->HasServed &&
+                       this->Loop.now() - Caller->WaitStart < MinUnusedTime;
+    const bool IsArriving = Caller->Reader != nullptr || IsNew;
+    const Use CurrentUse = IsRefused           ? Use::Refused
+                           : IsArriving        ? Use::Arriving
+                           : Caller->HasServed ? Use::Idle
+                                               : Use::Unused;
+    Closable.push_back(
+        {CallerConnectionId(Id), CurrentUse,
+         Caller->Reader ? Caller->ProgressAt : Caller->WaitStart});
+  }
+  const auto Closed = selectClosed(std::move(Closable),
+                                   this->Connections.size() / CloseParts + 1);
+  if (!Closed.empty())
+    logEvent("connections_closed_for_room",
+             {{"closed", std::to_string(Closed.size())},
+              {"open", std::to_string(this->Connections.size())},
+              {"limit", std::to_string(this->MaxConnections)}});
+  for (const CallerConnectionId Id : Closed)
+    this->close(this->Connections.at(Id.Value));
+  return !Closed.empty();
+}
+
 void CallerServer::addConnection(tcp::socket Socket) {
+  if (this->MaxConnections <= this->Connections.size() &&
+      !this->closeForRoom()) {
+    logEvent("connection_refused_for_room",
+             {{"open", std::to_string(this->Connections.size())}});
+    return;
+  }
   boost::system::error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
   Socket.non_blocking(true, Ignored);
@@ -454,6 +504,7 @@
 }
 
 void CallerServer::completeResponse(const ConnectionPtr &Caller) {
+  Caller->HasServed = Caller->HasServed || Caller->Current.Value != 0;
   this->Requests.erase(Caller->Current);
   Caller->Current = RequestId();
   Caller->ServedBodyBytes = 0;
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace tanagerlanding {
 
 namespace {
@@ -33,8 +35,28 @@
 /// The part of the memory that may hold what callers send.
 constexpr std::size_t ReceivePartOfMemory = 4;
 
-std::size_t receiveLimitFor(const RelaySettings &Settings) {
-  return Settings.MemoryBytes.value_or(hostMemoryBytes()) / ReceivePartOfMemory;
+/// The part of the memory that is for callers' connections themselves, and what
+/// one of them occupies besides its request: its own state, that of its call
+/// and of a connection to a target.
+constexpr std::size_t ConnectionPartOfMemory = 8;
+constexpr std::size_t ConnectionBytes = 8 * 1024;
+/// Sockets for listening, the ledger and the key-value service.
+constexpr std::size_t OtherSockets = 64;
+
+/// Returns what callers may occupy. Each connection may need a second socket,
+/// to a target.
+CallerServer::Capacity callerCapacityFor(const RelaySettings &Settings) {
+  const std::size_t Memory = Settings.MemoryBytes.value_or(hostMemoryBytes());
+  const std::size_t Sockets =
+      std::min(Settings.Sockets.value_or(descriptorLimit()), descriptorLimit());
+  CallerServer::Capacity Limits;
+  Limits.RequestBytes = Memory / ReceivePartOfMemory;
+  Limits.Connections =
+      std::max<std::size_t>(1, Sockets - std::min(Sockets, OtherSockets)) / 2 +
+      1;
+  Limits.Connections = std::min(
+      Limits.Connections, Memory / ConnectionPartOfMemory / ConnectionBytes);
+  return Limits;
 }
 
 Milliseconds maxProofAge(const RelaySettings &Settings) {
@@ -132,7 +154,7 @@
       Service(Loop, Settings.ServiceUrl, this->Protocols.KeyValue),
       Keys(Loop, Service, {{}, watchTimingFor(Settings).Timeout}, *this),
       Buffers(Settings.BufferBytes),
-      Callers(Loop, this->Protocols.Relay, Buffers, receiveLimitFor(Settings),
+      Callers(Loop, this->Protocols.Relay, Buffers, callerCapacityFor(Settings),
               *this),
       Targets(Loop, this->Protocols.Relay, Buffers, *this),
       Status(Settings.Status.Address, Settings.Status.Port,
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -11,13 +11,14 @@
 /// More than the buffers of any test that does not fill it on purpose.
 constexpr std::size_t BudgetBytes = 32 * 1024 * 1024;
 constexpr std::size_t ReceiveLimit = 1024 * 1024;
+constexpr std::size_t MaxConnections = 20;
 
 /// A server that records its requests and the callers' disconnections.
 class CallerFixture : public CallerServer::Listener {
 public:
   CallerFixture()
       : Protocol(makeTestProtocol()),
-        Server(Loop, Protocol, Buffers, ReceiveLimit, *this) {
+        Server(Loop, Protocol, Buffers, {ReceiveLimit, MaxConnections}, *this) {
     this->Port = freeTestPort(this->Loop);
     REQUIRE(this->Server.listen("127.0.0.1", this->Port));
   }
@@ -261,6 +262,37 @@
   CHECK(Fixture.awaitRequests(Served + 2));
 }
 
+TEST_CASE("Callers: connections that are held open give way to new ones") {
+  CallerFixture Fixture;
+  const auto Connect = [&] {
+    auto Peer = std::make_unique<RawPeer>(Fixture.Loop);
+    Peer->connect(Fixture.Port);
+    return Peer;
+  };
+  const auto Served = Connect();
+  Served->send(Plain);
+  REQUIRE(Fixture.awaitRequests(1));
+  const auto Used = Connect();
+  Used->send(Plain);
+  REQUIRE(Fixture.awaitRequests(2));
+  Fixture.answer(1, "ok");
+  REQUIRE(runUntil(Fixture.Loop, [&] { return Used->has("ok"); }));
+  std::vector<std::unique_ptr<RawPeer>> Held;
+  for (std::size_t Number = 0; Number < 2 * MaxConnections; ++Number)
+    Held.push_back(Connect());
+  CHECK(runUntil(Fixture.Loop, [&] { return Held[0]->IsClosed; }));
+  runUntil(
+      Fixture.Loop, [] { return false; }, Milliseconds(300));
+  for (std::size_t Number = 0; Number < MaxConnections / 2; ++Number)
+    Held.push_back(Connect());
+  const auto Next = Connect();
+  Next->send(Plain);
+  REQUIRE(Fixture.awaitRequests(3));
+  CHECK_FALSE(Held.back()->IsClosed);
+  Fixture.answer(0, "late");
+  CHECK(runUntil(Fixture.Loop, [&] { return Served->has("late"); }));
+}
+
 TEST_CASE("Callers: a trailer adds no fields to the head") {
   CallerFixture Fixture;
   RawPeer Caller(Fixture.Loop);
