Read little behind a request that is being served

Cause: up to 64 KiB were read behind a request in progress on each connection. Such bytes can't be refused, as the request before them may have run.

Now 4 KiB are, which is more than most requests with their head; the rest waits in the socket.

The request behind is read whole after the response.

--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/relay/src/CallerServer.cpp
@@ -29,7 +29,7 @@
 /// they are not searched for each new one.
 constexpr std::size_t CloseParts = 64;
 /// Maximum number of bytes buffered while a response is pending.
-constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
+constexpr std::size_t MaxPipelinedBytes = 4 * 1024;
 /// Bytes of a body that count as progress.
 constexpr std::size_t ProgressBytes = 64 * 1024;
 /// Copies of a body while its request is served: in the call and in an attempt.
@@ -64,6 +64,11 @@
 struct CallerServer::Connection {
   explicit Connection(tcp::socket Socket) : Socket(std::move(Socket)) {}
 
+  /// Returns whether no more is read until the pending response is complete.
+  bool isInputFull() const {
+    return this->Current.Value != 0 && MaxPipelinedBytes <= this->Input.size();
+  }
+
   std::uint64_t Id = 0;
   tcp::socket Socket;
   boost::beast::flat_buffer Input;
@@ -213,9 +218,7 @@
 }
 
 void CallerServer::read(const ConnectionPtr &Caller) {
-  const bool IsFull =
-      Caller->Current.Value != 0 && Caller->Input.size() >= MaxPipelinedBytes;
-  if (Caller->IsReading || IsFull || !Caller->Socket.is_open())
+  if (Caller->IsReading || Caller->isInputFull() || !Caller->Socket.is_open())
     return;
   Caller->IsReading = true;
   Caller->Socket.async_wait(tcp::socket::wait_read,
@@ -231,9 +234,15 @@
 }
 
 void CallerServer::handleReadable(const ConnectionPtr &Caller) {
+  // Continued when the response is complete.
+  if (Caller->isInputFull())
+    return;
   boost::system::error_code Error;
-  const std::size_t Count =
-      Caller->Socket.read_some(boost::asio::buffer(this->ReadBuffer), Error);
+  const std::size_t MaxBytes = Caller->Current.Value != 0
+                                   ? MaxPipelinedBytes - Caller->Input.size()
+                                   : this->ReadBuffer.size();
+  const std::size_t Count = Caller->Socket.read_some(
+      boost::asio::buffer(this->ReadBuffer, MaxBytes), Error);
   if (Error && Error != boost::asio::error::would_block) {
     this->close(Caller);
     return;
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/relay/tests/CallerServerTest.cpp
@@ -348,6 +348,27 @@
   CHECK_FALSE(Caller.IsClosed);
 }
 
+TEST_CASE("Callers: little is read behind a request in progress, and all of it "
+          "after its response") {
+  CallerFixture Fixture;
+  RawPeer Caller(Fixture.Loop);
+  Caller.connect(Fixture.Port);
+  Caller.send(Plain);
+  REQUIRE(Fixture.awaitRequests(1));
+  const std::string Body(200000, 'x');
+  const std::string Next = "POST /b HTTP/1.1\r\nHost: h\r\nId: 2\r\n"
+                           "Content-Length: " +
+                           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  boost::asio::async_write(Caller.Socket, boost::asio::buffer(Next),
+                           [](const auto &, std::size_t) {});
+  runUntil(
+      Fixture.Loop, [] { return false; }, Milliseconds(50));
+  CHECK(Fixture.Server.receivedBytes() < 32 * 1024);
+  Fixture.answer(0, "first");
+  REQUIRE(Fixture.awaitRequests(2));
+  CHECK(Fixture.Requests[1].Body == Body);
+}
+
 TEST_CASE("Callers: a disconnection before the response is reported") {
   CallerFixture Fixture;
   RawPeer Caller(Fixture.Loop);
--- a/tests/integration/ClientCrowds.cpp
+++ b/tests/integration/ClientCrowds.cpp
@@ -191,6 +191,7 @@
   }
 
   void checkLimits() {
+    WARN("peak in KiB: " << peakKilobytes(this->pid()));
     const pid_t Relay = this->Site.Relays[0].pid();
     const long Open = openDescriptors(Relay);
     const long Peak = peakKilobytes(Relay);
@@ -235,8 +236,7 @@
     std::ostringstream Text;
     for (const auto &[Status, Count] : Crowd.statuses())
       Text << Status << ": " << Count << "; ";
-    WARN("answers of the crowd: " << Text.str() << "peak in KiB: "
-                                  << peakKilobytes(Deployment.pid()));
+    WARN("answers of the crowd: " << Text.str());
   }
   Deployment.checkRelay();
 }
