Move the server for callers into a package of its own

CallerServer, the reading of requests and the two budgets become package http, so that the entry can use them; what decodes callers' requests and encodes refusals becomes CallerProtocol, which RelayProtocol extends. The tests move with their classes. No change of behaviour: the tests of both packages pass, as do those of the adapter's build.

--- a/packages/relay/include/tanagerlanding/relay/BufferBudget.h
+++ b/packages/http/include/tanagerlanding/http/BufferBudget.h
@@ -1,7 +1,7 @@
 /// \file
 /// The memory budget of a relay for the buffers of its connections.
-#ifndef TANAGERLANDING_RELAY_BUFFERBUDGET_H
-#define TANAGERLANDING_RELAY_BUFFERBUDGET_H
+#ifndef TANAGERLANDING_HTTP_BUFFERBUDGET_H
+#define TANAGERLANDING_HTTP_BUFFERBUDGET_H
 
 #include "tanagerlanding/basics.h"
 
--- a/packages/relay/include/tanagerlanding/relay/CallerServer.h
+++ b/packages/http/include/tanagerlanding/http/CallerServer.h
@@ -1,11 +1,11 @@
 /// \file
 /// HTTP server for callers whose requests are forwarded to targets.
-#ifndef TANAGERLANDING_RELAY_CALLERSERVER_H
-#define TANAGERLANDING_RELAY_CALLERSERVER_H
+#ifndef TANAGERLANDING_HTTP_CALLERSERVER_H
+#define TANAGERLANDING_HTTP_CALLERSERVER_H
 
-#include "tanagerlanding/relay/BufferBudget.h"
-#include "tanagerlanding/relay/ReceiveBudget.h"
-#include "tanagerlanding/relay/RelayProtocol.h"
+#include "tanagerlanding/http/BufferBudget.h"
+#include "tanagerlanding/http/CallerProtocol.h"
+#include "tanagerlanding/http/ReceiveBudget.h"
 #include "tanagerlanding/runtime/EventLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -52,7 +52,7 @@
     std::size_t Connections = 0;
   };
 
-  CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
+  CallerServer(EventLoop &Loop, const CallerProtocol &Protocol,
                BufferBudget &Buffers, const Capacity &Limits,
                Listener &Callbacks);
   ~CallerServer();
@@ -134,7 +134,7 @@
   bool shouldClose(const Connection &Caller) const;
 
   EventLoop &Loop;
-  const RelayProtocol &Protocol;
+  const CallerProtocol &Protocol;
   BufferBudget &Buffers;
   ReceiveBudget Received;
   const std::size_t MaxConnections;
--- a/packages/relay/src/HttpHead.h
+++ b/packages/http/include/tanagerlanding/http/HttpHead.h
@@ -1,7 +1,7 @@
 /// \file
 /// Reading and writing of HTTP message heads with Boost.Beast.
-#ifndef TANAGERLANDING_RELAY_HTTPHEAD_H
-#define TANAGERLANDING_RELAY_HTTPHEAD_H
+#ifndef TANAGERLANDING_HTTP_HTTPHEAD_H
+#define TANAGERLANDING_HTTP_HTTPHEAD_H
 
 #include "tanagerlanding/decision/relay/CallerRequest.h"
 
--- a/packages/relay/include/tanagerlanding/relay/ReceiveBudget.h
+++ b/packages/http/include/tanagerlanding/http/ReceiveBudget.h
@@ -1,9 +1,9 @@
 /// \file
 /// The memory budget of a relay for the requests that callers send.
-#ifndef TANAGERLANDING_RELAY_RECEIVEBUDGET_H
-#define TANAGERLANDING_RELAY_RECEIVEBUDGET_H
+#ifndef TANAGERLANDING_HTTP_RECEIVEBUDGET_H
+#define TANAGERLANDING_HTTP_RECEIVEBUDGET_H
 
-#include "tanagerlanding/relay/BufferBudget.h"
+#include "tanagerlanding/http/BufferBudget.h"
 
 #include <cstddef>
 #include <map>
--- a/packages/relay/src/BufferBudget.cpp
+++ b/packages/http/src/BufferBudget.cpp
@@ -1,4 +1,4 @@
-#include "tanagerlanding/relay/BufferBudget.h"
+#include "tanagerlanding/http/BufferBudget.h"
 
 #include <algorithm>
 
--- a/packages/relay/src/CallerServer.cpp
+++ b/packages/http/src/CallerServer.cpp
@@ -1,8 +1,8 @@
-#include "tanagerlanding/relay/CallerServer.h"
+#include "tanagerlanding/http/CallerServer.h"
 
 #include "ClosableConnections.h"
-#include "HttpHead.h"
 #include "RequestReader.h"
+#include "tanagerlanding/http/HttpHead.h"
 #include "tanagerlanding/runtime/Acceptor.h"
 #include "tanagerlanding/runtime/Log.h"
 
@@ -110,7 +110,7 @@
   Instant WaitStart;
 };
 
-CallerServer::CallerServer(EventLoop &Loop, const RelayProtocol &Protocol,
+CallerServer::CallerServer(EventLoop &Loop, const CallerProtocol &Protocol,
                            BufferBudget &Buffers, const Capacity &Limits,
                            Listener &Callbacks)
     : Loop(Loop), Protocol(Protocol), Buffers(Buffers),
--- a/packages/relay/src/ClosableConnections.h
+++ b/packages/http/src/ClosableConnections.h
@@ -1,9 +1,9 @@
 /// \file
 /// Choice of the connections that are closed in favour of new ones.
-#ifndef TANAGERLANDING_RELAY_CLOSABLECONNECTIONS_H
-#define TANAGERLANDING_RELAY_CLOSABLECONNECTIONS_H
+#ifndef TANAGERLANDING_HTTP_CLOSABLECONNECTIONS_H
+#define TANAGERLANDING_HTTP_CLOSABLECONNECTIONS_H
 
-#include "tanagerlanding/relay/BufferBudget.h"
+#include "tanagerlanding/http/BufferBudget.h"
 
 #include <vector>
 
--- a/packages/relay/src/HttpHead.cpp
+++ b/packages/http/src/HttpHead.cpp
@@ -1,4 +1,4 @@
-#include "HttpHead.h"
+#include "tanagerlanding/http/HttpHead.h"
 
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
--- a/packages/relay/src/ReceiveBudget.cpp
+++ b/packages/http/src/ReceiveBudget.cpp
@@ -1,4 +1,4 @@
-#include "tanagerlanding/relay/ReceiveBudget.h"
+#include "tanagerlanding/http/ReceiveBudget.h"
 
 #include <algorithm>
 
--- a/packages/relay/src/RequestReader.cpp
+++ b/packages/http/src/RequestReader.cpp
@@ -1,6 +1,6 @@
 #include "RequestReader.h"
 
-#include "HttpHead.h"
+#include "tanagerlanding/http/HttpHead.h"
 
 #include <iterator>
 
--- a/packages/relay/src/RequestReader.h
+++ b/packages/http/src/RequestReader.h
@@ -1,9 +1,9 @@
 /// \file
 /// Reading of one HTTP/1.1 request from the bytes of a connection.
-#ifndef TANAGERLANDING_RELAY_REQUESTREADER_H
-#define TANAGERLANDING_RELAY_REQUESTREADER_H
+#ifndef TANAGERLANDING_HTTP_REQUESTREADER_H
+#define TANAGERLANDING_HTTP_REQUESTREADER_H
 
-#include "tanagerlanding/relay/RelayProtocol.h"
+#include "tanagerlanding/http/CallerProtocol.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/packages/relay/tests/BufferBudgetTest.cpp
+++ b/packages/http/tests/BufferBudgetTest.cpp
@@ -1,5 +1,5 @@
 /// Tests of the memory budget's decisions, without connections.
-#include "tanagerlanding/relay/BufferBudget.h"
+#include "tanagerlanding/http/BufferBudget.h"
 
 #include <catch2/catch.hpp>
 
--- a/packages/relay/tests/CallerServerTest.cpp
+++ b/packages/http/tests/CallerServerTest.cpp
@@ -1,6 +1,8 @@
 /// Tests of CallerServer with raw sockets that act as callers.
 #include "RawPeer.h"
 
+#include "tanagerlanding/http.h"
+
 #include <catch2/catch.hpp>
 
 using namespace tanagerlanding;
@@ -13,6 +15,53 @@
 constexpr std::size_t ReceiveLimit = 1024 * 1024;
 constexpr std::size_t MaxConnections = 20;
 
+/// Returns the tests' protocol: "Id" carries an attempt's id.
+CallerProtocol makeTestProtocol() {
+  const auto Find = [](const HeaderFields &Headers, const std::string &Name) {
+    for (const auto &[Key, Value] : Headers) {
+      if (Key == Name)
+        return std::optional<std::string>(Value);
+    }
+    return std::optional<std::string>();
+  };
+  CallerProtocol Protocol;
+  Protocol.DecodeRequest =
+      [Find](RawRequest Raw) -> Result<CallerRequest, RelayRefusalReason> {
+    const auto Id = Find(Raw.Headers, "Id");
+    if (!Id)
+      return RelayRefusalReason::Malformed;
+    CallerRequest Request;
+    Request.Id = CallerAttemptId(*Id);
+    Request.Method = Raw.Method;
+    Request.RequestTarget = Raw.Target;
+    Request.Headers = Raw.Headers;
+    Request.Body = Raw.Body;
+    return Request;
+  };
+  Protocol.EncodeRefusal = [](const RelayRefusal &Refusal,
+                              const CallerAttemptId &) {
+    RefusalHead Head;
+    switch (Refusal.Reason) {
+    case RelayRefusalReason::BodyTooLarge:
+      Head.Status = 413;
+      break;
+    case RelayRefusalReason::HeadersTooLarge:
+      Head.Status = 431;
+      break;
+    case RelayRefusalReason::HeaderTimeout:
+      Head.Status = 408;
+      break;
+    case RelayRefusalReason::Overloaded:
+      Head.Status = 503;
+      break;
+    default:
+      Head.Status = 400;
+    }
+    return Head;
+  };
+  return Protocol;
+}
+
 /// A server that records its requests and the callers' disconnections.
 class CallerFixture : public CallerServer::Listener {
 public:
@@ -47,7 +96,7 @@
   }
 
   EventLoop Loop;
-  const RelayProtocol Protocol;
+  const CallerProtocol Protocol;
   BufferBudget Buffers{BudgetBytes};
   CallerServer Server;
   std::uint16_t Port = 0;
--- a/packages/relay/tests/RawPeer.h
+++ b/packages/http/tests/RawPeer.h
@@ -1,9 +1,9 @@
 /// \file
-/// Raw TCP peers and a test protocol for tests of the relay's connections.
-#ifndef TANAGERLANDING_RELAY_TESTS_RAWPEER_H
-#define TANAGERLANDING_RELAY_TESTS_RAWPEER_H
+/// Raw TCP peers for tests of HTTP connections.
+#ifndef TANAGERLANDING_HTTP_TESTS_RAWPEER_H
+#define TANAGERLANDING_HTTP_TESTS_RAWPEER_H
 
-#include "tanagerlanding/relay.h"
+#include "tanagerlanding/runtime.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -15,66 +15,6 @@
 
 namespace tanagerlanding::test {
 
-/// Returns the tests' protocol: "Id" carries an attempt's id, and "Not-Run"
-/// marks a response of a target that has not run the request.
-inline RelayProtocol makeTestProtocol() {
-  const auto Find = [](const HeaderFields &Headers, const std::string &Name) {
-    for (const auto &[Key, Value] : Headers) {
-      if (Key == Name)
-        return std::optional<std::string>(Value);
-    }
-    return std::optional<std::string>();
-  };
-  RelayProtocol Protocol;
-  Protocol.DecodeRequest =
-      [Find](RawRequest Raw) -> Result<CallerRequest, RelayRefusalReason> {
-    const auto Id = Find(Raw.Headers, "Id");
-    if (!Id)
-      return RelayRefusalReason::Malformed;
-    CallerRequest Request;
-    Request.Id = CallerAttemptId(*Id);
-    Request.Method = Raw.Method;
-    Request.RequestTarget = Raw.Target;
-    Request.Headers = Raw.Headers;
-    Request.Body = Raw.Body;
-    return Request;
-  };
-  Protocol.EncodeAttempt = [](const CallerRequest &Request,
-                              const SendAttempt &) { return Request.Headers; };
-  Protocol.DecodeTargetHead = [Find](std::uint16_t Status,
-                                     HeaderFields Headers) {
-    DecodedTargetHead Decoded;
-    Decoded.Head.Status = Status;
-    if (const auto Id = Find(Headers, "Id"))
-      Decoded.AnsweredAttempt = CallerAttemptId(*Id);
-    Decoded.Head.IsNotRun = Find(Headers, "Not-Run").has_value();
-    Decoded.Head.Headers = std::move(Headers);
-    return Decoded;
-  };
-  Protocol.EncodeRefusal = [](const RelayRefusal &Refusal,
-                              const CallerAttemptId &) {
-    RefusalHead Head;
-    switch (Refusal.Reason) {
-    case RelayRefusalReason::BodyTooLarge:
-      Head.Status = 413;
-      break;
-    case RelayRefusalReason::HeadersTooLarge:
-      Head.Status = 431;
-      break;
-    case RelayRefusalReason::HeaderTimeout:
-      Head.Status = 408;
-      break;
-    case RelayRefusalReason::Overloaded:
-      Head.Status = 503;
-      break;
-    default:
-      Head.Status = 400;
-    }
-    return Head;
-  };
-  return Protocol;
-}
-
 /// Runs the loop until Condition holds; returns false after Limit.
 inline bool runUntil(EventLoop &Loop, const std::function<bool()> &Condition,
                      Milliseconds Limit = Milliseconds(5000)) {
--- a/packages/relay/tests/ReceiveBudgetTest.cpp
+++ b/packages/http/tests/ReceiveBudgetTest.cpp
@@ -1,5 +1,5 @@
 /// Tests of ReceiveBudget.
-#include "tanagerlanding/relay.h"
+#include "tanagerlanding/http.h"
 
 #include <catch2/catch.hpp>
 
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -3,7 +3,7 @@
 #ifndef TANAGERLANDING_RELAY_ATTEMPTCLIENT_H
 #define TANAGERLANDING_RELAY_ATTEMPTCLIENT_H
 
-#include "tanagerlanding/relay/BufferBudget.h"
+#include "tanagerlanding/http/BufferBudget.h"
 #include "tanagerlanding/relay/RelayProtocol.h"
 #include "tanagerlanding/runtime/EventLoop.h"
 
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -4,9 +4,9 @@
 #define TANAGERLANDING_RELAY_RELAYPROCESS_H
 
 #include "tanagerlanding/gateway.h"
+#include "tanagerlanding/http/CallerServer.h"
 #include "tanagerlanding/keyvalue.h"
 #include "tanagerlanding/relay/AttemptClient.h"
-#include "tanagerlanding/relay/CallerServer.h"
 #include "tanagerlanding/runtime.h"
 #include "tanagerlanding/settings.h"
 
--- a/packages/relay/include/tanagerlanding/relay/RelayProtocol.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProtocol.h
@@ -3,7 +3,7 @@
 #ifndef TANAGERLANDING_RELAY_RELAYPROTOCOL_H
 #define TANAGERLANDING_RELAY_RELAYPROTOCOL_H
 
-#include "tanagerlanding/decision/relay/RelayReducer.h"
+#include "tanagerlanding/http/CallerProtocol.h"
 
 #include <cstdint>
 #include <functional>
@@ -12,14 +12,6 @@
 
 namespace tanagerlanding {
 
-/// A complete HTTP request before decoding.
-struct RawRequest {
-  std::string Method;
-  std::string Target;
-  HeaderFields Headers;
-  std::string Body;
-};
-
 /// The decoded head of a target's response.
 struct DecodedTargetHead {
   TargetAnswerHead Head;
@@ -27,24 +19,14 @@
   std::optional<CallerAttemptId> AnsweredAttempt;
 };
 
-/// The head of a refusal.
-struct RefusalHead {
-  std::uint16_t Status = 0;
-  HeaderFields Headers;
-};
-
 /// Converts between HTTP heads and the relay's types. The relay itself handles
 /// hop-by-hop headers and Content-Length.
-struct RelayProtocol {
-  std::function<Result<CallerRequest, RelayRefusalReason>(RawRequest)>
-      DecodeRequest;
+struct RelayProtocol : CallerProtocol {
   /// Returns an attempt's headers: the caller's and those that the relay adds.
   std::function<HeaderFields(const CallerRequest &, const SendAttempt &)>
       EncodeAttempt;
   std::function<DecodedTargetHead(std::uint16_t Status, HeaderFields)>
       DecodeTargetHead;
-  std::function<RefusalHead(const RelayRefusal &, const CallerAttemptId &)>
-      EncodeRefusal;
 };
 
 } // namespace tanagerlanding
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -1,6 +1,6 @@
 #include "tanagerlanding/relay/AttemptClient.h"
 
-#include "HttpHead.h"
+#include "tanagerlanding/http/HttpHead.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -1,6 +1,8 @@
 /// Tests of AttemptClient against raw sockets that act as targets.
 #include "RawPeer.h"
 
+#include "tanagerlanding/relay.h"
+
 #include <catch2/catch.hpp>
 
 using namespace tanagerlanding;
@@ -8,6 +10,32 @@
 
 namespace {
 
+/// Returns the tests' protocol: "Id" carries an attempt's id, and "Not-Run"
+/// marks a response of a target that has not run the request.
+RelayProtocol makeTestProtocol() {
+  const auto Find = [](const HeaderFields &Headers, const std::string &Name) {
+    for (const auto &[Key, Value] : Headers) {
+      if (Key == Name)
+        return std::optional<std::string>(Value);
+    }
+    return std::optional<std::string>();
+  };
+  RelayProtocol Protocol;
+  Protocol.EncodeAttempt = [](const CallerRequest &Request,
+                              const SendAttempt &) { return Request.Headers; };
+  Protocol.DecodeTargetHead = [Find](std::uint16_t Status,
+                                     HeaderFields Headers) {
+    DecodedTargetHead Decoded;
+    Decoded.Head.Status = Status;
+    if (const auto Id = Find(Headers, "Id"))
+      Decoded.AnsweredAttempt = CallerAttemptId(*Id);
+    Decoded.Head.IsNotRun = Find(Headers, "Not-Run").has_value();
+    Decoded.Head.Headers = std::move(Headers);
+    return Decoded;
+  };
+  return Protocol;
+}
+
 /// A client and a listening socket that accepts its connections as targets.
 class TargetFixture : public AttemptClient::Listener {
 public:
