Serve an entry's callers with the server of relays

Even a single body within the limit was refused if it came in chunks of one or seven bytes.

Cause: Pistache parses a request anew with each read, so that a large one in small pieces takes quadratic time on one of two threads; its limit covers a request with its framing, and nothing limits the sum or the connections. It offers no place for such limits: input reaches the parser of a connection before the handler.

HttpGateway now runs CallerServer on a thread of its own, with the limits, the budget and the choice of connections that relays have.

Ruled out: filtering the input in front of Pistache's parser, which would need a second parser, and raising its limit to what the smallest chunks take, six times the memory.

--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -100,8 +100,9 @@
       Gateway(HttpGateway::Options()
                   .withAddress(Settings.Http.Address)
                   .withPort(Settings.Http.Port)
-                  .withThreads(Settings.HttpThreads)
-                  .withMaxRequestBytes(Settings.MaxRequestBytes),
+                  .withMaxHeaderBytes(Settings.MaxHeaderBytes)
+                  .withMaxRequestBytes(Settings.MaxRequestBytes)
+                  .withAllRequestsBytes(Settings.AllRequestsBytes),
               *this) {
   this->State.Options = optionsFrom(Settings);
   this->State.Self = Settings.Host;
--- a/packages/gateway/include/tanagerlanding/gateway/HttpGateway.h
+++ b/packages/gateway/include/tanagerlanding/gateway/HttpGateway.h
@@ -14,8 +14,8 @@
 
 /// Receives callers' calls and sends the answers.
 ///
-/// answer() and stream() may be called from any thread; the server's threads
-/// write the responses. The listener is called on the server's threads.
+/// answer() and stream() may be called from any thread; the server's thread
+/// writes the responses. The listener is called on the server's thread.
 class HttpGateway {
 public:
   /// Receives calls and disconnections, and provides the status pages.
@@ -36,12 +36,21 @@
     virtual bool isReady() = 0;
   };
 
-  /// Address, thread count and limits of the server.
+  /// Address and limits of the server.
   struct Options {
     std::string Address = "127.0.0.1";
     std::uint16_t Port = 0;
-    unsigned Threads = 2;
+    /// Largest head, and largest first line of a chunk or trailer.
+    std::size_t MaxHeaderBytes = 64 * 1024;
+    /// Largest body.
     std::size_t MaxRequestBytes = 8 * 1024 * 1024;
+    /// What the requests of all callers may occupy, see ReceiveBudget.
+    std::size_t AllRequestsBytes = 128 * 1024 * 1024;
+    /// Time to receive a head, from its first byte.
+    Milliseconds HeaderTimeout{60000};
+    /// Time to receive a request, and time that a connection may stay open
+    /// without one.
+    Milliseconds IdleTimeout{3700000};
 
     Options &withAddress(std::string Value) {
       this->Address = std::move(Value);
@@ -51,8 +60,12 @@
       this->Port = Value;
       return *this;
     }
-    Options &withThreads(unsigned Value) {
-      this->Threads = Value;
+    Options &withMaxHeaderBytes(std::size_t Value) {
+      this->MaxHeaderBytes = Value;
+      return *this;
+    }
+    Options &withAllRequestsBytes(std::size_t Value) {
+      this->AllRequestsBytes = Value;
       return *this;
     }
     Options &withMaxRequestBytes(std::size_t Value) {
--- a/packages/http/include/tanagerlanding/http/CallerProtocol.h
+++ b/packages/http/include/tanagerlanding/http/CallerProtocol.h
@@ -19,10 +19,11 @@
   std::string Body;
 };
 
-/// The head of a refusal.
+/// A refusal as it is sent.
 struct RefusalHead {
   std::uint16_t Status = 0;
   HeaderFields Headers;
+  std::string Body;
 };
 
 /// Converts between HTTP heads and decoded requests. The server itself handles
--- a/packages/http/include/tanagerlanding/http/CallerServer.h
+++ b/packages/http/include/tanagerlanding/http/CallerServer.h
@@ -63,6 +63,9 @@
   Result<void, SystemError> listen(const std::string &Address,
                                    std::uint16_t Port);
 
+  /// Returns the port on which connections are accepted.
+  std::uint16_t port() const { return this->Acceptor.local_endpoint().port(); }
+
   /// Sets the limits for requests that begin after this call.
   void setLimits(const CallerLimits &Limits);
 
--- a/packages/http/src/CallerServer.cpp
+++ b/packages/http/src/CallerServer.cpp
@@ -274,6 +274,7 @@
   while (Caller->Input.size() > 0 && Caller->Current.Value == 0 &&
          !Caller->IsLingering && !Caller->IsInputDiscarded) {
     if (!Caller->Reader) {
+      Caller->IsHeadRequest = false;
       Caller->Reader = std::make_unique<RequestReader>(this->Limits);
       Caller->HasSentContinue = false;
       Caller->WaitStart = this->Loop.now();
@@ -353,9 +354,12 @@
   const RefusalHead Head =
       this->Protocol.EncodeRefusal(Refusal, Caller->CurrentAttempt);
   Caller->Framing = BodyFraming::Kind::ContentLength;
-  this->write(Caller, writeResponseHead(Head.Status, Head.Headers,
-                                        {BodyFraming::Kind::ContentLength, 0},
-                                        this->shouldClose(*Caller)));
+  this->write(Caller, writeResponseHead(
+                          Head.Status, Head.Headers,
+                          {BodyFraming::Kind::ContentLength, Head.Body.size()},
+                          this->shouldClose(*Caller)));
+  if (!Caller->IsHeadRequest && !Head.Body.empty())
+    this->write(Caller, Head.Body);
 }
 
 void CallerServer::refuse(RequestId Request, const RelayRefusal &Refusal) {
--- a/packages/settings/include/tanagerlanding/settings/NodeSettings.h
+++ b/packages/settings/include/tanagerlanding/settings/NodeSettings.h
@@ -23,8 +23,10 @@
   ListenAddress Listen;
   /// Entry: HTTP address for callers.
   ListenAddress Http;
-  std::uint32_t HttpThreads = 2;
+  std::uint32_t MaxHeaderBytes = 64 * 1024;
   std::uint32_t MaxRequestBytes = 8 * 1024 * 1024;
+  /// What the requests of all callers may occupy.
+  std::uint64_t AllRequestsBytes = 128 * 1024 * 1024;
   /// Entry: URL of the key-value service, and the prefix of the deployment's
   /// keys.
   std::string PlatformUrl;
--- a/packages/settings/src/NodeSettings.cpp
+++ b/packages/settings/src/NodeSettings.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// How many of the largest requests all callers may have at a time by default.
+constexpr std::int64_t AllRequestsPerRequest = 16;
+
 constexpr std::int64_t MaxPort = 65535;
 constexpr std::int64_t MaxMillis = 86400000;
 
@@ -100,10 +103,15 @@
   void readEntry(ObjectReader &Reader) {
     NodeSettings &Into = this->Settings;
     Into.Http = this->address(Reader, "http");
-    Into.HttpThreads = static_cast<std::uint32_t>(
-        Reader.integer("http_threads", 1, 64, Into.HttpThreads));
+    // Has no effect since one thread serves all callers.
+    Reader.integer("http_threads", 1, 64, 1);
+    Into.MaxHeaderBytes = static_cast<std::uint32_t>(
+        Reader.integer("max_header_bytes", 1024, 1 << 24, Into.MaxHeaderBytes));
     Into.MaxRequestBytes = static_cast<std::uint32_t>(Reader.integer(
         "max_request_bytes", 1024, 1 << 30, Into.MaxRequestBytes));
+    Into.AllRequestsBytes = static_cast<std::uint64_t>(
+        Reader.integer("all_requests_bytes", 1024, std::int64_t{1} << 40,
+                       AllRequestsPerRequest * Into.MaxRequestBytes));
     Into.ShardCount = static_cast<std::uint32_t>(
         Reader.integer("shards", 1, 65536, Into.ShardCount));
     Into.DataFolder = Reader.text("data_folder", "");
