--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -187,6 +187,27 @@
   CHECK(Fixture.Ends[0] == Kind::Broken);
 }
 
+// Guards against callers that get an impossible status, or wait for an answer
+// that does not come.
+TEST_CASE("Targets: a response with an impossible status is no answer") {
+  const auto Status =
+      GENERATE(as<std::string>(), "000", "001", "099", "101", "600", "999",
+               "1000", "20", "2000", "2O0", "-1", "", "+20");
+  const auto Rest = GENERATE(
+      as<std::string>(), "\r\n\r\n", "\r\nId: 1\r\n\r\n",
+      " X\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+      " X\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+      " X\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  CAPTURE(Status, Rest);
+  TargetFixture Fixture;
+  RawPeer &Target = Fixture.send("1");
+  Target.send("HTTP/1.1 " + Status + Rest);
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Broken);
+  CHECK(Fixture.Statuses.empty());
+  CHECK(Fixture.Body.empty());
+}
+
 // Guards against answers that are empty and look whole.
 TEST_CASE("Targets: a response whose head is cut off anywhere is no answer") {
   const auto Head =
