Take an impossible status for a broken answer in the client of sidecars

A target's 101, 600 and 999 were passed on as answers. 000, 001, 099, 1000, 20, 2000, 2O0, -1, +20 and an empty status ended as "never sent": a call that may run once could be sent again after its target had run it.

Cause: libcurl ends a transfer with an invalid status line with the code that also stands for an unknown protocol of a URL, and outcomeKindFor() took that for a request that was not sent. Statuses were not checked at all.

A request now counts as never sent only if libcurl has sent no byte of it, which also replaces the guess by the time of the connection after a time-out. Status lines are checked when they arrive, so that nothing of such a body is passed on either.

--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <charconv>
 #include <string_view>
 #include <utility>
 
@@ -22,6 +23,11 @@
 constexpr unsigned UserTimeoutMillis = 2500;
 
 constexpr std::string_view StatusLineStart = "HTTP/";
+constexpr std::size_t StatusDigits = 3;
+constexpr std::uint16_t FirstInterimStatus = 100;
+constexpr std::uint16_t SwitchingProtocols = 101;
+constexpr std::uint16_t FirstFinalStatus = 200;
+constexpr std::uint16_t LastFinalStatus = 599;
 
 /// Sets the socket options that libcurl does not offer.
 int prepareSocket(void *, curl_socket_t Socket, curlsocktype) {
@@ -39,22 +45,49 @@
 }
 
 /// Returns the outcome of a transfer with this result code. libcurl reports a
-/// response whose head was cut off as complete, without a body.
-HttpOutcome::Kind outcomeKindFor(CURLcode Code, bool HasWholeHead) {
+/// response whose head was cut off as complete, without a body, and one whose
+/// status line is invalid as a protocol that it does not support.
+HttpOutcome::Kind outcomeKindFor(CURLcode Code, bool HasWholeHead,
+                                 bool IsSent) {
+  if (Code == CURLE_OK && HasWholeHead)
+    return HttpOutcome::Kind::Answered;
+  if (IsSent)
+    return HttpOutcome::Kind::Broken;
   switch (Code) {
-  case CURLE_OK:
-    return HasWholeHead ? HttpOutcome::Kind::Answered
-                        : HttpOutcome::Kind::Broken;
   case CURLE_COULDNT_CONNECT:
   case CURLE_COULDNT_RESOLVE_HOST:
   case CURLE_URL_MALFORMAT:
   case CURLE_UNSUPPORTED_PROTOCOL:
+  case CURLE_OPERATION_TIMEDOUT:
     return HttpOutcome::Kind::NeverSent;
   default:
     return HttpOutcome::Kind::Broken;
   }
 }
 
+/// Returns the status in a response's first line, or 0 if it is invalid.
+std::uint16_t readStatus(std::string_view Line) {
+  const std::size_t Start = std::min(Line.find(' '), Line.size() - 1) + 1;
+  const std::size_t End =
+      std::min(Line.find_first_of(" \r\n", Start), Line.size());
+  const char *Last = Line.data() + End;
+  std::uint16_t Status = 0;
+  const auto Read = std::from_chars(Line.data() + Start, Last, Status);
+  const bool IsValid = End - Start == StatusDigits && Read.ptr == Last;
+  return IsValid ? Status : 0;
+}
+
+/// Returns whether a response with this status may precede the final one. No
+/// request asks for another protocol.
+bool isInterim(std::uint16_t Status) {
+  return FirstInterimStatus <= Status && Status < FirstFinalStatus &&
+         Status != SwitchingProtocols;
+}
+
+bool isFinal(std::uint16_t Status) {
+  return FirstFinalStatus <= Status && Status <= LastFinalStatus;
+}
+
 void startCurlOnce() {
   static const CURLcode Started = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(Started);
@@ -73,6 +106,8 @@
   curl_slist *Headers = nullptr;
   /// Whether the empty line that ends the last head has been received.
   bool HasWholeHead = false;
+  /// Status in that head; 0 if it is invalid.
+  std::uint16_t Status = 0;
   /// Whether a kept connection had unread bytes before the request was sent.
   bool HasStrayBytes = false;
   bool IsCancelled = false;
@@ -233,17 +268,12 @@
 
   this->rememberSocket(Easy);
   HttpOutcome Outcome;
-  Outcome.Ended =
-      outcomeKindFor(static_cast<CURLcode>(Code), Done->HasWholeHead);
-  // A time-out before the connection was established means nothing was sent.
-  curl_off_t ConnectMicros = 0;
-  curl_easy_getinfo(Easy, CURLINFO_CONNECT_TIME_T, &ConnectMicros);
-  if (Code == CURLE_OPERATION_TIMEDOUT && ConnectMicros == 0)
-    Outcome.Ended = HttpOutcome::Kind::NeverSent;
-  long Status = 0;
-  if (Done->HasWholeHead)
-    curl_easy_getinfo(Easy, CURLINFO_RESPONSE_CODE, &Status);
-  Outcome.Status = static_cast<std::uint16_t>(Status);
+  long SentBytes = 0;
+  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &SentBytes);
+  Outcome.Ended = outcomeKindFor(static_cast<CURLcode>(Code),
+                                 Done->HasWholeHead, SentBytes > 0);
+  if (Done->HasWholeHead && isFinal(Done->Status))
+    Outcome.Status = Done->Status;
   const char *ContentType = nullptr;
   curl_easy_getinfo(Easy, CURLINFO_CONTENT_TYPE, &ContentType);
   if (ContentType)
@@ -296,9 +326,13 @@
   auto *Each = static_cast<Transfer *>(Owner);
   // Interim responses have heads of their own. Lines of a trailer follow the
   // body and are no status lines.
-  if (Line.substr(0, StatusLineStart.size()) == StatusLineStart)
+  if (Line.substr(0, StatusLineStart.size()) == StatusLineStart) {
     Each->HasWholeHead = false;
-  else if (Line == "\r\n" || Line == "\n")
+    Each->Status = readStatus(Line);
+    const bool IsValid = isInterim(Each->Status) || isFinal(Each->Status);
+    return IsValid ? Size * Count : 0;
+  }
+  if (Line == "\r\n" || Line == "\n")
     Each->HasWholeHead = true;
   return Size * Count;
 }
--- a/packages/engine/tests/HttpClientTest.cpp
+++ b/packages/engine/tests/HttpClientTest.cpp
@@ -144,6 +144,43 @@
   }
 }
 
+// Guards against an impossible status that is passed on as an answer.
+TEST_CASE("HttpClient: a response with an impossible status is no answer") {
+  const auto Status =
+      GENERATE(as<std::string>(), "000", "001", "099", "101", "600", "999",
+               "1000", "20", "2000", "2O0", "-1", "", "+20");
+  const auto Rest = GENERATE(
+      as<std::string>(), "\r\n\r\n", " X\r\nContent-Length: 2\r\n\r\nok",
+      " X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  const bool IsKept = GENERATE(false, true);
+  CAPTURE(Status, Rest, IsKept);
+  HttpFixture Fixture;
+  Fixture.start("/1");
+  tcp::socket Peer = Fixture.Acceptor.accept();
+  if (IsKept) {
+    HttpFixture::answer(Peer, "one");
+    REQUIRE(Fixture.await() == "200 one");
+    Fixture.start("/2");
+  }
+  HttpFixture::answerWith(Peer, "HTTP/1.1 " + Status + Rest);
+  Peer.close();
+  CHECK(Fixture.await() == "0 ");
+  CHECK(Fixture.Outcome->Ended == HttpOutcome::Kind::Broken);
+}
+
+TEST_CASE("HttpClient: an interim response precedes the answer") {
+  const auto Status = GENERATE(as<std::string>(), "100", "102", "103", "199");
+  HttpFixture Fixture;
+  Fixture.start("/1");
+  tcp::socket Peer = Fixture.Acceptor.accept();
+  HttpFixture::answer(Peer, "one");
+  REQUIRE(Fixture.await() == "200 one");
+  Fixture.start("/2");
+  HttpFixture::answerWith(Peer, "HTTP/1.1 " + Status +
+                                    " X\r\n\r\nHTTP/1.1 204 X\r\n\r\n");
+  CHECK(Fixture.await() == "204 ");
+}
+
 TEST_CASE(
     "HttpClient: a response without a length is whole once its connection "
     "is closed behind the head") {
