--- a/tests/integration/ClientCrowds.cpp
+++ b/tests/integration/ClientCrowds.cpp
@@ -382,6 +382,21 @@
   Deployment.checkLedgers();
 }
 
+TEST_CASE("A chain of turns that is longer than the memory", "[long-chain]") {
+  CrowdSite Deployment;
+  std::string Previous;
+  for (unsigned Number = 0; Number < 80; ++Number) {
+    const std::string Id = "chain-" + std::to_string(Number);
+    const Response Result = Deployment.Site.sendTurn(
+        Id, Previous, std::string(BodyBytes, 'x'), 100000);
+    if (Result.Status != 200)
+      break;
+    Previous = Id;
+  }
+  Deployment.checkRelay();
+  Deployment.checkLedgers();
+}
+
 TEST_CASE("Clients that misbehave in all ways at once", "[all-ways]") {
   CrowdSite Deployment;
   const std::string Head = Deployment.chunkedHead();
