Stop accepting callers before an entry exits

With callers that come again and again, an entry did not exit after SIGTERM since it serves them with the server of relays: Proof07Leaving failed in the whole run of ctest, the only one of 63 that did.

Cause: the entry exits once no answer is unsent. Refusals of calls that came while it was stopping counted until their bytes were written, and that count was taken every 50 ms only, so it was hardly ever 0.

At the end of the shutdown the entry now refuses connections and closes each open one after its response, as a relay does. Answers on their way to the server's thread count as unsent too, so that none is lost between the two threads.

Proof07Leaving passed three times in a row after it.

--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -434,6 +434,7 @@
 }
 
 void EntryProcess::stopWhenFlushed() {
+  this->Gateway.stopAccepting();
   if (this->Gateway.unsentCount() > 0) {
     auto Timer =
         std::make_shared<boost::asio::steady_timer>(this->Loop.context());
--- a/packages/gateway/include/tanagerlanding/gateway/HttpGateway.h
+++ b/packages/gateway/include/tanagerlanding/gateway/HttpGateway.h
@@ -91,6 +91,9 @@
   /// Sends a caller part of its streamed answer. Events must be complete.
   void stream(RequestId Request, const std::string &Events);
 
+  /// Refuses new connections and closes each open one after its response.
+  void stopAccepting();
+
   /// Returns the number of answers that are not yet written to the sockets.
   std::size_t unsentCount() const;
 
--- a/packages/gateway/src/CallerGateway.cpp
+++ b/packages/gateway/src/CallerGateway.cpp
@@ -134,6 +134,11 @@
                          [this](Instant) { this->updateUnsentCount(); });
 }
 
+void CallerGateway::stopAccepting() {
+  this->Callers.setDraining(true);
+  this->Callers.stopAccepting();
+}
+
 void CallerGateway::onCallerRequest(RequestId Id, CallerRequest Request) {
   if (this->answerLocally(Id, Request))
     return;
--- a/packages/gateway/src/CallerGateway.h
+++ b/packages/gateway/src/CallerGateway.h
@@ -26,6 +26,8 @@
     return this->Callers.listen(Address, Port);
   }
   std::uint16_t port() const { return this->Callers.port(); }
+  /// Refuses new connections and closes each open one after its response.
+  void stopAccepting();
 
   void answer(RequestId Request, const CallAnswer &Answer);
   void stream(RequestId Request, const std::string &Events);
--- a/packages/gateway/src/HttpGateway.cpp
+++ b/packages/gateway/src/HttpGateway.cpp
@@ -2,6 +2,8 @@
 
 #include "CallerGateway.h"
 
+#include <atomic>
+#include <functional>
 #include <thread>
 
 namespace tanagerlanding {
@@ -15,6 +17,17 @@
   EventLoop Loop;
   CallerGateway Gateway;
   std::thread Thread;
+  /// Tasks that wait for the thread.
+  std::atomic<std::size_t> QueuedTasks{0};
+
+  /// Runs Task on the server's thread.
+  void post(std::function<void()> Task) {
+    ++this->QueuedTasks;
+    this->Loop.post([this, Task = std::move(Task)] {
+      Task();
+      --this->QueuedTasks;
+    });
+  }
 };
 
 HttpGateway::HttpGateway(const Options &Limits, Listener &Callbacks)
@@ -34,17 +47,21 @@
 std::uint16_t HttpGateway::port() const { return this->Impl->Gateway.port(); }
 
 void HttpGateway::answer(RequestId Request, const CallAnswer &Answer) {
-  this->Impl->Loop.post(
+  this->Impl->post(
       [this, Request, Answer] { this->Impl->Gateway.answer(Request, Answer); });
 }
 
 void HttpGateway::stream(RequestId Request, const std::string &Events) {
-  this->Impl->Loop.post(
+  this->Impl->post(
       [this, Request, Events] { this->Impl->Gateway.stream(Request, Events); });
 }
 
+void HttpGateway::stopAccepting() {
+  this->Impl->post([this] { this->Impl->Gateway.stopAccepting(); });
+}
+
 std::size_t HttpGateway::unsentCount() const {
-  return this->Impl->Gateway.unsentCount();
+  return this->Impl->QueuedTasks + this->Impl->Gateway.unsentCount();
 }
 
 void HttpGateway::stop() {
