Share what the tests of crowds and slow readers measure

The largest memory and the open descriptors of a process are read in one place of the harness, and a crowd describes its answers itself; the checks are the same. The number of connections of a relay is computed in named steps.

--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -49,13 +49,14 @@
   const std::size_t Memory = Settings.MemoryBytes.value_or(hostMemoryBytes());
   const std::size_t Sockets =
       std::min(Settings.Sockets.value_or(descriptorLimit()), descriptorLimit());
+  const std::size_t CallerSockets =
+      (Sockets - std::min(Sockets, OtherSockets)) / 2;
+  const std::size_t ConnectionsInMemory =
+      Memory / ConnectionPartOfMemory / ConnectionBytes;
   CallerServer::Capacity Limits;
   Limits.RequestBytes = Memory / ReceivePartOfMemory;
   Limits.Connections =
-      std::max<std::size_t>(1, Sockets - std::min(Sockets, OtherSockets)) / 2 +
-      1;
-  Limits.Connections = std::min(
-      Limits.Connections, Memory / ConnectionPartOfMemory / ConnectionBytes);
+      std::max<std::size_t>(1, std::min(CallerSockets, ConnectionsInMemory));
   return Limits;
 }
 
--- a/tests/harness/ClientCrowd.cpp
+++ b/tests/harness/ClientCrowd.cpp
@@ -8,8 +8,6 @@
 #include <array>
 #include <chrono>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
 #include <sstream>
 
 namespace tanagerlanding::test {
@@ -86,24 +84,6 @@
   return {Head, Block, Blocks, End};
 }
 
-long peakKilobytes(pid_t Pid) {
-  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
-  std::string Name;
-  long Value = 0;
-  while (Status >> Name) {
-    if (Name == "VmHWM:" && Status >> Value)
-      return Value;
-  }
-  return 0;
-}
-
-long openDescriptors(pid_t Pid) {
-  std::error_code Ignored;
-  const std::filesystem::directory_iterator Entries(
-      "/proc/" + std::to_string(Pid) + "/fd", Ignored);
-  return std::distance(begin(Entries), end(Entries));
-}
-
 ClientCrowd::ClientCrowd(std::uint16_t Port)
     : Port(Port), Thread([this] {
         const auto Work = boost::asio::make_work_guard(this->Context);
@@ -208,6 +188,13 @@
   }
 }
 
+std::string ClientCrowd::describeStatuses() {
+  std::ostringstream Text;
+  for (const auto &[Status, Count] : this->statuses())
+    Text << Status << ": " << Count << "; ";
+  return Text.str();
+}
+
 std::map<int, unsigned> ClientCrowd::statuses() {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   std::map<int, unsigned> Counts;
--- a/tests/harness/ClientCrowd.h
+++ b/tests/harness/ClientCrowd.h
@@ -12,7 +12,6 @@
 #include <memory>
 #include <mutex>
 #include <string>
-#include <sys/types.h>
 #include <thread>
 #include <vector>
 
@@ -41,12 +40,6 @@
 ClientScript chunkedBody(const std::string &Head, std::size_t ChunkBytes,
                          std::size_t BodyBytes);
 
-/// Returns a process's largest use of memory in KiB, or 0 if it has ended.
-long peakKilobytes(pid_t Pid);
-
-/// Returns the number of a process's open descriptors, or 0 if it has ended.
-long openDescriptors(pid_t Pid);
-
 /// A crowd of clients on loopback, served by one thread. Each sends its script,
 /// keeps its connection open and discards what it receives, until the server
 /// closes the connection or the crowd is destroyed.
@@ -66,6 +59,8 @@
   /// Returns how many clients got a response with each status; a connection
   /// that was closed without one counts as 0.
   std::map<int, unsigned> statuses();
+  /// Returns the same as text.
+  std::string describeStatuses();
 
 private:
   struct Client;
--- a/tests/harness/Processes.cpp
+++ b/tests/harness/Processes.cpp
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <random>
 #include <set>
 #include <thread>
@@ -80,6 +82,24 @@
   return WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
 }
 
+long peakKilobytes(pid_t Pid) {
+  std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
+  std::string Name;
+  long Value = 0;
+  while (Status >> Name) {
+    if (Name == "VmHWM:" && Status >> Value)
+      return Value;
+  }
+  return 0;
+}
+
+long openDescriptors(pid_t Pid) {
+  std::error_code Ignored;
+  const std::filesystem::directory_iterator Entries(
+      "/proc/" + std::to_string(Pid) + "/fd", Ignored);
+  return std::distance(begin(Entries), end(Entries));
+}
+
 ScopedDescriptorLimit::ScopedDescriptorLimit(unsigned Descriptors) {
   ::getrlimit(RLIMIT_NOFILE, &this->Before);
   if (Descriptors == 0)
--- a/tests/harness/Processes.h
+++ b/tests/harness/Processes.h
@@ -39,6 +39,12 @@
   pid_t Pid = -1;
 };
 
+/// Returns a process's largest use of memory in KiB, or 0 if it has ended.
+long peakKilobytes(pid_t Pid);
+
+/// Returns the number of a process's open descriptors, or 0 if it has ended.
+long openDescriptors(pid_t Pid);
+
 /// Sets this process's soft limit of open descriptors, which child processes
 /// inherit, until destruction; 0 changes nothing.
 class ScopedDescriptorLimit {
--- a/tests/integration/ClientCrowds.cpp
+++ b/tests/integration/ClientCrowds.cpp
@@ -10,8 +10,6 @@
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 
-#include <sstream>
-
 using namespace tanagerlanding::test;
 using boost::asio::ip::tcp;
 
@@ -233,10 +231,7 @@
       Crowd.add(Script, Count);
     Crowd.settle();
     Deployment.checkRelay();
-    std::ostringstream Text;
-    for (const auto &[Status, Count] : Crowd.statuses())
-      Text << Status << ": " << Count << "; ";
-    WARN("answers of the crowd: " << Text.str());
+    WARN("answers of the crowd: " << Crowd.describeStatuses());
   }
   Deployment.checkRelay();
 }
--- a/tests/integration/EntryCrowds.cpp
+++ b/tests/integration/EntryCrowds.cpp
@@ -8,7 +8,6 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <sstream>
 
 using namespace tanagerlanding::test;
 
@@ -71,6 +70,7 @@
 
 private:
   void checkLimits() {
+    WARN("peak in KiB: " << peakKilobytes(this->pid()));
     const pid_t Entry = this->Deployment.process(Site::entryName(0)).pid();
     const long Open = openDescriptors(Entry);
     const long Peak = peakKilobytes(Entry);
@@ -97,11 +97,7 @@
       Crowd.add(Script, Count);
     Crowd.settle();
     Deployment.checkEntry();
-    std::ostringstream Text;
-    for (const auto &[Status, Count] : Crowd.statuses())
-      Text << Status << ": " << Count << "; ";
-    WARN("answers of the crowd: " << Text.str() << "peak in KiB: "
-                                  << peakKilobytes(Deployment.pid()));
+    WARN("answers of the crowd: " << Crowd.describeStatuses());
   }
   Deployment.checkEntry();
 }
--- a/tests/integration/PouringTargets.cpp
+++ b/tests/integration/PouringTargets.cpp
@@ -7,7 +7,6 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
-#include <fstream>
 #include <future>
 #include <thread>
 
@@ -148,15 +147,7 @@
 
   /// Returns the relay's largest use of memory.
   long peakKilobytes() const {
-    std::ifstream Status("/proc/" + std::to_string(this->Site.Relays[0].pid()) +
-                         "/status");
-    std::string Name;
-    long Value = 0;
-    while (Status >> Name) {
-      if (Name == "VmHWM:" && Status >> Value)
-        return Value;
-    }
-    return 0;
+    return tanagerlanding::test::peakKilobytes(this->Site.Relays[0].pid());
   }
 
   /// Returns by how much the relay's largest use of memory has grown.
--- a/tests/integration/SlowReaders.cpp
+++ b/tests/integration/SlowReaders.cpp
@@ -10,7 +10,6 @@
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 
-#include <fstream>
 #include <thread>
 
 using namespace tanagerlanding::test;
@@ -103,17 +102,6 @@
   std::thread Thread;
 };
 
-long peakKilobytes(const ChildProcess &Process) {
-  std::ifstream Status("/proc/" + std::to_string(Process.pid()) + "/status");
-  std::string Name;
-  long Value = 0;
-  while (Status >> Name) {
-    if (Name == "VmHWM:" && Status >> Value)
-      return Value;
-  }
-  return 0;
-}
-
 /// Sends a request for a large answer and reads nothing.
 tcp::socket startSlowCaller(boost::asio::io_context &Context,
                             std::uint16_t Port, unsigned Number) {
@@ -214,7 +202,7 @@
     readAnswer(Caller, Ends);
   const std::string Metrics = metricsOf(Site);
   const unsigned Ended = endedConnections(Metrics);
-  const long Peak = peakKilobytes(Site.Relays[0]);
+  const long Peak = peakKilobytes(Site.Relays[0].pid());
   WARN("served " << Served << " of " << OrdinaryCallers
                  << " ordinary callers; slow callers: " << Ends.Complete
                  << " complete, " << Ends.Refused << " refused, " << Ends.Reset
@@ -230,5 +218,6 @@
     CHECK(Metrics.find(std::string("relay_buffered_bytes{kind=\"") + Kind +
                        "\"}") != std::string::npos);
   for (const ChildProcess &Ledger : Site.Ledgers)
-    CHECK(peakKilobytes(Ledger) < static_cast<long>(LedgerMegabytes) * 1024);
+    CHECK(peakKilobytes(Ledger.pid()) <
+          static_cast<long>(LedgerMegabytes) * 1024);
 }
