Share which statuses are possible, and how a crowd is played

HttpClient and AttemptClient each had the ranges of interim and final statuses, with their constants; both ask HttpStatus.h now. ClientCrowds and EntryCrowds played a crowd with the same loop; it is playCrowd() of the harness, and the checks and their order stay. No change of behaviour.

--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "tanagerlanding/engine/HttpClient.h"
 
+#include "tanagerlanding/engine/HttpStatus.h"
+
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -24,10 +26,6 @@
 
 constexpr std::string_view StatusLineStart = "HTTP/";
 constexpr std::size_t StatusDigits = 3;
-constexpr std::uint16_t FirstInterimStatus = 100;
-constexpr std::uint16_t SwitchingProtocols = 101;
-constexpr std::uint16_t FirstFinalStatus = 200;
-constexpr std::uint16_t LastFinalStatus = 599;
 
 /// Sets the socket options that libcurl does not offer.
 int prepareSocket(void *, curl_socket_t Socket, curlsocktype) {
@@ -77,17 +75,6 @@
   return IsValid ? Status : 0;
 }
 
-/// Returns whether a response with this status may precede the final one. No
-/// request asks for another protocol.
-bool isInterim(std::uint16_t Status) {
-  return FirstInterimStatus <= Status && Status < FirstFinalStatus &&
-         Status != SwitchingProtocols;
-}
-
-bool isFinal(std::uint16_t Status) {
-  return FirstFinalStatus <= Status && Status <= LastFinalStatus;
-}
-
 void startCurlOnce() {
   static const CURLcode Started = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(Started);
@@ -272,7 +259,7 @@
   curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &SentBytes);
   Outcome.Ended = outcomeKindFor(static_cast<CURLcode>(Code),
                                  Done->HasWholeHead, SentBytes > 0);
-  if (Done->HasWholeHead && isFinal(Done->Status))
+  if (Done->HasWholeHead && isFinalStatus(Done->Status))
     Outcome.Status = Done->Status;
   const char *ContentType = nullptr;
   curl_easy_getinfo(Easy, CURLINFO_CONTENT_TYPE, &ContentType);
@@ -329,7 +316,8 @@
   if (Line.substr(0, StatusLineStart.size()) == StatusLineStart) {
     Each->HasWholeHead = false;
     Each->Status = readStatus(Line);
-    const bool IsValid = isInterim(Each->Status) || isFinal(Each->Status);
+    const bool IsValid =
+        isInterimStatus(Each->Status) || isFinalStatus(Each->Status);
     return IsValid ? Size * Count : 0;
   }
   if (Line == "\r\n" || Line == "\n")
--- a/packages/relay/include/tanagerlanding/relay.h
+++ b/packages/relay/include/tanagerlanding/relay.h
@@ -1,7 +1,7 @@
 /// \file
 /// Package relay: the relay role, which forwards callers' requests to targets,
-/// on Boost.Beast. Depends on packages decision, http, keyvalue, gateway and
-/// runtime.
+/// on Boost.Beast. Depends on packages decision, engine, http, keyvalue,
+/// gateway and runtime.
 #ifndef TANAGERLANDING_RELAY_H
 #define TANAGERLANDING_RELAY_H
 
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -1,5 +1,6 @@
 #include "tanagerlanding/relay/AttemptClient.h"
 
+#include "tanagerlanding/engine/HttpStatus.h"
 #include "tanagerlanding/http/HttpHead.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -41,10 +42,6 @@
 /// Maximum size of a part that is parsed as a whole: a head, the head of a
 /// chunk, or the trailer.
 constexpr std::size_t MaxPartBytes = 64 * 1024;
-constexpr unsigned FirstInterimStatus = 100;
-constexpr unsigned SwitchingProtocols = 101;
-constexpr unsigned FirstFinalStatus = 200;
-constexpr unsigned LastFinalStatus = 599;
 /// Bounds what a connection remembers of its requests.
 constexpr std::size_t MaxRequestsPerConnection = 1000;
 
@@ -361,18 +358,14 @@
 bool AttemptClient::handleHead(const ConnectionPtr &Target) {
   const auto &Message = Target->Parser->get();
   const unsigned Status = Message.result_int();
-  // No request asks for another protocol.
-  const bool IsImpossible = Status < FirstInterimStatus ||
-                            Status == SwitchingProtocols ||
-                            LastFinalStatus < Status;
-  if (IsImpossible) {
-    this->fail(Target, AttemptEnded::Kind::Broken);
-    return false;
-  }
-  if (Status < FirstFinalStatus) {
+  if (isInterimStatus(Status)) {
     Target->Parser.reset();
     return true;
   }
+  if (!isFinalStatus(Status)) {
+    this->fail(Target, AttemptEnded::Kind::Broken);
+    return false;
+  }
   const DecodedTargetHead Decoded = this->Protocol.DecodeTargetHead(
       static_cast<std::uint16_t>(Status), endToEndFields(Message.base()));
   const bool IsFirst = !Target->HasAnswered;
--- a/tests/harness/ClientCrowd.cpp
+++ b/tests/harness/ClientCrowd.cpp
@@ -208,4 +208,21 @@
   return Counts;
 }
 
+std::string
+playCrowd(std::uint16_t Port,
+          const std::vector<std::pair<ClientScript, unsigned>> &Scripts,
+          const std::function<void()> &Check) {
+  std::string Statuses;
+  {
+    ClientCrowd Crowd(Port);
+    for (const auto &[Script, Count] : Scripts)
+      Crowd.add(Script, Count);
+    Crowd.settle();
+    Check();
+    Statuses = Crowd.describeStatuses();
+  }
+  Check();
+  return Statuses;
+}
+
 } // namespace tanagerlanding::test
--- a/tests/harness/ClientCrowd.h
+++ b/tests/harness/ClientCrowd.h
@@ -8,11 +8,13 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace tanagerlanding::test {
@@ -79,6 +81,14 @@
   std::thread Thread;
 };
 
+/// Lets clients send at the same time, Count of each script, and calls Check
+/// while they are connected and after they have left. Returns the statuses of
+/// their responses as text.
+std::string
+playCrowd(std::uint16_t Port,
+          const std::vector<std::pair<ClientScript, unsigned>> &Scripts,
+          const std::function<void()> &Check);
+
 } // namespace tanagerlanding::test
 
 #endif
--- a/tests/integration/ClientCrowds.cpp
+++ b/tests/integration/ClientCrowds.cpp
@@ -225,15 +225,9 @@
 /// connected and after they have left.
 void checkCrowd(CrowdSite &Deployment,
                 const std::vector<std::pair<ClientScript, unsigned>> &Scripts) {
-  {
-    ClientCrowd Crowd(Deployment.port());
-    for (const auto &[Script, Count] : Scripts)
-      Crowd.add(Script, Count);
-    Crowd.settle();
-    Deployment.checkRelay();
-    WARN("answers of the crowd: " << Crowd.describeStatuses());
-  }
-  Deployment.checkRelay();
+  const std::string Statuses =
+      playCrowd(Deployment.port(), Scripts, [&] { Deployment.checkRelay(); });
+  WARN("answers of the crowd: " << Statuses);
 }
 
 /// Returns a body of the largest size in chunks of one size, without its last
--- a/tests/integration/EntryCrowds.cpp
+++ b/tests/integration/EntryCrowds.cpp
@@ -91,15 +91,9 @@
 /// connected and after they have left.
 void checkCrowd(CrowdSite &Deployment,
                 const std::vector<std::pair<ClientScript, unsigned>> &Scripts) {
-  {
-    ClientCrowd Crowd(Deployment.port());
-    for (const auto &[Script, Count] : Scripts)
-      Crowd.add(Script, Count);
-    Crowd.settle();
-    Deployment.checkEntry();
-    WARN("answers of the crowd: " << Crowd.describeStatuses());
-  }
-  Deployment.checkEntry();
+  const std::string Statuses =
+      playCrowd(Deployment.port(), Scripts, [&] { Deployment.checkEntry(); });
+  WARN("answers of the crowd: " << Statuses);
 }
 
 /// Returns a body of the largest size in chunks of one size, without its last
