Measure the largest request as requests are measured while they are served

The least limit of the budget for requests was meant to be what one request of the largest size occupies. It left out that a head's fields count twice for the holes that they leave in the heap, while the request itself was measured with that. So, where a quarter of the memory is less than a largest request, one with a head of very many short fields could be refused although it was alone. No stated memory of the deployments in force is so small.

Cause: the sum stood in two places, and only one was changed. servedBytes() serves both now. Two comments of CallerServer spoke of relays alone.

There is no test of the case itself.

--- a/packages/http/include/tanagerlanding/http/CallerServer.h
+++ b/packages/http/include/tanagerlanding/http/CallerServer.h
@@ -1,5 +1,5 @@
 /// \file
-/// HTTP server for callers whose requests are forwarded to targets.
+/// HTTP server for the callers of relays and entries.
 #ifndef TANAGERLANDING_HTTP_CALLERSERVER_H
 #define TANAGERLANDING_HTTP_CALLERSERVER_H
 
@@ -69,7 +69,7 @@
   /// Sets the limits for requests that begin after this call.
   void setLimits(const CallerLimits &Limits);
 
-  /// Sends a refusal that the relay itself has generated.
+  /// Sends a refusal, which ends the response.
   void refuse(RequestId Request, const RelayRefusal &Refusal);
   /// Starts a response. Without BodyBytes the body is sent with chunked
   /// encoding or, to an HTTP/1.0 caller, ends with the connection.
--- a/packages/http/src/CallerServer.cpp
+++ b/packages/http/src/CallerServer.cpp
@@ -53,6 +53,11 @@
 constexpr std::uint16_t NotModified = 304;
 constexpr const char *ContinueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// Returns what a request occupies while it is served.
+std::size_t servedBytes(std::size_t BodyBytes, std::size_t FieldBytes) {
+  return BodyCopies * BodyBytes + HeapSlack * HeadCopies * FieldBytes;
+}
+
 /// Returns whether a response has a body; one that has none needs no framing.
 bool mayHaveBody(bool IsHeadRequest, std::uint16_t Status) {
   return !IsHeadRequest && Status != NoContent && Status != NotModified;
@@ -138,9 +143,8 @@
 
 void CallerServer::setLimits(const CallerLimits &Limits) {
   this->Limits = Limits;
-  this->Received.setLargestRequest(BodyCopies * Limits.BodyBytes +
-                                   HeadCopies * MaxHeadExpansion *
-                                       Limits.HeaderBytes);
+  this->Received.setLargestRequest(
+      servedBytes(Limits.BodyBytes, MaxHeadExpansion * Limits.HeaderBytes));
 }
 
 void CallerServer::accept() {
@@ -317,8 +321,7 @@
   Caller->CurrentAttempt = Decoded.value().Id;
   Caller->ServedBodyBytes = Decoded.value().Body.size();
   Caller->ServedBytes =
-      BodyCopies * Caller->ServedBodyBytes +
-      HeapSlack * HeadCopies * bytesOf(Decoded.value().Headers);
+      servedBytes(Caller->ServedBodyBytes, bytesOf(Decoded.value().Headers));
   this->account(*Caller);
   this->refuseForRoom();
   if (!this->Received.hasRoom(CallerConnectionId(Caller->Id))) {
