--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -339,7 +339,7 @@
     def resident_mb(self):
         try:
             with open("/proc/%d/statm" % self.child.pid) as file:
-                return int(file.read().split()[1]) * 4096 / 1e6
+                return int(file.read().split()[1]) * 4096 / 2 ** 20
         except (OSError, IndexError, ValueError):
             return 0.0
 
