Crowds of clients outlive their io_context no longer

The context now comes first.

Looked for the same order in the other harness classes that own a context: StoreStandin, CrowdTarget, PouringTargets and LongChains declare it before what belongs to it; nothing in the product owns one behind its sockets (EventLoop is the first member of what uses it).

--- a/tests/harness/ClientCrowd.h
+++ b/tests/harness/ClientCrowd.h
@@ -76,8 +76,9 @@
 
   const std::uint16_t Port;
   std::mutex Lock;
-  std::vector<ClientPtr> Clients;
+  // Before the clients, whose sockets belong to it.
   boost::asio::io_context Context;
+  std::vector<ClientPtr> Clients;
   std::thread Thread;
 };
 
