--- a/packages/basics/include/tanagerlanding/basics.h
+++ b/packages/basics/include/tanagerlanding/basics.h
@@ -8,6 +8,7 @@
 #include "tanagerlanding/basics/Hashing.h"
 #include "tanagerlanding/basics/Ids.h"
 #include "tanagerlanding/basics/Outcome.h"
+#include "tanagerlanding/basics/SharedText.h"
 #include "tanagerlanding/basics/Units.h"
 
 #endif
--- a/packages/decision/include/tanagerlanding/decision/Messages.h
+++ b/packages/decision/include/tanagerlanding/decision/Messages.h
@@ -226,7 +226,7 @@
     TurnsFound, DirectoryChanges, SuspectList, StreamStarted, TargetLimitNotice,
     TargetLimitQuery, PermitRequest, PermitGrant, ConfigurationVouch,
     TargetLoadReport, TargetLoadView, ProgramStartRequest, ProgramStartGrant,
-    StreamOutputs, ContinuationFailed>;
+    StreamOutputs, ContinuationFailed, HistoryQuery, HistoryPart>;
 
 } // namespace tanagerlanding
 
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerMessages.h
@@ -31,11 +31,19 @@
 struct TurnRecord {
   TurnId Turn;
   std::optional<TurnId> Previous;
-  std::string Input;
+  SharedText Input;
   /// The data of the turn's events, each followed by a line feed.
-  std::string Output;
+  SharedText Output;
   /// The target that ran the turn and has its prompt cached.
   TargetId Target;
+  /// The size of Input and Output if they were left out, as in the index of a
+  /// segment.
+  std::uint64_t OmittedBytes = 0;
+
+  /// The bytes of the turn in the history of the turns that continue it.
+  std::uint64_t textBytes() const {
+    return this->Input.size() + this->Output.size() + this->OmittedBytes;
+  }
 };
 
 /// Record of a claim on a program's budget.
@@ -54,6 +62,16 @@
   /// How long the records are kept after their last use.
   Milliseconds Retention{0};
   std::vector<LedgerRecord> Records;
+
+  /// The bytes of all turns' inputs and outputs.
+  std::uint64_t textBytes() const {
+    std::uint64_t Sum = 0;
+    for (const LedgerRecord &Each : this->Records) {
+      if (const auto *Kept = std::get_if<TurnRecord>(&Each))
+        Sum += Kept->textBytes();
+    }
+    return Sum;
+  }
 };
 
 /// The service and the software version whose target sent a stream's first
@@ -162,6 +180,9 @@
   std::optional<TurnId> Previous;
   /// Whether the receiver should send the history that ends with Previous.
   bool IsHistoryRequested = false;
+  /// The longest history, in bytes, that the reply may contain. A longer one is
+  /// read in parts, with HistoryQuery.
+  std::uint64_t MaxHistoryBytes = 0;
   Milliseconds Retention{0};
   /// The attempt that began the stream that the caller continues.
   std::optional<CallerAttemptId> ResumedAttempt;
@@ -180,11 +201,13 @@
   /// The target that ran the previous turn; empty if unknown.
   TargetId PreviousTarget;
   /// The inputs and outputs of the chain that ends with turn HistoryEnd, the
-  /// previous turn of the request, as far back as the replica has it.
+  /// previous turn of the request, as far back as the replica has it. Absent if
+  /// it is too long for the reply; LongHistoryBytes is its size then.
   std::optional<std::string> History;
+  std::optional<std::uint64_t> LongHistoryBytes;
   std::optional<TurnId> HistoryEnd;
-  /// The newest turn of the chain that the replica lacks; History starts after
-  /// it. Absent if History is complete.
+  /// The newest turn of the chain that the replica lacks; the history starts
+  /// after it. Absent if the history is complete.
   std::optional<TurnId> MissingTurn;
   /// All claims of the program that the replica has.
   std::vector<TokenClaim> Claims;
@@ -200,6 +223,26 @@
   std::optional<ResumedOutput> Resumed;
 };
 
+/// Reads part of a history that is too long for TurnOpened. The history is that
+/// of the chain which ends with turn End and begins after turn After or,
+/// without After, with the first turn of the conversation.
+struct HistoryQuery {
+  LedgerOperationId Operation;
+  TurnId End;
+  std::optional<TurnId> After;
+  /// The part's position in this history, and its size, both in bytes.
+  std::uint64_t Offset = 0;
+  std::uint32_t Bytes = 0;
+};
+
+/// Reply to HistoryQuery.
+struct HistoryPart {
+  LedgerOperationId Operation;
+  HolderId Holder;
+  /// Absent if the replica lacks a turn of the history or can't read it.
+  std::optional<std::string> Data;
+};
+
 /// Ends a turn: settles its claim, and stores the turn if its answer is
 /// complete.
 struct CloseTurn {
@@ -212,8 +255,8 @@
   /// Whether the turn is stored; Previous, Input and Output are set only then.
   bool IsKept = false;
   std::optional<TurnId> Previous;
-  std::string Input;
-  std::string Output;
+  SharedText Input;
+  SharedText Output;
   TargetId Target;
   Milliseconds Retention{0};
 };
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerReducer.h
@@ -128,6 +128,20 @@
   /// Oldest first.
   std::vector<std::pair<TurnId, BatchLocation>> Turns;
 };
+/// Part of the text of a turn: its input and output, one after the other.
+struct TurnPiece {
+  TurnId Turn;
+  BatchLocation Place;
+  /// In bytes.
+  std::uint64_t Offset = 0;
+  std::uint64_t Bytes = 0;
+};
+/// Read pieces of turns from the data folder and send Header with them.
+struct SendHistoryPart {
+  HostId Peer;
+  HistoryPart Header;
+  std::vector<TurnPiece> Pieces;
+};
 /// Read batches from the data folder and send Header with them.
 struct SendRecords {
   HostId Peer;
@@ -163,9 +177,9 @@
 
 using LedgerEffect =
     std::variant<PersistLedgerBatch, PersistLedgerView, PersistSuspects,
-                 NotifyRelays, SendHistory, SendRecords, SendTurns, DropSegment,
-                 WriteLedgerView, WriteSynced, ReportRetirement, SendHost,
-                 LogLine, CountMetric>;
+                 NotifyRelays, SendHistory, SendHistoryPart, SendRecords,
+                 SendTurns, DropSegment, WriteLedgerView, WriteSynced,
+                 ReportRetirement, SendHost, LogLine, CountMetric>;
 
 /// Returns how long after an answer this replica should ask the key-value
 /// service for changes again. Since each request loads the service, only one
--- a/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
+++ b/packages/decision/include/tanagerlanding/decision/ledger/LedgerState.h
@@ -122,6 +122,8 @@
   TargetId Target;
   std::uint64_t Batch = 0;
   Instant ExpiresAt;
+  /// Size of the turn's input and output.
+  std::uint64_t TextBytes = 0;
 };
 
 /// A close that is durable here, and whose confirmation waits for the chain of
--- a/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/CallerRequest.h
@@ -46,7 +46,7 @@
   std::string RequestTarget;
   /// All headers as the caller sent them.
   HeaderFields Headers;
-  std::string Body;
+  SharedText Body;
   CallerCredential Credential;
   /// The remaining time that the caller waits for an answer.
   std::optional<Milliseconds> TimeLeft;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayReducer.h
@@ -35,6 +35,11 @@
   RelayAttemptId Attempt;
   std::string Bytes;
 };
+/// The connection to an attempt's target has taken bytes of SendAttemptPart.
+struct AttemptPartWritten {
+  RelayAttemptId Attempt;
+  std::size_t Bytes = 0;
+};
 /// An attempt has ended on the connection to its target.
 struct AttemptEnded {
   enum class Kind {
@@ -122,8 +127,8 @@
 
 using RelayEvent =
     std::variant<RelayTick, CallerRequestReceived, RelayCallerDisconnected,
-                 AttemptHeadReceived, AttemptBytesReceived, AttemptEnded,
-                 TargetConnectionProbed, RelayConfigured,
+                 AttemptHeadReceived, AttemptBytesReceived, AttemptPartWritten,
+                 AttemptEnded, TargetConnectionProbed, RelayConfigured,
                  ConfigurationKeyObserved, DirectoryConfirmed,
                  DirectoryNotConfirmed, TargetRegistered, TargetUnregistered,
                  OutdatedTargetObserved, DirectoryHistoryLost, DirectoryLost,
@@ -173,12 +178,20 @@
   bool IsCredentialWithheld = false;
   /// History of the previous turns, sent before the caller's body.
   std::string History;
+  /// Size of a history that follows with SendAttemptPart, in place of History.
+  std::uint64_t LongHistoryBytes = 0;
   /// Id of the last event that the caller has received, if a stream is resumed.
   std::optional<std::uint64_t> ResumeAfter;
   /// From this time on the attempt must not be sent; absent if there is no such
   /// time.
   std::optional<Instant> SendBefore;
 };
+/// Send the next part of an attempt's long history, and report
+/// AttemptPartWritten.
+struct SendAttemptPart {
+  RelayAttemptId Attempt;
+  std::string Bytes;
+};
 /// Close the connection of an attempt.
 struct CancelTargetAttempt {
   RelayAttemptId Attempt;
@@ -208,7 +221,7 @@
 
 using RelayEffect =
     std::variant<RefuseCaller, BeginAnswer, ContinueAnswer, FinishAnswer,
-                 AbortAnswer, SendAttempt, CancelTargetAttempt,
+                 AbortAnswer, SendAttempt, SendAttemptPart, CancelTargetAttempt,
                  ProbeTargetConnection, SendToReplica, ConnectReplicas,
                  ConfirmDirectory, StopAccepting, ExitRelay, LogLine,
                  CountMetric>;
--- a/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
+++ b/packages/decision/include/tanagerlanding/decision/relay/RelayState.h
@@ -3,6 +3,7 @@
 #ifndef TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
 #define TANAGERLANDING_DECISION_RELAY_RELAYSTATE_H
 
+#include "tanagerlanding/decision/ByteBudget.h"
 #include "tanagerlanding/decision/CrashEvidence.h"
 #include "tanagerlanding/decision/DecayingCount.h"
 #include "tanagerlanding/decision/TargetLimits.h"
@@ -43,6 +44,16 @@
   Milliseconds StallThreshold{200};
   /// How long to wait for a history before requesting it from another replica.
   Milliseconds HistoryTimeout{100};
+  /// Longest history, in bytes, that is read with the answer to the opening of
+  /// a turn and held until its call ends. Almost all are shorter.
+  std::uint64_t MaxHeldHistoryBytes = 64 * 1024;
+  /// Size of the parts in which longer ones are read.
+  std::uint32_t HistoryPartBytes = 128 * 1024;
+  /// How long to wait for a part before it is requested from another replica,
+  /// and how long without one before the call ends. Replicas send parts in
+  /// order, so that a part may have to wait for others.
+  Milliseconds HistoryPartTimeout{500};
+  Milliseconds HistoryLossTimeout{2000};
   /// The retry delay sent to refused callers: the time in which a connection is
   /// re-established or a restarted process is ready.
   Milliseconds RetryAfter{250};
@@ -443,6 +454,34 @@
   void add(double Millis);
 };
 
+/// A part of a history as one replica has it: the turns after After or, without
+/// it, from the first one on, to End.
+struct HistorySegment {
+  TurnId End;
+  std::optional<TurnId> After;
+  /// Size of the turns' texts.
+  std::uint64_t Bytes = 0;
+};
+
+/// A history that is read from replicas while the target of one attempt
+/// receives it.
+struct HistoryTransfer {
+  /// What is still to be read, the oldest turns first, and the position in the
+  /// first segment.
+  std::deque<HistorySegment> Unread;
+  std::uint64_t Offset = 0;
+  /// The part that is being read; its operation is that of the last query.
+  std::optional<HistoryQuery> Wanted;
+  Instant WantedSince;
+  /// The replica that was asked for it, absent if there was none, and those
+  /// that were asked before.
+  std::optional<HolderId> Source;
+  std::set<HolderId> TriedSources;
+  Instant AskedAt;
+  /// Bytes that were received and the target's connection has not taken.
+  std::size_t UnwrittenBytes = 0;
+};
+
 /// The state of one turn at the ledger.
 struct TurnLedger {
   bool HasClaim = false;
@@ -472,10 +511,23 @@
   HolderId HistorySource;
   std::set<HolderId> TriedHistorySources;
   Instant HistoryRequestedAt;
-  /// History received so far, collected from the newest turn backwards. The
+  /// History known so far, collected from the newest turn backwards. The
   /// missing older part ends with turn LastMissingTurn; nothing if complete.
-  std::string History;
+  std::vector<HistorySegment> HistorySegments;
   std::optional<TurnId> LastMissingTurn;
+  /// The text of the segments. Empty if it is too long to be held; it is read
+  /// while an attempt is sent then.
+  std::string History;
+  bool IsHistoryLong = false;
+  /// What is reserved for History and its copies.
+  std::size_t ReservedHistoryBytes = 0;
+
+  std::uint64_t historyBytes() const {
+    std::uint64_t Sum = 0;
+    for (const HistorySegment &Each : this->HistorySegments)
+      Sum += Each.Bytes;
+    return Sum;
+  }
 };
 
 /// A call's claim on its team's quota.
@@ -749,6 +801,15 @@
   std::map<RelayAttemptId, RequestId> Attempts;
   std::map<LedgerOperationId, RequestId> PendingOpens;
   std::map<LedgerOperationId, PendingClose> PendingCloses;
+  /// Long histories that are being sent, the queries for their parts, and those
+  /// that wait for room, the first to continue first.
+  std::map<RelayAttemptId, HistoryTransfer> HistoryTransfers;
+  std::map<LedgerOperationId, RelayAttemptId> PendingParts;
+  std::deque<RelayAttemptId> TransfersAwaitingRoom;
+  /// The memory of histories that are held with their calls, and of parts that
+  /// are asked for or not written yet.
+  ByteBudget HeldHistories;
+  ByteBudget HistoryParts;
   /// Prompt cache locations by program and agent; see promptCacheKeysOf().
   std::map<std::string, PromptCacheLocation> PromptCacheLocations;
   Instant HintsExpiredAt;
--- a/packages/decision/src/ledger/LedgerRecords.cpp
+++ b/packages/decision/src/ledger/LedgerRecords.cpp
@@ -75,8 +75,9 @@
     LedgerState &State = this->Context.State;
     const bool IsNew =
         State.Turns
-            .emplace(Kept.Turn, TurnIndexEntry{Kept.Previous, Kept.Target,
-                                               this->Batch, this->Expiry})
+            .emplace(Kept.Turn,
+                     TurnIndexEntry{Kept.Previous, Kept.Target, this->Batch,
+                                    this->Expiry, Kept.textBytes()})
             .second;
     extendChain(State, Kept.Turn, this->Expiry);
     fillGap(this->Context, Kept.Turn);
@@ -248,10 +249,43 @@
     }
     const StoredBatch &Batch = State.StoredBatches.at(Found->second.Batch);
     Chain.Turns.emplace_back(*Next, Batch.Place);
+    Chain.TextBytes += Found->second.TextBytes;
     Next = Found->second.Previous;
   }
   std::reverse(Chain.Turns.begin(), Chain.Turns.end());
   return Chain;
 }
 
+std::optional<std::vector<TurnPiece>> piecesOf(const LedgerState &State,
+                                               const HistoryQuery &Query) {
+  std::vector<std::map<TurnId, TurnIndexEntry>::const_iterator> Chain;
+  std::optional<TurnId> Next = Query.End;
+  while (Next && !(Next == Query.After)) {
+    Chain.push_back(State.Turns.find(*Next));
+    if (Chain.back() == State.Turns.end())
+      return std::nullopt;
+    Next = Chain.back()->second.Previous;
+  }
+  if (!(Next == Query.After))
+    return std::nullopt;
+  std::vector<TurnPiece> Pieces;
+  std::uint64_t Skipped = Query.Offset;
+  std::uint64_t Left = Query.Bytes;
+  for (auto Each = Chain.rbegin(); Each != Chain.rend() && Left > 0; ++Each) {
+    const auto &[Turn, Entry] = **Each;
+    if (Entry.TextBytes <= Skipped) {
+      Skipped -= Entry.TextBytes;
+      continue;
+    }
+    const std::uint64_t Bytes = std::min(Left, Entry.TextBytes - Skipped);
+    Pieces.push_back(TurnPiece{Turn, State.StoredBatches.at(Entry.Batch).Place,
+                               Skipped, Bytes});
+    Skipped = 0;
+    Left -= Bytes;
+  }
+  if (Left > 0)
+    return std::nullopt;
+  return Pieces;
+}
+
 } // namespace tanagerlanding
--- a/packages/decision/src/ledger/LedgerRecords.h
+++ b/packages/decision/src/ledger/LedgerRecords.h
@@ -40,6 +40,8 @@
 struct TurnChain {
   /// Oldest first.
   std::vector<std::pair<TurnId, BatchLocation>> Turns;
+  /// Size of the turns' inputs and outputs.
+  std::uint64_t TextBytes = 0;
   /// The newest turn of the chain that is not in the index, if any.
   std::optional<TurnId> MissingTurn;
 };
@@ -51,6 +53,11 @@
 /// Returns the chain that ends with Last, which must be in the index.
 TurnChain chainOf(const LedgerState &State, const TurnId &Last);
 
+/// Returns the pieces of turns that make up part of a history, in order, or
+/// nothing if the index lacks some of it.
+std::optional<std::vector<TurnPiece>> piecesOf(const LedgerState &State,
+                                               const HistoryQuery &Query);
+
 } // namespace tanagerlanding
 
 #endif
--- a/packages/decision/src/ledger/LedgerReducer.cpp
+++ b/packages/decision/src/ledger/LedgerReducer.cpp
@@ -47,9 +47,24 @@
   TurnChain Chain = chainOf(State, *Request.Previous);
   Reply.HistoryEnd = Request.Previous;
   Reply.MissingTurn = Chain.MissingTurn;
+  if (Request.MaxHistoryBytes < Chain.TextBytes) {
+    Reply.LongHistoryBytes = Chain.TextBytes;
+    Context.send(Peer, std::move(Reply));
+    return;
+  }
   Context.add(SendHistory{Peer, std::move(Reply), std::move(Chain.Turns)});
 }
 
+void sendHistoryPart(LedgerContext &Context, const HostId &Peer,
+                     const HistoryQuery &Query) {
+  HistoryPart Part{Query.Operation, Context.State.Self.Holder, std::nullopt};
+  auto Pieces = piecesOf(Context.State, Query);
+  if (Pieces)
+    Context.add(SendHistoryPart{Peer, std::move(Part), std::move(*Pieces)});
+  else
+    Context.send(Peer, std::move(Part));
+}
+
 /// Sends the reply to an operation whose batch is durable.
 class ReplySender {
 public:
@@ -119,6 +134,9 @@
     this->persist(Request, Request.View, Request.Retention, std::move(Records));
   }
 
+  void operator()(const HistoryQuery &Query) {
+    sendHistoryPart(this->Context, this->Peer, Query);
+  }
   void operator()(const StreamStarted &Started) {
     recordStartedStream(this->Context, Started);
   }
--- a/packages/decision/src/ledger/SegmentIndex.cpp
+++ b/packages/decision/src/ledger/SegmentIndex.cpp
@@ -30,8 +30,9 @@
 LedgerBatch withoutText(LedgerBatch Batch) {
   for (LedgerRecord &Each : Batch.Records) {
     if (auto *Kept = std::get_if<TurnRecord>(&Each)) {
-      Kept->Input = std::string();
-      Kept->Output = std::string();
+      Kept->OmittedBytes = Kept->textBytes();
+      Kept->Input = SharedText();
+      Kept->Output = SharedText();
     }
   }
   return Batch;
--- a/packages/decision/src/relay/Attempts.cpp
+++ b/packages/decision/src/relay/Attempts.cpp
@@ -6,6 +6,7 @@
 #include "DeferredRequests.h"
 #include "Directory.h"
 #include "Hedging.h"
+#include "HistoryTransfers.h"
 #include "LimitObservations.h"
 #include "LoadCurve.h"
 #include "OutputReports.h"
@@ -19,6 +20,7 @@
 #include "TargetSpeed.h"
 #include "Teams.h"
 #include "TurnCloses.h"
+#include "Turns.h"
 
 #include <algorithm>
 #include <cmath>
@@ -92,6 +94,7 @@
   if (Call.Attempt.Value == 0)
     return;
   Context.State.Attempts.erase(Call.Attempt);
+  endHistoryTransfer(Context.State, Call.Attempt);
   removeOutstanding(Context.State, Call.Target);
   Call.Attempt = RelayAttemptId();
 }
@@ -110,6 +113,7 @@
   releaseAttempt(Context, Call);
   Context.State.PendingOpens.erase(Call.Ledger.OpenRequest.Operation);
   releaseQuotaClaim(Context.State, Call);
+  releaseHistory(Context.State, Call.Ledger);
   reportOutput(Context, Call);
   reportFailedContinuation(Context, Call);
   const RequestId Request = Call.Request;
@@ -469,6 +473,8 @@
   Send.IsCredentialWithheld =
       Call.Team.has_value() || State.Configuration->needsKeys();
   Send.History = Call.Ledger.History;
+  if (Call.Ledger.IsHistoryLong)
+    Send.LongHistoryBytes = Call.Ledger.historyBytes();
   if (Call.IsAnswerStreamed)
     Send.ResumeAfter = Call.LastEventId;
   Send.SendBefore = sendDeadlineOf(State, Call);
@@ -493,6 +499,7 @@
   Call.Quota.HasStart = false;
   recordPromptCacheLocation(State, Call);
   Context.add(std::move(Send));
+  startHistoryTransfer(Context, Call);
   return true;
 }
 
--- a/packages/decision/src/relay/Hedging.cpp
+++ b/packages/decision/src/relay/Hedging.cpp
@@ -3,6 +3,7 @@
 #include "Attempts.h"
 #include "ConfigurationProof.h"
 #include "CrashDetection.h"
+#include "HistoryTransfers.h"
 #include "Placement.h"
 #include "Teams.h"
 
@@ -182,6 +183,7 @@
     Context.count("relay_hedges_total", "cancelled");
   Context.add(CancelTargetAttempt{Call.Attempt});
   State.Attempts.erase(Call.Attempt);
+  endHistoryTransfer(State, Call.Attempt);
   removeOutstanding(State, Call.Target);
   swapAttempts(Call);
   Call.Hedge.reset();
--- a/packages/decision/src/relay/RelayReducer.cpp
+++ b/packages/decision/src/relay/RelayReducer.cpp
@@ -7,6 +7,7 @@
 #include "DeferredRequests.h"
 #include "Directory.h"
 #include "Hedging.h"
+#include "HistoryTransfers.h"
 #include "LimitObservations.h"
 #include "OutputReports.h"
 #include "Placement.h"
@@ -60,6 +61,7 @@
     handleFirstByteTimeouts(this->Context);
     sendDueHedges(this->Context);
     enforceLedgerTimeouts(this->Context);
+    reviewHistoryTransfers(this->Context);
     removeMissingTargets(this->Context);
     expireHints(this->State);
     reviewCrashEvidence(this->Context);
@@ -89,6 +91,10 @@
     handleAttemptBytes(this->Context, Event);
   }
 
+  void operator()(const AttemptPartWritten &Event) {
+    handlePartWritten(this->Context, Event);
+  }
+
   void operator()(const AttemptEnded &Event) {
     handleAttemptEnd(this->Context, Event);
     // The attempt has freed capacity at its target.
--- a/packages/decision/src/relay/TargetHealth.cpp
+++ b/packages/decision/src/relay/TargetHealth.cpp
@@ -1,5 +1,6 @@
 #include "TargetHealth.h"
 
+#include "HistoryTransfers.h"
 #include "MovingAverage.h"
 
 #include <algorithm>
@@ -101,7 +102,9 @@
   RelayState &State = Context.State;
   std::vector<RequestId> TimedOut;
   for (auto &[Request, Call] : State.Calls) {
-    const bool IsAwaitingHead = Call.Phase == RelayPhase::Running && !Call.Head;
+    const bool IsAwaitingHead = Call.Phase == RelayPhase::Running &&
+                                !Call.Head &&
+                                !isHistoryUnderWay(State, Call.Attempt);
     if (!IsAwaitingHead || Call.IsFirstByteTimeoutRecorded)
       continue;
     if (State.Now - Call.SentAt < firstByteTimeoutOf(State, Call.Service))
--- a/packages/decision/src/relay/Turns.cpp
+++ b/packages/decision/src/relay/Turns.cpp
@@ -3,6 +3,7 @@
 #include "Attempts.h"
 #include "ConfigurationProof.h"
 #include "CrashDetection.h"
+#include "HistoryTransfers.h"
 #include "LimitObservations.h"
 #include "OutputReports.h"
 #include "ProgramStarts.h"
@@ -22,21 +23,44 @@
   return Call.InboundRequest.Program && Call.InboundRequest.Program->Budget;
 }
 
-/// Returns an untried replica to read history from, preferably in this zone,
-/// where the transfer is cheapest.
-std::optional<HolderId> pickHistorySource(const RelayState &State,
-                                          const std::set<HolderId> &Tried) {
-  std::optional<HolderId> Best;
-  for (const LedgerMember &Each : State.View.Current) {
-    if (State.ConnectedReplicas.count(Each.Holder) == 0 ||
-        Tried.count(Each.Holder) > 0)
-      continue;
-    if (Each.Zone == State.Zone)
-      return Each.Holder;
-    if (!Best)
-      Best = Each.Holder;
-  }
-  return Best;
+/// Copies of a held history: in a replica's answer, or those of two replicas,
+/// in the call and in its attempt.
+constexpr std::size_t CopiesOfHeldHistory = 4;
+
+/// Makes a call forget what is known of its history.
+void resetHistory(RelayState &State, TurnLedger &Ledger) {
+  releaseHistory(State, Ledger);
+  Ledger.HistorySegments.clear();
+  Ledger.History.clear();
+  Ledger.IsHistoryLong = false;
+}
+
+/// Reserves room for a history of the largest size that is held. Without room
+/// the history counts as long.
+void reserveHistory(RelayState &State, TurnLedger &Ledger) {
+  const std::size_t Bytes =
+      CopiesOfHeldHistory * State.Options.MaxHeldHistoryBytes;
+  if (State.HeldHistories.reserve(Bytes))
+    Ledger.ReservedHistoryBytes = Bytes;
+  else
+    Ledger.IsHistoryLong = true;
+}
+
+/// Releases what was reserved beyond the size of the history.
+void keepHistory(RelayState &State, TurnLedger &Ledger) {
+  const std::size_t Needed = std::min(
+      Ledger.ReservedHistoryBytes, CopiesOfHeldHistory * Ledger.History.size());
+  State.HeldHistories.release(Ledger.ReservedHistoryBytes - Needed);
+  Ledger.ReservedHistoryBytes = Needed;
+}
+
+/// Returns how much more history a call may hold.
+std::uint64_t historyAllowance(const RelayState &State,
+                               const TurnLedger &Ledger) {
+  const std::uint64_t Most = State.Options.MaxHeldHistoryBytes;
+  if (Ledger.IsHistoryLong || Most < Ledger.History.size())
+    return 0;
+  return Most - Ledger.History.size();
 }
 
 /// Sends the current OpenTurn to one replica. Does not request the history
@@ -88,8 +112,10 @@
     Ledger.HistoryRequestedAt = State.Now;
     Ledger.LastMissingTurn = Open.Previous;
     Ledger.TriedHistorySources = {Ledger.HistorySource};
-    Ledger.History.clear();
+    resetHistory(State, Ledger);
+    reserveHistory(State, Ledger);
   }
+  Open.MaxHistoryBytes = historyAllowance(State, Ledger);
   for (const LedgerMember &Each : State.View.allMembers()) {
     if (State.ConnectedReplicas.count(Each.Holder) > 0)
       sendOpenTo(Context, Ledger, Each.Holder);
@@ -157,6 +183,7 @@
   Read.Turn = turnOf(Call);
   Read.Program = programOf(Call);
   Read.Previous = Ledger.LastMissingTurn;
+  Read.MaxHistoryBytes = historyAllowance(State, Ledger);
   Read.Retention = Call.Route.Retention;
   State.PendingOpens[Read.Operation] = Call.Request;
   Ledger.OpenRequest = std::move(Read);
@@ -169,6 +196,7 @@
   TurnLedger &Ledger = Call.Ledger;
   if (!Ledger.LastMissingTurn) {
     Context.State.PendingOpens.erase(Ledger.OpenRequest.Operation);
+    keepHistory(Context.State, Ledger);
     if (isContinuation(Call))
       logContinuation(Context, Call);
     dispatchCall(Context, Call);
@@ -348,15 +376,25 @@
   continueOpenedTurn(Context, Call);
 }
 
+/// Adds the part of the history that a replica has sent, or whose size it has
+/// stated.
 void mergeHistory(RelayCall &Call, const TurnOpened &Reply) {
   TurnLedger &Ledger = Call.Ledger;
   // A replica may answer one question twice, if it was sent again with a newer
   // view; the part that is here already must not be joined a second time.
   const bool IsAdjoining =
       Ledger.LastMissingTurn && Reply.HistoryEnd == Ledger.LastMissingTurn;
-  if (!Reply.History || !IsAdjoining)
+  if (!IsAdjoining || (!Reply.History && !Reply.LongHistoryBytes))
     return;
-  Ledger.History = *Reply.History + Ledger.History;
+  const std::uint64_t Bytes =
+      Reply.History ? Reply.History->size() : *Reply.LongHistoryBytes;
+  Ledger.HistorySegments.push_back(
+      HistorySegment{*Reply.HistoryEnd, Reply.MissingTurn, Bytes});
+  Ledger.IsHistoryLong = Ledger.IsHistoryLong || !Reply.History;
+  if (Ledger.IsHistoryLong)
+    Ledger.History = std::string();
+  else
+    Ledger.History = *Reply.History + Ledger.History;
   Ledger.LastMissingTurn = Reply.MissingTurn;
   if (Reply.MissingTurn)
     Ledger.TriedHistorySources = {Reply.Holder};
@@ -446,6 +484,9 @@
   void operator()(const TurnClosed &Reply) {
     handleClosed(this->Context, this->Holder, Reply);
   }
+  void operator()(const HistoryPart &Part) {
+    handleHistoryPart(this->Context, this->Holder, Part);
+  }
   void operator()(const LedgerRefused &Reply) {
     handleRefused(this->Context, this->Holder, Reply);
   }
@@ -488,6 +529,11 @@
 
 } // namespace
 
+void releaseHistory(RelayState &State, TurnLedger &Ledger) {
+  State.HeldHistories.release(Ledger.ReservedHistoryBytes);
+  Ledger.ReservedHistoryBytes = 0;
+}
+
 std::set<HolderId> liveReplicas(const RelayState &State) {
   std::set<HolderId> Live;
   for (const HolderId &Each : State.ConnectedReplicas) {
@@ -603,6 +649,7 @@
   State.ReplicasWithoutKeyValueService.erase(Holder);
   State.LastMessageAt.erase(Holder);
   Context.log("replica_disconnected", {{"holder", Holder.Value}});
+  replaceHistorySource(Context, Holder);
   for (const RequestId Request : callsAwaitingLedger(State)) {
     const auto Found = State.Calls.find(Request);
     if (Found == State.Calls.end())
--- a/packages/decision/src/relay/Turns.h
+++ b/packages/decision/src/relay/Turns.h
@@ -33,6 +33,9 @@
 
 OtherTurns otherTurnsOf(const RelayCall &Call);
 
+/// Releases the memory that is reserved for the history of a call that ends.
+void releaseHistory(RelayState &State, TurnLedger &Ledger);
+
 /// Asks the ledger's replicas to claim tokens and to look up the previous turn.
 /// Once a quorum has answered, the call is dispatched or refused.
 void openTurn(RelayContext &Context, RelayCall &Call);
--- a/packages/decision/tests/ConnectedReplicas.cpp
+++ b/packages/decision/tests/ConnectedReplicas.cpp
@@ -276,7 +276,7 @@
     for (const LedgerRecord &Each : Batch.Records) {
       const auto *Kept = std::get_if<TurnRecord>(&Each);
       if (Kept && Kept->Turn == Turn)
-        History += Kept->Input + Kept->Output;
+        History += Kept->Input.text() + Kept->Output.text();
     }
   }
   return History;
--- a/packages/decision/tests/RelayOutputTest.cpp
+++ b/packages/decision/tests/RelayOutputTest.cpp
@@ -74,7 +74,7 @@
     const auto Closes = this->sentToReplicas<CloseTurn>();
     REQUIRE_FALSE(Closes.empty());
     REQUIRE(Closes.back().IsKept);
-    return Closes.back().Output;
+    return Closes.back().Output.text();
   }
 
   /// Returns the reason of the only refusal.
--- a/packages/http/include/tanagerlanding/http/CallerServer.h
+++ b/packages/http/include/tanagerlanding/http/CallerServer.h
@@ -95,7 +95,11 @@
   /// Stops accepting connections and closes those without a request.
   void stopAccepting();
 
-  /// Returns what the requests of all connections occupy, in bytes.
+  /// Sets what the process holds for callers besides their requests, in bytes;
+  /// see ReceiveBudget.
+  void setOtherBytes(std::size_t Bytes) { this->Received.setOtherBytes(Bytes); }
+
+  /// Returns what the requests of all connections occupy, with the other bytes.
   std::size_t receivedBytes() const { return this->Received.total(); }
 
   /// Returns whether all queued bytes are written to the sockets.
--- a/packages/http/include/tanagerlanding/http/ReceiveBudget.h
+++ b/packages/http/include/tanagerlanding/http/ReceiveBudget.h
@@ -44,6 +44,10 @@
   void update(CallerConnectionId Connection, const ReceivedRequest &Request);
   void release(CallerConnectionId Connection);
 
+  /// Sets what the process holds for callers besides these requests. It takes
+  /// room from requests that arrive.
+  void setOtherBytes(std::size_t Bytes);
+
   std::size_t total() const { return this->Total; }
 
   /// Returns whether the request on a connection is within the budget.
@@ -62,6 +66,7 @@
   std::size_t LargestRequest = 0;
   std::map<CallerConnectionId, ReceivedRequest> Requests;
   std::size_t Total = 0;
+  std::size_t OtherBytes = 0;
   /// Numbers of arriving requests.
   std::size_t LargeArriving = 0;
   std::size_t SmallArriving = 0;
--- a/packages/http/src/ReceiveBudget.cpp
+++ b/packages/http/src/ReceiveBudget.cpp
@@ -53,6 +53,11 @@
   this->Requests.erase(Found);
 }
 
+void ReceiveBudget::setOtherBytes(std::size_t Bytes) {
+  this->Total = this->Total - this->OtherBytes + Bytes;
+  this->OtherBytes = Bytes;
+}
+
 bool ReceiveBudget::hasRoom(CallerConnectionId Connection) const {
   const auto Found = this->Requests.find(Connection);
   if (Found == this->Requests.end())
--- a/packages/http/tests/ReceiveBudgetTest.cpp
+++ b/packages/http/tests/ReceiveBudgetTest.cpp
@@ -74,6 +74,20 @@
                                         connection(4), connection(5)});
 }
 
+// Guards against requests that are taken on while closes of earlier turns fill
+// the memory.
+TEST_CASE("Received requests: what else is held takes their room") {
+  ReceiveBudget Budget(Limit);
+  Budget.update(connection(1), arriving(Limit / 2, 0));
+  Budget.setOtherBytes(Limit);
+  CHECK_FALSE(Budget.hasRoom(connection(1)));
+  CHECK(Budget.selectRefused() ==
+        std::vector<CallerConnectionId>{connection(1)});
+  Budget.setOtherBytes(Limit / 4);
+  CHECK(Budget.hasRoom(connection(1)));
+  CHECK(Budget.total() == Limit / 2 + Limit / 4);
+}
+
 TEST_CASE("Received requests: the largest one is served alone") {
   ReceiveBudget Budget(Limit);
   Budget.update(connection(1), arriving(3 * Limit, 0));
--- a/packages/ledger/include/tanagerlanding/ledger.h
+++ b/packages/ledger/include/tanagerlanding/ledger.h
@@ -4,6 +4,8 @@
 #ifndef TANAGERLANDING_LEDGER_H
 #define TANAGERLANDING_LEDGER_H
 
+#include "tanagerlanding/ledger/HistoryReader.h"
+#include "tanagerlanding/ledger/IntakeBudget.h"
 #include "tanagerlanding/ledger/LedgerFolder.h"
 #include "tanagerlanding/ledger/LedgerProcess.h"
 #include "tanagerlanding/ledger/LedgerWriter.h"
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerFolder.h
@@ -71,6 +71,9 @@
   Result<bool, SystemError> indexNext();
 
   Result<LedgerBatch, SystemError> readBatch(BatchLocation At) const;
+  /// Returns a turn of the batch at a location.
+  Result<TurnRecord, SystemError> readTurn(const TurnId &Turn,
+                                           BatchLocation At) const;
   /// Returns the concatenated inputs and outputs of turns.
   Result<std::string, SystemError>
   readHistory(const std::vector<std::pair<TurnId, BatchLocation>> &Turns) const;
--- a/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
+++ b/packages/ledger/include/tanagerlanding/ledger/LedgerProcess.h
@@ -5,12 +5,15 @@
 
 #include "tanagerlanding/decision.h"
 #include "tanagerlanding/keyvalue.h"
+#include "tanagerlanding/ledger/HistoryReader.h"
+#include "tanagerlanding/ledger/IntakeBudget.h"
 #include "tanagerlanding/ledger/LedgerFolder.h"
 #include "tanagerlanding/ledger/LedgerWriter.h"
 #include "tanagerlanding/ledger/ReplicaRegistration.h"
 #include "tanagerlanding/runtime.h"
 #include "tanagerlanding/settings.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -31,6 +34,8 @@
   std::string ServiceUrl;
   /// Number of replicas that may be lost at the same time.
   std::uint32_t ToleratedFailures = 1;
+  /// Memory that the process may use, in bytes; absent: that of the host.
+  std::optional<std::size_t> MemoryBytes;
 };
 
 /// Stores turns and budget claims on disk, and agrees on the ledger's
@@ -57,6 +62,15 @@
   void onOpened(ConnectionId Id) override;
   void onMessage(ConnectionId Id, Message Body) override;
   void onClosed(ConnectionId Id) override;
+  void handleMessage(ConnectionId Id, Message Body);
+  void onSent(ConnectionId Id) override;
+  bool mayRead(ConnectionId Id, std::size_t IncompleteBytes) override;
+  /// Reads on from connections that had to wait.
+  void resumeReading();
+  /// Returns whether a part of a history may be queued on a connection.
+  bool hasRoomForPart(ConnectionId Id) const;
+  /// Answers the queries for parts of histories that have waited for room.
+  void answerWaitingQueries();
   /// Tells all relays that the key-value service can't be reached.
   void notifyRelaysOfOutage();
   void notifyRelays(const Message &Body);
@@ -106,6 +120,11 @@
   KeyWatcher Keys;
   ReplicaRegistration Registration;
   LedgerFolder Folder;
+  HistoryReader Histories{Folder};
+  IntakeBudget Intake;
+  bool IsReadingHeldBack = false;
+  /// Queries that wait until their answers can be queued, the oldest first.
+  std::deque<std::pair<ConnectionId, HistoryQuery>> WaitingQueries;
   /// Whether this start has set a damaged folder aside, which it does once.
   bool IsFolderReplaced = false;
   std::unique_ptr<LedgerWriter> Writer;
--- a/packages/ledger/src/LedgerFolder.cpp
+++ b/packages/ledger/src/LedgerFolder.cpp
@@ -216,18 +216,29 @@
     const std::vector<std::pair<TurnId, BatchLocation>> &Turns) const {
   std::string History;
   for (const auto &[Turn, Place] : Turns) {
-    const auto Batch = this->readBatch(Place);
-    if (!Batch)
-      return Batch.error();
-    for (const LedgerRecord &Each : Batch.value().Records) {
-      const auto *Kept = std::get_if<TurnRecord>(&Each);
-      if (Kept && Kept->Turn == Turn)
-        History += Kept->Input + Kept->Output;
-    }
+    const auto Kept = this->readTurn(Turn, Place);
+    if (!Kept)
+      return Kept.error();
+    History += Kept.value().Input.text();
+    History += Kept.value().Output.text();
   }
   return History;
 }
 
+Result<TurnRecord, SystemError> LedgerFolder::readTurn(const TurnId &Turn,
+                                                       BatchLocation At) const {
+  auto Batch = this->readBatch(At);
+  if (!Batch)
+    return Batch.error();
+  for (LedgerRecord &Each : Batch.value().Records) {
+    auto *Kept = std::get_if<TurnRecord>(&Each);
+    if (Kept && Kept->Turn == Turn)
+      return std::move(*Kept);
+  }
+  return SystemError{"no such turn in segment " + std::to_string(At.Segment),
+                     0};
+}
+
 void LedgerFolder::remove(std::uint64_t Segment) {
   const std::lock_guard<std::mutex> Guard(this->Lock);
   if (this->Unreported.count(Segment) == 0)
--- a/packages/ledger/src/LedgerProcess.cpp
+++ b/packages/ledger/src/LedgerProcess.cpp
@@ -3,6 +3,7 @@
 #include "tanagerlanding/decision/ledger/QuotaUse.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerlanding {
 
@@ -21,6 +22,18 @@
 /// well within that time.
 constexpr Milliseconds WatchTimeout{1200};
 
+/// The parts of the memory for what is received and not stored yet, and for
+/// answers that wait to be sent.
+constexpr std::size_t IntakePartOfMemory = 4;
+constexpr std::size_t AnswerPartOfMemory = 8;
+/// What one connection may have queued before it gets another part of a
+/// history. Small, as other answers wait behind it.
+constexpr std::size_t MaxQueuedPartBytes = 512 * 1024;
+
+std::size_t memoryOf(const LedgerSettings &Settings) {
+  return Settings.MemoryBytes.value_or(hostMemoryBytes());
+}
+
 } // namespace
 
 /// Performs effects, with one overload for each type.
@@ -29,6 +42,7 @@
   explicit EffectPerformer(LedgerProcess &Owner) : Owner(Owner) {}
 
   void operator()(const PersistLedgerBatch &Effect) {
+    this->Owner.Intake.addUnstored(Effect.Ticket, Effect.Batch.textBytes());
     this->Owner.Writer->submit(Effect);
   }
 
@@ -64,6 +78,16 @@
     this->Owner.sendTo(Effect.Peer, Reply);
   }
 
+  void operator()(const SendHistoryPart &Effect) {
+    auto Data = this->Owner.Histories.read(Effect.Pieces);
+    HistoryPart Part = Effect.Header;
+    if (Data)
+      Part.Data = std::move(Data.value());
+    else
+      this->logReadFailure(Data.error());
+    this->Owner.sendTo(Effect.Peer, Part);
+  }
+
   void operator()(const SendRecords &Effect) {
     RecordsPage Page = Effect.Header;
     for (const BatchLocation &At : Effect.Batches) {
@@ -129,7 +153,10 @@
       Service(Loop, Settings.ServiceUrl, std::move(Dialect)),
       Keys(Loop, Service, {{}, WatchTimeout}, *this),
       Registration(Loop, Service), Folder(Settings.DataFolder),
-      Instance(makeUniqueId()) {}
+      Intake(memoryOf(Settings) / IntakePartOfMemory),
+      Instance(makeUniqueId()) {
+  this->Hub.setMaxQueuedBytes(memoryOf(Settings) / IntakePartOfMemory);
+}
 
 LedgerProcess::~LedgerProcess() = default;
 
@@ -187,6 +214,7 @@
         this->Loop.post([this, Events = std::move(Events)] {
           for (const LedgerEvent &Each : Events)
             this->applyWritten(Each);
+          this->resumeReading();
         });
       });
   this->readDirectory();
@@ -195,8 +223,12 @@
 
 void LedgerProcess::applyWritten(const LedgerEvent &Event) {
   this->apply(Event);
-  if (const auto *Stored = std::get_if<LedgerBatchStored>(&Event))
+  if (const auto *Stored = std::get_if<LedgerBatchStored>(&Event)) {
     this->Folder.release(Stored->Place);
+    this->Intake.removeUnstored(Stored->Ticket);
+  }
+  if (const auto *Failed = std::get_if<LedgerBatchFailed>(&Event))
+    this->Intake.removeUnstored(Failed->Ticket);
 }
 
 Result<void, SystemError> LedgerProcess::run() {
@@ -230,8 +262,10 @@
     if (this->IsServiceLost)
       this->notifyRelaysOfOutage();
   });
-  this->Timers.subscribe(MetricsInterval,
-                         [this](Instant) { this->publishMetrics(); });
+  this->Timers.subscribe(MetricsInterval, [this](Instant) {
+    this->publishMetrics();
+    this->Histories.releaseUnused();
+  });
   this->Registration.start(this->State.Self);
   this->Keys.start();
   this->Loop.run();
@@ -265,7 +299,58 @@
   this->Hub.send(Id, Greeting);
 }
 
+bool LedgerProcess::mayRead(ConnectionId Id, std::size_t IncompleteBytes) {
+  const bool IsAllowed = this->Intake.mayRead(Id, IncompleteBytes);
+  if (!IsAllowed && !std::exchange(this->IsReadingHeldBack, true))
+    logEvent("ledger_reading_held_back",
+             {{"connection", std::to_string(Id.Value)},
+              {"message_bytes", std::to_string(IncompleteBytes)},
+              {"intake_bytes", std::to_string(this->Intake.total())}});
+  return IsAllowed;
+}
+
+void LedgerProcess::resumeReading() {
+  if (!this->Intake.takeWaiting())
+    return;
+  this->Hub.resumeReading();
+  if (this->Intake.isAnyWaiting())
+    return;
+  this->IsReadingHeldBack = false;
+  logEvent("ledger_reading_resumed",
+           {{"intake_bytes", std::to_string(this->Intake.total())}});
+}
+
+bool LedgerProcess::hasRoomForPart(ConnectionId Id) const {
+  return this->Hub.queuedBytes(Id) < MaxQueuedPartBytes &&
+         this->Hub.queuedBytes() <
+             memoryOf(this->Settings) / AnswerPartOfMemory;
+}
+
+void LedgerProcess::onSent(ConnectionId) { this->answerWaitingQueries(); }
+
+void LedgerProcess::answerWaitingQueries() {
+  std::deque<std::pair<ConnectionId, HistoryQuery>> Waiting;
+  Waiting.swap(this->WaitingQueries);
+  for (auto &[Id, Query] : Waiting) {
+    const auto Host = this->Hosts.find(Id);
+    if (Host == this->Hosts.end())
+      continue;
+    if (this->hasRoomForPart(Id))
+      this->apply(LedgerMessageReceived{Host->second, std::move(Query)});
+    else
+      this->WaitingQueries.emplace_back(Id, std::move(Query));
+  }
+}
+
 void LedgerProcess::onMessage(ConnectionId Id, Message Body) {
+  this->Intake.finishRead(Id);
+  // Later, as the hub is reading.
+  if (this->Intake.isAnyWaiting())
+    this->Loop.post([this] { this->resumeReading(); });
+  this->handleMessage(Id, std::move(Body));
+}
+
+void LedgerProcess::handleMessage(ConnectionId Id, Message Body) {
   if (const auto *Greeting = std::get_if<Hello>(&Body)) {
     this->Hosts[Id] = Greeting->Host;
     this->Links[Greeting->Host] = Id;
@@ -283,6 +368,11 @@
     return;
   // Replies are sent over the connection on which the request arrived.
   this->Links[Host->second] = Id;
+  const auto *Query = std::get_if<HistoryQuery>(&Body);
+  if (Query && !this->hasRoomForPart(Id)) {
+    this->WaitingQueries.emplace_back(Id, *Query);
+    return;
+  }
   this->apply(LedgerMessageReceived{Host->second, std::move(Body)});
 }
 
@@ -298,6 +388,8 @@
 }
 
 void LedgerProcess::onClosed(ConnectionId Id) {
+  this->Intake.finishRead(Id);
+  this->Loop.post([this] { this->resumeReading(); });
   this->Relays.erase(Id);
   const auto Found = this->Hosts.find(Id);
   if (Found == this->Hosts.end())
@@ -472,8 +564,9 @@
 }
 
 void LedgerProcess::notifyRelays(const Message &Body) {
+  const ConnectionHub::Frame Encoded = ConnectionHub::encode(Body);
   for (const ConnectionId Relay : this->Relays)
-    this->Hub.send(Relay, Body);
+    this->Hub.send(Relay, Encoded);
 }
 
 void LedgerProcess::publishMetrics() {
--- a/packages/ledger/tests/LedgerFolderTest.cpp
+++ b/packages/ledger/tests/LedgerFolderTest.cpp
@@ -1,6 +1,6 @@
 /// Tests of the recovery of a ledger folder after restarts, and of
 /// LedgerWriter.
-#include "tanagerlanding/ledger/LedgerWriter.h"
+#include "tanagerlanding/ledger.h"
 
 #include <catch2/catch.hpp>
 
@@ -48,7 +48,7 @@
     LedgerBatch Opened = batchOf(Turn);
     Opened.Records = {TokenClaimRecord{ProgramId("p"), {Name, TokenCount{9}}}};
     LedgerBatch Closed = batchOf(Turn);
-    std::get<TurnRecord>(Closed.Records[0]).Input += Text;
+    std::get<TurnRecord>(Closed.Records[0]).Input = "in-" + Turn + Text;
     Closed.Records.push_back(
         TokenClaimRecord{ProgramId("p"), {Name, TokenCount{4}, true}});
     LedgerBatch Unsettled = Opened;
@@ -174,6 +174,19 @@
   const BatchLocation At = Indexed.State.StoredBatches.at(Kept.Batch).Place;
   const std::string Text = Folder.readHistory({{TurnId("turn-0"), At}}).value();
   CHECK(Text.substr(0, 9) == "in-turn-0");
+  CHECK(Kept.TextBytes == Text.size());
+  HistoryReader Reader(Folder);
+  const TurnId Turn("turn-0");
+  const std::uint64_t InputBytes = Text.size() - 10;
+  const auto Read = [&](std::uint64_t Offset, std::uint64_t Bytes) {
+    return Reader.read({TurnPiece{Turn, At, Offset, Bytes}});
+  };
+  CHECK(Read(0, Text.size()).value() == Text);
+  CHECK(Read(5, 100).value() == Text.substr(5, 100));
+  CHECK(Read(InputBytes - 3, 7).value() == Text.substr(InputBytes - 3, 7));
+  CHECK(Read(InputBytes + 2, 8).value() == Text.substr(InputBytes + 2, 8));
+  CHECK_FALSE(Read(InputBytes + 2, 9));
+  CHECK_FALSE(Reader.read({TurnPiece{TurnId("other"), At, 0, 1}}));
 }
 
 TEST_CASE(
--- a/packages/relay/include/tanagerlanding/relay/AttemptClient.h
+++ b/packages/relay/include/tanagerlanding/relay/AttemptClient.h
@@ -35,6 +35,9 @@
     virtual void onAttemptHead(RelayAttemptId Attempt,
                                const TargetAnswerHead &Head) = 0;
     virtual void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) = 0;
+    /// Bytes of sendPart() were passed to the connection.
+    virtual void onAttemptPartWritten(RelayAttemptId Attempt,
+                                      std::size_t Bytes) = 0;
     virtual void onAttemptEnd(RelayAttemptId Attempt,
                               AttemptEnded::Kind Outcome) = 0;
     virtual void onTargetProbed(const TargetConnectionProbed &Result) = 0;
@@ -48,7 +51,11 @@
     std::string Method;
     std::string Target;
     HeaderFields Headers;
-    std::string Body;
+    /// The body consists of Start, of PartBytes that sendPart() brings, and of
+    /// Body.
+    std::string Start;
+    std::uint64_t PartBytes = 0;
+    SharedText Body;
     /// The id that the response must carry.
     CallerAttemptId ExpectedId;
     /// Maximum number of idle connections kept to the target.
@@ -65,6 +72,10 @@
 
   void send(Request NewRequest);
 
+  /// Sends the next part of an attempt's body. All parts together must have
+  /// Request::PartBytes.
+  void sendPart(RelayAttemptId Attempt, std::string Bytes);
+
   /// Closes an attempt's connection, which makes the target stop its work.
   void cancel(RelayAttemptId Attempt);
 
@@ -86,6 +97,11 @@
   ConnectionPtr acquireIdle(const Endpoint &Remote, const CallerAttemptId &Id);
   void connect(const ConnectionPtr &Target);
   void start(const ConnectionPtr &Target);
+  /// Writes the next piece of the request, if there is one and none is being
+  /// written.
+  void writeNext(const ConnectionPtr &Target);
+  void handleWritten(const ConnectionPtr &Target,
+                     const boost::system::error_code &Error);
   /// Drops an idle connection when its target closes it or sends bytes.
   void watchIdle(const ConnectionPtr &Target);
   void read(const ConnectionPtr &Target);
@@ -98,6 +114,7 @@
   void complete(const ConnectionPtr &Target);
   void fail(const ConnectionPtr &Target, AttemptEnded::Kind Outcome);
   void drop(const ConnectionPtr &Target);
+  static std::size_t sentBytesOf(const Connection &Target);
   /// Updates the budget to what a connection holds now.
   void account(Connection &Target, std::size_t Sent, std::size_t Received);
 
--- a/packages/relay/include/tanagerlanding/relay/RelayProcess.h
+++ b/packages/relay/include/tanagerlanding/relay/RelayProcess.h
@@ -90,6 +90,7 @@
   void onAttemptHead(RelayAttemptId Attempt,
                      const TargetAnswerHead &Head) override;
   void onAttemptBytes(RelayAttemptId Attempt, std::string Bytes) override;
+  void onAttemptPartWritten(RelayAttemptId Attempt, std::size_t Bytes) override;
   void onAttemptEnd(RelayAttemptId Attempt,
                     AttemptEnded::Kind Outcome) override;
   void onTargetProbed(const TargetConnectionProbed &Result) override;
@@ -123,6 +124,8 @@
   /// Ends connections while the budget for buffers is full, and logs when it
   /// becomes full or free.
   void enforceBufferBudget();
+  /// Adds what turns hold besides their requests to the budget for requests.
+  void accountTurns();
   /// Adds what the calls in progress hold to the budget.
   void accountCalls();
   /// Continues or pauses reading from targets by what their callers have not
--- a/packages/relay/src/AttemptClient.cpp
+++ b/packages/relay/src/AttemptClient.cpp
@@ -12,10 +12,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
+#include <deque>
 #include <functional>
 #include <regex>
+#include <utility>
 #include <vector>
 
 namespace tanagerlanding {
@@ -106,8 +107,17 @@
   /// Hashes of the ids of all requests sent on this connection.
   std::vector<std::size_t> SentIds;
   std::string Head;
+  /// Parts of the body that are not written yet, and the bytes of those that
+  /// sendPart() has not brought.
+  std::deque<std::string> Parts;
+  std::uint64_t MissingPartBytes = 0;
   bool IsOpen = false;
+  /// Whether the request is not written whole, and whether a piece of it is
+  /// being written.
+  bool IsSending = false;
   bool IsWriting = false;
+  /// The part that is being written, in bytes; 0 for other pieces.
+  std::size_t WritingPart = 0;
   /// Why the request could not be sent whole.
   boost::system::error_code WriteError;
   bool HasHead = false;
@@ -125,6 +135,14 @@
   Instant UnusedSince;
 };
 
+/// Returns the bytes of a request's body that a connection holds.
+std::size_t AttemptClient::sentBytesOf(const Connection &Target) {
+  std::size_t Bytes = Target.Current.Start.size() + Target.Current.Body.size();
+  for (const std::string &Each : Target.Parts)
+    Bytes += Each.size();
+  return Bytes;
+}
+
 AttemptClient::AttemptClient(EventLoop &Loop, const RelayProtocol &Protocol,
                              BufferBudget &Buffers, Listener &Callbacks)
     : Loop(Loop), Protocol(Protocol), Buffers(Buffers), Callbacks(Callbacks) {}
@@ -148,8 +166,10 @@
     Target = std::make_shared<Connection>(this->Loop.context());
   Target->Remote = Remote;
   Target->Current = std::move(NewRequest);
+  Target->Parts.clear();
+  Target->MissingPartBytes = Target->Current.PartBytes;
   this->Active[Attempt] = Target;
-  this->account(*Target, Target->Current.Body.size(), 0);
+  this->account(*Target, sentBytesOf(*Target), 0);
   if (IsReused)
     this->start(Target);
   else
@@ -209,12 +229,14 @@
 }
 
 void AttemptClient::start(const ConnectionPtr &Target) {
-  const bool HasBody = !Target->Current.Body.empty() ||
-                       Target->Current.Method == "POST" ||
-                       Target->Current.Method == "PUT";
+  const Request &Current = Target->Current;
+  const std::size_t BodyBytes =
+      Current.Start.size() + Current.PartBytes + Current.Body.size();
+  const bool HasBody =
+      BodyBytes > 0 || Current.Method == "POST" || Current.Method == "PUT";
   const BodyFraming Body{HasBody ? BodyFraming::Kind::ContentLength
                                  : BodyFraming::Kind::None,
-                         Target->Current.Body.size()};
+                         BodyBytes};
   Target->Head =
       writeRequestHead(Target->Current.Method, Target->Current.Target,
                        Target->Current.Headers, Body);
@@ -234,22 +256,76 @@
     return;
   }
   Target->SentIds.push_back(hashOf(Target->Current.ExpectedId));
+  Target->IsSending = true;
   Target->IsWriting = true;
-  const std::array<boost::asio::const_buffer, 2> Parts = {
-      boost::asio::buffer(Target->Head),
-      boost::asio::buffer(Target->Current.Body)};
+  Target->WritingPart = 0;
+  std::vector<boost::asio::const_buffer> Pieces = {
+      boost::asio::buffer(Target->Head), boost::asio::buffer(Current.Start)};
+  const bool IsWhole = Current.PartBytes == 0;
+  if (IsWhole)
+    Pieces.push_back(boost::asio::buffer(Current.Body.text()));
   boost::asio::async_write(
-      Target->Socket, Parts, [this, Target](const auto &Error, std::size_t) {
-        Target->IsWriting = false;
-        Target->WriteError = Error;
-        // A target may respond before it has read the whole body; such a
-        // response remains valid.
-        if (Error && !Target->HasHead && Target->Current.Attempt.Value != 0)
-          this->fail(Target, AttemptEnded::Kind::Broken);
+      Target->Socket, Pieces,
+      [this, Target, IsWhole](const auto &Error, std::size_t) {
+        Target->IsSending = !IsWhole;
+        this->handleWritten(Target, Error);
       });
   this->read(Target);
 }
 
+void AttemptClient::sendPart(RelayAttemptId Attempt, std::string Bytes) {
+  const auto Found = this->Active.find(Attempt);
+  if (Found == this->Active.end() || Bytes.empty())
+    return;
+  const ConnectionPtr Target = Found->second;
+  Target->MissingPartBytes -= Bytes.size();
+  Target->Parts.push_back(std::move(Bytes));
+  this->account(*Target, sentBytesOf(*Target), Target->CountedReceived);
+  this->writeNext(Target);
+}
+
+void AttemptClient::writeNext(const ConnectionPtr &Target) {
+  if (Target->IsWriting || !Target->IsSending || Target->WriteError)
+    return;
+  const bool HasPart = !Target->Parts.empty();
+  if (!HasPart && Target->MissingPartBytes > 0)
+    return;
+  const std::string &Piece =
+      HasPart ? Target->Parts.front() : Target->Current.Body.text();
+  Target->IsWriting = true;
+  Target->WritingPart = HasPart ? Piece.size() : 0;
+  boost::asio::async_write(
+      Target->Socket, boost::asio::buffer(Piece),
+      [this, Target, HasPart](const auto &Error, std::size_t) {
+        Target->IsSending = HasPart;
+        this->handleWritten(Target, Error);
+      });
+}
+
+void AttemptClient::handleWritten(const ConnectionPtr &Target,
+                                  const boost::system::error_code &Error) {
+  Target->IsWriting = false;
+  Target->WriteError = Error;
+  const RelayAttemptId Attempt = Target->Current.Attempt;
+  if (Attempt.Value == 0)
+    return;
+  if (Error) {
+    // A target may respond before it has read the whole body; such a response
+    // remains valid.
+    if (!Target->HasHead)
+      this->fail(Target, AttemptEnded::Kind::Broken);
+    return;
+  }
+  const std::size_t Written = std::exchange(Target->WritingPart, 0);
+  if (Written > 0) {
+    Target->Parts.pop_front();
+    this->account(*Target, sentBytesOf(*Target), Target->CountedReceived);
+  }
+  this->writeNext(Target);
+  if (Written > 0)
+    this->Callbacks.onAttemptPartWritten(Attempt, Written);
+}
+
 void AttemptClient::watchIdle(const ConnectionPtr &Target) {
   // A wait reads nothing, so that the next request's isQuiet() sees all bytes
   // that precede it.
@@ -378,7 +454,7 @@
   // Only a refusal may lack an id, because none of it is forwarded. It must not
   // be a repeat of an earlier one, nor have been sent ahead of the request.
   const bool IsRefusal = Decoded.Head.IsNotRun || Decoded.Head.IsMisdirected;
-  const bool MayLackId = IsRefusal && IsFirst && !Target->IsWriting;
+  const bool MayLackId = IsRefusal && IsFirst && !Target->IsSending;
   if (!Decoded.AnsweredAttempt && !MayLackId) {
     this->fail(Target, AttemptEnded::Kind::Broken);
     return false;
@@ -410,7 +486,7 @@
 }
 
 void AttemptClient::complete(const ConnectionPtr &Target) {
-  const bool IsReusable = Target->Parser->keep_alive() && !Target->IsWriting &&
+  const bool IsReusable = Target->Parser->keep_alive() && !Target->IsSending &&
                           !Target->WriteError && Target->Input.size() == 0 &&
                           Target->SentIds.size() < MaxRequestsPerConnection;
   const RelayAttemptId Attempt = Target->Current.Attempt;
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -34,6 +34,12 @@
 
 /// The part of the memory that may hold what callers send.
 constexpr std::size_t ReceivePartOfMemory = 4;
+/// The parts for histories that are held with their calls, and for those that
+/// are read while they are sent.
+constexpr std::size_t HeldHistoryPartOfMemory = 8;
+constexpr std::size_t LongHistoryPartOfMemory = 16;
+/// What may be queued for one replica.
+constexpr std::size_t QueuePartOfMemory = 4;
 
 /// The part of the memory that is for callers' connections themselves, and what
 /// one of them occupies besides its request: its own state, that of its call
@@ -43,10 +49,14 @@
 /// Sockets for listening, the ledger and the key-value service.
 constexpr std::size_t OtherSockets = 64;
 
+std::size_t memoryOf(const RelaySettings &Settings) {
+  return Settings.MemoryBytes.value_or(hostMemoryBytes());
+}
+
 /// Returns what callers may occupy. Each connection may need a second socket,
 /// to a target.
 CallerServer::Capacity callerCapacityFor(const RelaySettings &Settings) {
-  const std::size_t Memory = Settings.MemoryBytes.value_or(hostMemoryBytes());
+  const std::size_t Memory = memoryOf(Settings);
   const std::size_t Sockets =
       std::min(Settings.Sockets.value_or(descriptorLimit()), descriptorLimit());
   const std::size_t CallerSockets =
@@ -109,12 +119,17 @@
     Request.Target = Original.RequestTarget;
     Request.Headers =
         this->Owner.Protocols.Relay.EncodeAttempt(Original, Effect);
-    Request.Body = Effect.History + Original.Body;
+    Request.Start = Effect.History;
+    Request.PartBytes = Effect.LongHistoryBytes;
+    Request.Body = Original.Body;
     Request.ExpectedId = Original.Id;
     Request.IdleLimit = Effect.IdleLimit;
     Request.SendBefore = Effect.SendBefore;
     this->Owner.Targets.send(std::move(Request));
   }
+  void operator()(const SendAttemptPart &Effect) {
+    this->Owner.Targets.sendPart(Effect.Attempt, Effect.Bytes);
+  }
   void operator()(const CancelTargetAttempt &Effect) {
     this->Owner.Targets.cancel(Effect.Attempt);
   }
@@ -123,8 +138,13 @@
   }
   void operator()(const SendToReplica &Effect) {
     const auto Connection = this->Owner.ReplicaConnections.find(Effect.Holder);
-    if (Connection != this->Owner.ReplicaConnections.end())
+    if (Connection == this->Owner.ReplicaConnections.end())
+      return;
+    const auto *Close = std::get_if<CloseTurn>(&Effect.Body);
+    if (!Close)
       this->Owner.Hub.send(Connection->second, Effect.Body);
+    else
+      this->Owner.Hub.send(Connection->second, this->encodedClose(*Close));
   }
   void operator()(const ConnectReplicas &Effect) {
     std::vector<ListenAddress> Addresses;
@@ -145,7 +165,19 @@
   }
 
 private:
+  /// Returns the frame of a close. All replicas get the same one, as it may be
+  /// large.
+  const ConnectionHub::Frame &encodedClose(const CloseTurn &Close) {
+    const std::pair Key(Close.Operation, Close.View);
+    if (!this->LastClose || !(this->LastClose->first == Key))
+      this->LastClose.emplace(Key, ConnectionHub::encode(Close));
+    return this->LastClose->second;
+  }
+
   RelayProcess &Owner;
+  std::optional<std::pair<std::pair<LedgerOperationId, ViewVersion>,
+                          ConnectionHub::Frame>>
+      LastClose;
 };
 
 RelayProcess::RelayProcess(const RelaySettings &Settings,
@@ -171,6 +203,10 @@
   // Room for the sum with any time of this process.
   this->State.HeartbeatOffset =
       Milliseconds(static_cast<std::int64_t>(makeSeed() / 4));
+  const std::size_t Memory = memoryOf(Settings);
+  this->Hub.setMaxQueuedBytes(Memory / QueuePartOfMemory);
+  this->State.HeldHistories = ByteBudget(Memory / HeldHistoryPartOfMemory);
+  this->State.HistoryParts = ByteBudget(Memory / LongHistoryPartOfMemory);
   this->State.Options.IsRevocationStrict = Settings.IsRevocationStrict;
   this->State.Options.MaxProofAge = maxProofAge(Settings);
   this->State.Options.IsLoadShared = Settings.IsLoadShared;
@@ -200,6 +236,8 @@
     this->apply(RelayTick{Now});
     this->enforceBufferBudget();
   });
+  this->Timers.subscribe(AccountInterval,
+                         [this](Instant) { this->accountTurns(); });
   if (this->Buffers.isLimited()) {
     this->Timers.subscribe(AccountInterval,
                            [this](Instant) { this->accountCalls(); });
@@ -273,6 +311,24 @@
   }
 }
 
+void RelayProcess::accountTurns() {
+  std::size_t Bytes = 0;
+  for (const auto &[Request, Call] : this->State.Calls)
+    Bytes += Call.Output.size() + Call.BufferedBody.size() +
+             Call.Splitter.partialBytes();
+  for (const auto &[Operation, Close] : this->State.PendingCloses) {
+    Bytes += Close.Message.Output.size();
+    // The input of a call in progress counts with its request.
+    if (!Close.WaitingCall)
+      Bytes += Close.Message.Input.size();
+  }
+  // Replicas share the frames of closes, which are most of what is queued.
+  std::size_t LongestQueue = 0;
+  for (const auto &[Holder, Connection] : this->ReplicaConnections)
+    LongestQueue = std::max(LongestQueue, this->Hub.queuedBytes(Connection));
+  this->Callers.setOtherBytes(Bytes + LongestQueue);
+}
+
 void RelayProcess::accountCalls() {
   std::size_t Histories = 0;
   std::size_t Answers = 0;
@@ -339,6 +395,11 @@
     this->enforceBufferBudget();
 }
 
+void RelayProcess::onAttemptPartWritten(RelayAttemptId Attempt,
+                                        std::size_t Bytes) {
+  this->apply(AttemptPartWritten{Attempt, Bytes});
+}
+
 void RelayProcess::onAttemptEnd(RelayAttemptId Attempt,
                                 AttemptEnded::Kind Outcome) {
   this->apply(AttemptEnded{Attempt, Outcome});
@@ -527,6 +588,10 @@
     this->ProcessMetrics.set(
         "relay_configuration_proof_age_ms",
         static_cast<double>(configurationProofAge(this->State).count()));
+  this->ProcessMetrics.replaceSeries(
+      "relay_history_bytes", "kind",
+      {{"held", static_cast<double>(this->State.HeldHistories.used())},
+       {"parts", static_cast<double>(this->State.HistoryParts.used())}});
   this->ProcessMetrics.set("relay_received_bytes",
                            static_cast<double>(this->Callers.receivedBytes()));
   this->ProcessMetrics.set("relay_calls",
--- a/packages/relay/tests/AttemptClientTest.cpp
+++ b/packages/relay/tests/AttemptClientTest.cpp
@@ -51,6 +51,9 @@
   void onAttemptBytes(RelayAttemptId, std::string Bytes) override {
     this->Body += Bytes;
   }
+  void onAttemptPartWritten(RelayAttemptId, std::size_t Bytes) override {
+    this->PartsWritten.push_back(Bytes);
+  }
   void onAttemptEnd(RelayAttemptId, AttemptEnded::Kind Outcome) override {
     this->Ends.push_back(Outcome);
   }
@@ -114,6 +117,7 @@
   std::vector<std::uint16_t> Statuses;
   std::string Body;
   std::vector<AttemptEnded::Kind> Ends;
+  std::vector<std::size_t> PartsWritten;
   std::vector<TargetConnectionProbed::Outcome> Probes;
 };
 
@@ -128,6 +132,64 @@
                            "Id: 1\r\nOdd: x\r\nContent-Length: 4\r\n\r\nbody");
 }
 
+TEST_CASE("Targets: parts of a body arrive in order, between its start and the "
+          "caller's own") {
+  TargetFixture Fixture;
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.Start = "start;";
+  Request.PartBytes = 300006;
+  const RelayAttemptId Attempt = Request.Attempt;
+  Fixture.Client.send(std::move(Request));
+  // The first part comes before the connection is open.
+  Fixture.Client.sendPart(Attempt, "one;");
+  REQUIRE(
+      runUntil(Fixture.Loop, [&] { return Fixture.Targets[0]->has("one;"); }));
+  CHECK_FALSE(Fixture.Targets[0]->has("body"));
+  const std::string Large = std::string(300000, 'x') + "2;";
+  Fixture.Client.sendPart(Attempt, Large);
+  REQUIRE(runUntil(Fixture.Loop,
+                   [&] { return Fixture.Targets[0]->has("2;body"); }));
+  RawPeer &Target = *Fixture.Targets[0];
+  CHECK(
+      Target.has("Content-Length: 300016\r\n\r\nstart;one;" + Large + "body"));
+  CHECK(Fixture.PartsWritten == std::vector<std::size_t>{4, 300002});
+  Target.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(Fixture.awaitEnds(1));
+  CHECK(Fixture.Ends[0] == Kind::Complete);
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 1);
+}
+
+// Guards against a request whose rest is taken for the next one.
+TEST_CASE(
+    "Targets: a connection is not reused if parts of a body are missing") {
+  TargetFixture Fixture;
+  AttemptClient::Request Request = Fixture.request("1");
+  Request.PartBytes = 8;
+  const RelayAttemptId Attempt = Request.Attempt;
+  Fixture.Client.send(std::move(Request));
+  Fixture.Client.sendPart(Attempt, "part");
+  REQUIRE(
+      runUntil(Fixture.Loop, [&] { return Fixture.Targets[0]->has("part"); }));
+  SECTION("a complete answer") {
+    Fixture.Targets[0]->send(
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Complete);
+  }
+  SECTION("a refusal without an id") {
+    Fixture.Targets[0]->send(
+        "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(Fixture.awaitEnds(1));
+    CHECK(Fixture.Ends[0] == Kind::Broken);
+  }
+  SECTION("a cancelled attempt") { Fixture.Client.cancel(Attempt); }
+  Fixture.Client.sendPart(Attempt, "late");
+  Fixture.send("2");
+  CHECK(Fixture.Accepted == 2);
+  CHECK_FALSE(Fixture.Targets[0]->has("late"));
+}
+
 TEST_CASE("Targets: a complete response leaves the connection for reuse") {
   TargetFixture Fixture;
   RawPeer &Target = Fixture.send("1");
--- a/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
+++ b/packages/runtime/include/tanagerlanding/runtime/ConnectionHub.h
@@ -38,8 +38,19 @@
     virtual void onOpened(ConnectionId Id) = 0;
     virtual void onMessage(ConnectionId Id, Message Body) = 0;
     virtual void onClosed(ConnectionId Id) = 0;
+    /// Queued messages were passed to the operating system.
+    virtual void onSent(ConnectionId) {}
+    /// Returns whether more should be read from a connection. IncompleteBytes
+    /// is the size of the message that has begun to arrive on it, or 0. If not,
+    /// resumeReading() asks again.
+    virtual bool mayRead(ConnectionId, std::size_t /*IncompleteBytes*/) {
+      return true;
+    }
   };
 
+  /// An encoded message, which several connections may send.
+  using Frame = std::shared_ptr<const std::string>;
+
   /// Connections over which nothing was received for IdleTimeout are closed.
   ConnectionHub(EventLoop &Loop, Listener &Callbacks,
                 Milliseconds IdleTimeout = DefaultIdleTimeout);
@@ -64,6 +75,21 @@
 
   /// Queues a message for sending. Discards it if the connection is closed.
   void send(ConnectionId Id, const Message &Body);
+  void send(ConnectionId Id, Frame Encoded);
+  static Frame encode(const Message &Body);
+
+  /// Sets how many bytes may be queued on one connection. A connection on which
+  /// more are queued is closed before another message is queued.
+  void setMaxQueuedBytes(std::size_t Bytes) { this->MaxQueuedBytes = Bytes; }
+
+  /// Returns the bytes that wait to be passed to the operating system, on one
+  /// connection and on all. A shared frame counts on each connection.
+  std::size_t queuedBytes(ConnectionId Id) const;
+  std::size_t queuedBytes() const { return this->QueuedBytes; }
+
+  /// Reads on from the connections for which Listener::mayRead() was false, if
+  /// it is true now.
+  void resumeReading();
 
   /// Closes a connection and notifies the listener.
   void close(ConnectionId Id);
@@ -86,6 +112,8 @@
   ConnectionId addConnection(boost::asio::ip::tcp::socket Socket,
                              const std::shared_ptr<OutboundPeer> &Peer);
   void read(Connection &Link);
+  /// Reads unless the listener forbids it.
+  void readIfAllowed(Connection &Link);
   void write(Connection &Link);
   void handleBytes(ConnectionId Id, std::size_t Count);
   void checkIdleConnections();
@@ -98,6 +126,8 @@
   boost::asio::steady_timer IdleTimer;
   std::uint64_t NextId = 1;
   std::uint64_t SentBytes = 0;
+  std::size_t QueuedBytes = 0;
+  std::size_t MaxQueuedBytes = std::size_t{256} * 1024 * 1024;
   std::map<ConnectionId, std::shared_ptr<Connection>> Connections;
   std::map<std::pair<std::string, std::uint16_t>, std::shared_ptr<OutboundPeer>>
       OutboundPeers;
--- a/packages/runtime/src/ConnectionHub.cpp
+++ b/packages/runtime/src/ConnectionHub.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <deque>
 
 namespace tanagerlanding {
 
@@ -21,7 +22,9 @@
 constexpr Milliseconds ConnectTimeout{600};
 constexpr Milliseconds FlushPollInterval{5};
 constexpr std::size_t ReadBytes = 64 * 1024;
-constexpr std::size_t MaxQueuedBytes = 256 * 1024 * 1024;
+/// Limits of one write, so that frames are released while later ones wait.
+constexpr std::size_t MaxFramesPerWrite = 64;
+constexpr std::size_t BytesPerWrite = 256 * 1024;
 
 } // namespace
 
@@ -35,9 +38,11 @@
   std::weak_ptr<OutboundPeer> Peer;
   FrameReader Reader;
   std::array<char, ReadBytes> Input{};
-  std::string WriteBuffer;
-  std::string QueuedBytes;
-  bool IsWriting = false;
+  /// Frames to be sent; the first Writing of them are being written.
+  std::deque<Frame> Queue;
+  std::size_t Writing = 0;
+  std::size_t QueuedBytes = 0;
+  bool IsReadingPaused = false;
   Instant LastReceivedAt;
 };
 
@@ -211,44 +216,92 @@
     this->Callbacks.onMessage(Id, std::move(Body.value()));
   }
   if (this->Connections.count(Id) > 0)
-    this->read(*Link);
+    this->readIfAllowed(*Link);
+}
+
+void ConnectionHub::readIfAllowed(Connection &Link) {
+  Link.IsReadingPaused =
+      !this->Callbacks.mayRead(Link.Id, Link.Reader.incompleteBytes());
+  if (!Link.IsReadingPaused)
+    this->read(Link);
+}
+
+void ConnectionHub::resumeReading() {
+  for (const auto &[Id, Link] : this->Connections) {
+    if (!Link->IsReadingPaused)
+      continue;
+    Link->LastReceivedAt = this->Loop.now();
+    this->readIfAllowed(*Link);
+  }
+}
+
+ConnectionHub::Frame ConnectionHub::encode(const Message &Body) {
+  return std::make_shared<const std::string>(encodeFrame(Body));
 }
 
 void ConnectionHub::send(ConnectionId Id, const Message &Body) {
+  if (this->Connections.count(Id) > 0)
+    this->send(Id, encode(Body));
+}
+
+void ConnectionHub::send(ConnectionId Id, Frame Encoded) {
   const auto Found = this->Connections.find(Id);
   if (Found == this->Connections.end())
     return;
   Connection &Link = *Found->second;
-  const std::string Payload = encodeMessage(Body);
-  if (Payload.size() > MaxFrameBytes) {
-    logEvent("message_too_large", {{"bytes", std::to_string(Payload.size())}});
+  if (Encoded->size() > MaxFrameBytes) {
+    logEvent("message_too_large", {{"bytes", std::to_string(Encoded->size())}});
     return;
   }
-  Link.QueuedBytes += makeFrame(Payload);
-  if (Link.QueuedBytes.size() > MaxQueuedBytes) {
-    logEvent("peer_too_slow", {{"connection", std::to_string(Id.Value)}});
+  if (Link.QueuedBytes > this->MaxQueuedBytes) {
+    logEvent("peer_too_slow",
+             {{"connection", std::to_string(Id.Value)},
+              {"queued_bytes", std::to_string(Link.QueuedBytes)}});
     this->Loop.post([this, Id] { this->close(Id); });
     return;
   }
+  Link.QueuedBytes += Encoded->size();
+  this->QueuedBytes += Encoded->size();
+  Link.Queue.push_back(std::move(Encoded));
   this->write(Link);
 }
 
+std::size_t ConnectionHub::queuedBytes(ConnectionId Id) const {
+  const auto Found = this->Connections.find(Id);
+  return Found == this->Connections.end() ? 0 : Found->second->QueuedBytes;
+}
+
 void ConnectionHub::write(Connection &Link) {
-  if (Link.IsWriting || Link.QueuedBytes.empty())
+  if (Link.Writing > 0 || Link.Queue.empty())
     return;
-  Link.IsWriting = true;
-  Link.WriteBuffer.swap(Link.QueuedBytes);
-  Link.QueuedBytes.clear();
-  this->SentBytes += Link.WriteBuffer.size();
+  std::vector<boost::asio::const_buffer> Parts;
+  std::size_t Bytes = 0;
+  for (const Frame &Each : Link.Queue) {
+    if (Parts.size() == MaxFramesPerWrite || BytesPerWrite <= Bytes)
+      break;
+    Parts.push_back(boost::asio::buffer(*Each));
+    Bytes += Each->size();
+  }
+  Link.Writing = Parts.size();
+  this->SentBytes += Bytes;
   const auto Kept = this->Connections[Link.Id];
-  boost::asio::async_write(Link.Socket, boost::asio::buffer(Link.WriteBuffer),
-                           [this, Kept](const auto &Error, std::size_t) {
-                             Kept->IsWriting = false;
-                             if (Error)
-                               this->close(Kept->Id);
-                             else if (this->Connections.count(Kept->Id) > 0)
-                               this->write(*Kept);
-                           });
+  boost::asio::async_write(
+      Link.Socket, Parts, [this, Kept, Bytes](const auto &Error, std::size_t) {
+        if (this->Connections.count(Kept->Id) == 0)
+          return;
+        if (Error) {
+          this->close(Kept->Id);
+          return;
+        }
+        Kept->Queue.erase(Kept->Queue.begin(),
+                          Kept->Queue.begin() +
+                              static_cast<std::ptrdiff_t>(Kept->Writing));
+        Kept->Writing = 0;
+        Kept->QueuedBytes -= Bytes;
+        this->QueuedBytes -= Bytes;
+        this->write(*Kept);
+        this->Callbacks.onSent(Kept->Id);
+      });
 }
 
 void ConnectionHub::close(ConnectionId Id) {
@@ -257,6 +310,7 @@
     return;
   const std::shared_ptr<Connection> Link = Found->second;
   this->Connections.erase(Found);
+  this->QueuedBytes -= Link->QueuedBytes;
   boost::system::error_code Ignored;
   Link->Socket.close(Ignored);
   if (const auto Peer = Link->Peer.lock())
@@ -271,7 +325,8 @@
       return;
     std::vector<ConnectionId> Idle;
     for (const auto &[Id, Link] : this->Connections) {
-      if (this->Loop.now() - Link->LastReceivedAt >= this->IdleTimeout)
+      if (!Link->IsReadingPaused &&
+          this->Loop.now() - Link->LastReceivedAt >= this->IdleTimeout)
         Idle.push_back(Id);
     }
     for (const ConnectionId Id : Idle)
@@ -282,7 +337,7 @@
 
 bool ConnectionHub::isFlushed() const {
   for (const auto &[Id, Link] : this->Connections) {
-    if (Link->IsWriting || !Link->QueuedBytes.empty())
+    if (!Link->Queue.empty())
       return false;
   }
   return true;
--- a/packages/wire/include/tanagerlanding/wire/FrameReader.h
+++ b/packages/wire/include/tanagerlanding/wire/FrameReader.h
@@ -6,6 +6,7 @@
 
 #include "tanagerlanding/basics.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
 /// until it returns no payload. See MessageCodec for the payload's encoding.
 class FrameReader {
 public:
+  static constexpr std::size_t PrefixBytes = 4;
+
   FrameReader() = default;
   FrameReader(const FrameReader &) = delete;
   FrameReader &operator=(const FrameReader &) = delete;
@@ -34,9 +37,17 @@
   /// be read any further then.
   Result<std::optional<std::string>, DecodeError> next();
 
+  /// Returns the payload size of the frame that has begun and is not complete,
+  /// or 0.
+  std::size_t incompleteBytes() const { return this->Length.value_or(0); }
+
 private:
-  std::string Buffer;
+  /// Bytes of which those before Start are read.
+  std::string Unread;
   std::size_t Start = 0;
+  /// The frame that has begun.
+  std::optional<std::uint32_t> Length;
+  std::string Payload;
 };
 
 } // namespace tanagerlanding
--- a/packages/wire/include/tanagerlanding/wire/MessageCodec.h
+++ b/packages/wire/include/tanagerlanding/wire/MessageCodec.h
@@ -13,6 +13,9 @@
 /// Returns a message's serialized bytes, without a length prefix.
 std::string encodeMessage(const Message &Body);
 
+/// Returns the same with a length prefix; see FrameReader.
+std::string encodeFrame(const Message &Body);
+
 /// Returns the deserialized message. Fails with Malformed if the bytes are not
 /// a complete, valid message, and with UnknownType if its type is unknown.
 Result<Message, DecodeError> decodeMessage(std::string_view Bytes);
--- a/packages/wire/src/FrameReader.cpp
+++ b/packages/wire/src/FrameReader.cpp
@@ -1,17 +1,16 @@
 #include "tanagerlanding/wire/FrameReader.h"
 
-#include <flatbuffers/base.h>
+#include <flatbuffers/flatbuffers.h>
 
-namespace tanagerlanding {
-
-namespace {
-
-constexpr std::size_t LengthPrefixBytes = 4;
+#include <algorithm>
+#include <utility>
 
-} // namespace
+namespace tanagerlanding {
 
 std::string makeFrame(std::string_view Payload) {
-  std::string Frame(LengthPrefixBytes, '\0');
+  std::string Frame;
+  Frame.reserve(FrameReader::PrefixBytes + Payload.size());
+  Frame.resize(FrameReader::PrefixBytes);
   flatbuffers::WriteScalar(Frame.data(),
                            static_cast<std::uint32_t>(Payload.size()));
   Frame.append(Payload);
@@ -19,24 +18,30 @@
 }
 
 void FrameReader::append(std::string_view Bytes) {
-  this->Buffer.erase(0, this->Start);
+  this->Unread.erase(0, this->Start);
   this->Start = 0;
-  this->Buffer.append(Bytes);
+  this->Unread.append(Bytes);
 }
 
 Result<std::optional<std::string>, DecodeError> FrameReader::next() {
-  const std::size_t Available = this->Buffer.size() - this->Start;
-  if (Available < LengthPrefixBytes)
-    return std::optional<std::string>();
-  const char *Begin = this->Buffer.data() + this->Start;
-  const auto Length = flatbuffers::ReadScalar<std::uint32_t>(Begin);
-  if (Length > MaxFrameBytes)
-    return DecodeError{DecodeError::Kind::TooLarge};
-  if (Available < LengthPrefixBytes + Length)
+  if (!this->Length) {
+    if (this->Unread.size() - this->Start < PrefixBytes)
+      return std::optional<std::string>();
+    this->Length = flatbuffers::ReadScalar<std::uint32_t>(this->Unread.data() +
+                                                          this->Start);
+    this->Start += PrefixBytes;
+    if (*this->Length > MaxFrameBytes)
+      return DecodeError{DecodeError::Kind::TooLarge};
+    this->Payload.reserve(*this->Length);
+  }
+  const std::size_t Count = std::min<std::size_t>(
+      *this->Length - this->Payload.size(), this->Unread.size() - this->Start);
+  this->Payload.append(this->Unread, this->Start, Count);
+  this->Start += Count;
+  if (this->Payload.size() < *this->Length)
     return std::optional<std::string>();
-  std::string Payload(Begin + LengthPrefixBytes, Length);
-  this->Start += LengthPrefixBytes + Length;
-  return std::optional<std::string>(std::move(Payload));
+  this->Length.reset();
+  return std::optional<std::string>(std::exchange(this->Payload, {}));
 }
 
 } // namespace tanagerlanding
--- a/packages/wire/src/LedgerConversions.cpp
+++ b/packages/wire/src/LedgerConversions.cpp
@@ -169,9 +169,10 @@
     Table.turn = Kept.Turn.Value;
     Table.has_previous = Kept.Previous.has_value();
     Table.previous = turnText(Kept.Previous);
-    Table.input = Kept.Input;
-    Table.output = Kept.Output;
+    Table.input = Kept.Input.text();
+    Table.output = Kept.Output.text();
     Table.target = Kept.Target.Value;
+    Table.omitted_bytes = Kept.OmittedBytes;
     this->Row.body.Set(std::move(Table));
   }
 
@@ -189,7 +190,10 @@
   if (const auto *Turn = Row.body.AsRecordTurn())
     return TurnRecord{TurnId(Turn->turn),
                       makeOptionalTurn(Turn->has_previous, Turn->previous),
-                      Turn->input, Turn->output, TargetId(Turn->target)};
+                      Turn->input,
+                      Turn->output,
+                      TargetId(Turn->target),
+                      Turn->omitted_bytes};
   const auto *Claim = Row.body.AsRecordClaim();
   if (Claim && Claim->claim)
     return TokenClaimRecord{ProgramId(Claim->program), fromRow(*Claim->claim)};
@@ -277,6 +281,7 @@
   Table.has_previous = Body.Previous.has_value();
   Table.previous = turnText(Body.Previous);
   Table.wants_history = Body.IsHistoryRequested;
+  Table.max_history_bytes = Body.MaxHistoryBytes;
   Table.retention_ms = Body.Retention.count();
   Table.has_resumed = Body.ResumedAttempt.has_value();
   Table.resumed = turnText(Body.ResumedAttempt);
@@ -299,6 +304,7 @@
     Body.Claimed = TokenCount{Table.claimed};
   Body.Previous = makeOptionalTurn(Table.has_previous, Table.previous);
   Body.IsHistoryRequested = Table.wants_history;
+  Body.MaxHistoryBytes = Table.max_history_bytes;
   Body.Retention = Milliseconds(Table.retention_ms);
   Body.ResumedAttempt = makeOptionalTurn(Table.has_resumed, Table.resumed);
   if (Table.has_resumed_content)
@@ -317,6 +323,8 @@
   Table.previous_target = Body.PreviousTarget.Value;
   Table.has_history = Body.History.has_value();
   Table.history = Body.History.value_or(std::string());
+  Table.has_long_history = Body.LongHistoryBytes.has_value();
+  Table.long_history_bytes = Body.LongHistoryBytes.value_or(0);
   Table.has_history_end = Body.HistoryEnd.has_value();
   Table.history_end = turnText(Body.HistoryEnd);
   Table.has_missing = Body.MissingTurn.has_value();
@@ -340,6 +348,8 @@
   Body.PreviousTarget = TargetId(Table.previous_target);
   if (Table.has_history)
     Body.History = Table.history;
+  if (Table.has_long_history)
+    Body.LongHistoryBytes = Table.long_history_bytes;
   Body.HistoryEnd = makeOptionalTurn(Table.has_history_end, Table.history_end);
   Body.MissingTurn = makeOptionalTurn(Table.has_missing, Table.missing);
   for (const wire::ClaimRow &Row : Table.claims)
@@ -363,14 +373,14 @@
   Table.kept = Body.IsKept;
   Table.has_previous = Body.Previous.has_value();
   Table.previous = turnText(Body.Previous);
-  Table.input = Body.Input;
-  Table.output = Body.Output;
+  Table.input = Body.Input.text();
+  Table.output = Body.Output.text();
   Table.target = Body.Target.Value;
   Table.retention_ms = Body.Retention.count();
   return Table;
 }
 
-CloseTurn fromTable(const wire::CloseTurnT &Table) {
+CloseTurn fromTable(wire::CloseTurnT Table) {
   CloseTurn Body;
   Body.Operation = LedgerOperationId(Table.operation);
   Body.View = ViewVersion(Table.view);
@@ -380,13 +390,48 @@
   Body.Turn = TurnId(Table.turn);
   Body.IsKept = Table.kept;
   Body.Previous = makeOptionalTurn(Table.has_previous, Table.previous);
-  Body.Input = Table.input;
-  Body.Output = Table.output;
+  Body.Input = std::move(Table.input);
+  Body.Output = std::move(Table.output);
   Body.Target = TargetId(Table.target);
   Body.Retention = Milliseconds(Table.retention_ms);
   return Body;
 }
 
+wire::HistoryQueryT toTable(const HistoryQuery &Body) {
+  wire::HistoryQueryT Table;
+  Table.operation = Body.Operation.Value;
+  Table.end = Body.End.Value;
+  Table.has_after = Body.After.has_value();
+  Table.after = turnText(Body.After);
+  Table.offset = Body.Offset;
+  Table.bytes = Body.Bytes;
+  return Table;
+}
+
+HistoryQuery fromTable(const wire::HistoryQueryT &Table) {
+  return HistoryQuery{LedgerOperationId(Table.operation), TurnId(Table.end),
+                      makeOptionalTurn(Table.has_after, Table.after),
+                      Table.offset, Table.bytes};
+}
+
+wire::HistoryPartT toTable(const HistoryPart &Body) {
+  wire::HistoryPartT Table;
+  Table.operation = Body.Operation.Value;
+  Table.holder = Body.Holder.Value;
+  Table.has_data = Body.Data.has_value();
+  Table.data = Body.Data.value_or(std::string());
+  return Table;
+}
+
+HistoryPart fromTable(wire::HistoryPartT Table) {
+  HistoryPart Body;
+  Body.Operation = LedgerOperationId(Table.operation);
+  Body.Holder = HolderId(Table.holder);
+  if (Table.has_data)
+    Body.Data = std::move(Table.data);
+  return Body;
+}
+
 wire::TurnClosedT toTable(const TurnClosed &Body) {
   wire::TurnClosedT Table;
   Table.operation = Body.Operation.Value;
--- a/packages/wire/src/MessageCodec.cpp
+++ b/packages/wire/src/MessageCodec.cpp
@@ -1,5 +1,7 @@
 #include "tanagerlanding/wire/MessageCodec.h"
 
+#include "tanagerlanding/wire/FrameReader.h"
+
 #include "Conversions.h"
 #include "LedgerConversions.h"
 #include "LimitConversions.h"
@@ -450,7 +452,7 @@
 }
 
 /// Returns the message in a frame's body, or nothing if its type is unknown.
-std::optional<Message> messageFromBody(const wire::BodyUnion &Body) {
+std::optional<Message> messageFromBody(wire::BodyUnion &Body) {
   // The verifier accepts a body that has a type but is absent.
   if (!Body.value)
     return std::nullopt;
@@ -516,7 +518,11 @@
   case wire::Body::TurnOpened:
     return fromTable(*Body.AsTurnOpened());
   case wire::Body::CloseTurn:
-    return fromTable(*Body.AsCloseTurn());
+    return fromTable(std::move(*Body.AsCloseTurn()));
+  case wire::Body::HistoryQuery:
+    return fromTable(*Body.AsHistoryQuery());
+  case wire::Body::HistoryPart:
+    return fromTable(std::move(*Body.AsHistoryPart()));
   case wire::Body::TurnClosed:
     return fromTable(*Body.AsTurnClosed());
   case wire::Body::LedgerRefused:
@@ -563,15 +569,54 @@
   return std::nullopt;
 }
 
-} // namespace
+/// Returns about as many bytes as a message takes when it is encoded, so that
+/// the buffer of one with a long text need not grow.
+class SizeEstimate {
+public:
+  std::size_t operator()(const CloseTurn &Body) const {
+    return OtherBytes + Body.Input.size() + Body.Output.size();
+  }
+  std::size_t operator()(const HistoryPart &Body) const {
+    return OtherBytes + (Body.Data ? Body.Data->size() : 0);
+  }
+  std::size_t operator()(const LedgerBatch &Body) const {
+    return OtherBytes + Body.textBytes();
+  }
+  template <typename Other> std::size_t operator()(const Other &) const {
+    return OtherBytes;
+  }
 
-std::string encodeMessage(const Message &Body) {
+private:
+  static constexpr std::size_t OtherBytes = 1024;
+};
+
+std::size_t expectedBytes(const Message &Body) {
+  return std::visit(SizeEstimate(), Body);
+}
+
+void fillBuilder(flatbuffers::FlatBufferBuilder &Builder, const Message &Body) {
   wire::FrameT Frame;
   std::visit([&](const auto &Each) { Frame.body.Set(toTable(Each)); }, Body);
-  flatbuffers::FlatBufferBuilder Builder;
   Builder.Finish(wire::Frame::Pack(Builder, &Frame));
-  return std::string(reinterpret_cast<const char *>(Builder.GetBufferPointer()),
-                     Builder.GetSize());
+}
+
+std::string_view textOf(const flatbuffers::FlatBufferBuilder &Builder) {
+  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+          Builder.GetSize()};
+}
+
+} // namespace
+
+std::string encodeMessage(const Message &Body) {
+  flatbuffers::FlatBufferBuilder Builder(expectedBytes(Body));
+  fillBuilder(Builder, Body);
+  return std::string(textOf(Builder));
+}
+
+std::string encodeFrame(const Message &Body) {
+  flatbuffers::FlatBufferBuilder Builder(expectedBytes(Body));
+  fillBuilder(Builder, Body);
+  return makeFrame(textOf(Builder));
 }
 
 Result<Message, DecodeError> decodeMessage(std::string_view Bytes) {
--- a/packages/wire/src/SegmentIndexCodec.cpp
+++ b/packages/wire/src/SegmentIndexCodec.cpp
@@ -22,6 +22,7 @@
     if (Turn->has_previous())
       Kept.Previous = TurnId(readText(Turn->previous()));
     Kept.Target = TargetId(readText(Turn->target()));
+    Kept.OmittedBytes = Turn->omitted_bytes();
     return Kept;
   }
   const auto *Claim = Row.body_as_RecordClaim();
@@ -61,7 +62,8 @@
                                                Each.Place.Length, Batch));
   }
   Builder.Finish(wire::CreateSegmentIndexDirect(
-      Builder, Index.Identity.Bytes, Index.Identity.FirstPayload.Value, &Rows));
+      Builder, Index.Identity.Bytes, Index.Identity.FirstPayload.Value, &Rows,
+      /*states_text_bytes=*/true));
   return std::string(reinterpret_cast<const char *>(Builder.GetBufferPointer()),
                      Builder.GetSize());
 }
@@ -76,7 +78,9 @@
   const auto *Index = flatbuffers::GetRoot<wire::SegmentIndex>(Start);
   const SegmentIdentity Present{Index->segment_bytes(),
                                 Fingerprint(Index->first_payload())};
-  if (!Index->batches() || !(Present == Identity))
+  // Without the size of its turns, a segment is read as a whole.
+  if (!Index->batches() || !Index->states_text_bytes() ||
+      !(Present == Identity))
     return false;
   for (const wire::IndexedBatchRow *Row : *Index->batches()) {
     if (!Row->batch())
--- a/packages/wire/tests/CodecTest.cpp
+++ b/packages/wire/tests/CodecTest.cpp
@@ -79,6 +79,7 @@
   Reply.HasPrevious = true;
   Reply.PreviousTarget = TargetId("target");
   Reply.History = "history";
+  Reply.LongHistoryBytes = 70000;
   Reply.HistoryEnd = TurnId("previous");
   Reply.MissingTurn = TurnId("older");
   Reply.Claims = {TokenClaim{Fingerprint(3), TokenCount{4}, true}};
@@ -139,7 +140,7 @@
       LoadReport{1, 2, 3, true, true, ConfigVersion(4)},
       sampleBatch(),
       OpenTurn{LedgerOperationId(1), ViewVersion(2), TurnId("t"),
-               ProgramId("p"), TokenCount{5}, TurnId("before"), true,
+               ProgramId("p"), TokenCount{5}, TurnId("before"), true, 4096,
                Milliseconds(9), CallerAttemptId("resumed"), Fingerprint(5),
                StreamPosition{3, Fingerprint(6)}},
       sampleOpened(),
@@ -190,7 +191,9 @@
                                   "output",
                                   {OutputMark{4, 17}},
                                   Milliseconds(9)}}},
-      ContinuationFailed{Fingerprint(6), Fingerprint(8)}};
+      ContinuationFailed{Fingerprint(6), Fingerprint(8)},
+      HistoryQuery{LedgerOperationId(1), TurnId("end"), TurnId("after"), 7, 9},
+      HistoryPart{LedgerOperationId(1), HolderId("h"), "data"}};
 }
 
 /// Returns Bytes truncated or with a few random bytes overwritten.
--- a/tests/harness/PlatformSite.cpp
+++ b/tests/harness/PlatformSite.cpp
@@ -116,10 +116,12 @@
 std::string PlatformSite::configuration(int Version,
                                         const PlatformSiteOptions &Options) {
   const ClientLimits &Limits = Options.Limits;
+  Json Turns = route("/turn/", "streaming");
+  Turns["timeoutMs"] = Options.TurnTimeoutMillis;
   const Json Document = {
       {"version", Version},
       {"routes",
-       {route("/plain/", "idempotent"), route("/turn/", "streaming"),
+       {route("/plain/", "idempotent"), Turns,
         route("/once/", "non_idempotent"), resumableRoute("/stream/", 1),
         resumableRoute("/stream-again/", 4)}},
       {"services",
@@ -143,6 +145,8 @@
   Json Boot = bootSettings(*this, Name);
   Boot["listenAddresses"] = {{"control", loopback(this->PeerPorts[Number])}};
   Boot["dataDirectory"] = this->ledgerFolder(Number).string();
+  if (this->Options.LedgerMemoryMegabytes > 0)
+    Boot["limits"]["memoryMb"] = this->Options.LedgerMemoryMegabytes;
   this->Ledgers[Number] = this->start(Name, "ledger", Boot.dump());
 }
 
@@ -210,7 +214,7 @@
   Call.Url = "http://" + loopback(this->CallerPorts[Relay]) + "/turn/x";
   Call.Headers = {std::string("Host: ") + Host,
                   "Request-Id: " + Turn.Id,
-                  "Time-Remaining: 4000",
+                  "Time-Remaining: " + std::to_string(Turn.TimeLeftMillis),
                   "Program-Id: " + Turn.Program,
                   "Session-Id: s",
                   "Token-Usage: 100," + std::to_string(MaxTurnTokens),
--- a/tests/harness/PlatformSite.h
+++ b/tests/harness/PlatformSite.h
@@ -23,6 +23,7 @@
   std::string Previous;
   std::string Input;
   int Budget = 10000;
+  unsigned TimeLeftMillis = 4000;
 };
 
 /// What clients may send, as the operators' configuration states it.
@@ -41,11 +42,15 @@
   /// Memory and descriptors that the relays' settings state, unless 0.
   unsigned RelayMemoryMegabytes = 0;
   unsigned RelayDescriptors = 0;
+  /// Memory that the replicas' settings state, unless 0.
+  unsigned LedgerMemoryMegabytes = 0;
   /// Whether the relays are started with --limit-buffers.
   bool AreBuffersLimited = false;
   ClientLimits Limits;
   /// Connections that a target accepts.
   unsigned ConnectionLimit = 64;
+  /// Time-out of the route of turns.
+  unsigned TurnTimeoutMillis = 5000;
 };
 
 /// Runs relays, three ledger replicas, a store and two workers. The folder of
--- a/tests/integration/ClientCrowds.cpp
+++ b/tests/integration/ClientCrowds.cpp
@@ -374,6 +374,7 @@
 TEST_CASE("A chain of turns that is longer than the memory", "[long-chain]") {
   CrowdSite Deployment;
   std::string Previous;
+  unsigned Served = 0;
   for (unsigned Number = 0; Number < 80; ++Number) {
     const std::string Id = "chain-" + std::to_string(Number);
     const Response Result = Deployment.Site.sendTurn(
@@ -381,7 +382,9 @@
     if (Result.Status != 200)
       break;
     Previous = Id;
+    ++Served;
   }
+  CHECK(Served == 80);
   Deployment.checkRelay();
   Deployment.checkLedgers();
 }
