An entry that stops counts answers as unsent, not its own request to stop

Cause: stopWhenFlushed() asked the server to stop accepting at each poll. That posts a task to the server's thread, which counted as unsent until it had run, and the count was read at once. So it ended only if the other thread was quicker than the next statement.

Change: the server is asked once, when the entry has drained, and only tasks that send part of an answer count.

--- a/packages/daemon/src/EntryProcess.cpp
+++ b/packages/daemon/src/EntryProcess.cpp
@@ -75,7 +75,10 @@
                                Effect.Attributes);
   }
 
-  void operator()(const ExitEntry &) { this->Process.stopWhenFlushed(); }
+  void operator()(const ExitEntry &) {
+    this->Process.Gateway.stopAccepting();
+    this->Process.stopWhenFlushed();
+  }
 
 private:
   void recordRequestSpan(RequestId Request) {
@@ -434,7 +437,6 @@
 }
 
 void EntryProcess::stopWhenFlushed() {
-  this->Gateway.stopAccepting();
   if (this->Gateway.unsentCount() > 0) {
     auto Timer =
         std::make_shared<boost::asio::steady_timer>(this->Loop.context());
--- a/packages/gateway/src/HttpGateway.cpp
+++ b/packages/gateway/src/HttpGateway.cpp
@@ -17,15 +17,15 @@
   EventLoop Loop;
   CallerGateway Gateway;
   std::thread Thread;
-  /// Tasks that wait for the thread.
-  std::atomic<std::size_t> QueuedTasks{0};
+  /// Answers, or parts of them, that wait for the thread.
+  std::atomic<std::size_t> QueuedAnswers{0};
 
-  /// Runs Task on the server's thread.
-  void post(std::function<void()> Task) {
-    ++this->QueuedTasks;
+  /// Runs a task that sends part of an answer on the server's thread.
+  void postAnswer(std::function<void()> Task) {
+    ++this->QueuedAnswers;
     this->Loop.post([this, Task = std::move(Task)] {
       Task();
-      --this->QueuedTasks;
+      --this->QueuedAnswers;
     });
   }
 };
@@ -47,21 +47,21 @@
 std::uint16_t HttpGateway::port() const { return this->Impl->Gateway.port(); }
 
 void HttpGateway::answer(RequestId Request, const CallAnswer &Answer) {
-  this->Impl->post(
+  this->Impl->postAnswer(
       [this, Request, Answer] { this->Impl->Gateway.answer(Request, Answer); });
 }
 
 void HttpGateway::stream(RequestId Request, const std::string &Events) {
-  this->Impl->post(
+  this->Impl->postAnswer(
       [this, Request, Events] { this->Impl->Gateway.stream(Request, Events); });
 }
 
 void HttpGateway::stopAccepting() {
-  this->Impl->post([this] { this->Impl->Gateway.stopAccepting(); });
+  this->Impl->Loop.post([this] { this->Impl->Gateway.stopAccepting(); });
 }
 
 std::size_t HttpGateway::unsentCount() const {
-  return this->Impl->QueuedTasks + this->Impl->Gateway.unsentCount();
+  return this->Impl->QueuedAnswers + this->Impl->Gateway.unsentCount();
 }
 
 void HttpGateway::stop() {
