Relays queue all pending closes for a replica that connects

By reading: a replica that connects gets all pending closes at once. These may have a quarter of the relay's memory, and so may the queue to one replica; with a little more the connection would be closed before any is sent, again and again until the closes expire. The queue may now have half of the memory. The frames are shared by all queues and count in the budget for requests.

--- a/packages/decision/tests/RelayHistoryRandomTest.cpp
+++ b/packages/decision/tests/RelayHistoryRandomTest.cpp
@@ -184,7 +184,7 @@
     for (const SendAttemptPart &Each : this->Relay.all<SendAttemptPart>())
       this->UntakenParts.push_back(Each);
     for (const RefuseCaller &Each : this->Relay.all<RefuseCaller>())
-      this->Refused.insert(Each.Request);
+      this->Refused[Each.Request] = Each.Refusal;
     this->Relay.Effects.clear();
   }
 
@@ -206,7 +206,7 @@
   std::vector<SendAttempt> Sent;
   /// What the targets of attempts have received of long histories.
   std::map<RelayAttemptId, std::string> Received;
-  std::set<RequestId> Refused;
+  std::map<RequestId, RelayRefusal> Refused;
 };
 
 } // namespace
@@ -278,9 +278,14 @@
       CHECK(Each.LongHistoryBytes == History.size());
       const std::string &Text = Deployment.Received[Each.Attempt];
       CHECK(History.substr(0, Text.size()) == Text);
-      // A call is refused if no replica could send the rest in time.
-      CHECK((Text == History || Deployment.Refused.count(Each.Request) > 0));
-      Whole += Text == History ? 1 : 0;
+      if (Text == History) {
+        ++Whole;
+        continue;
+      }
+      // No replica could send the rest in time. The target may have begun.
+      REQUIRE(Deployment.Refused.count(Each.Request) > 0);
+      CHECK(Deployment.Refused[Each.Request].ExecutionStatus ==
+            Execution::Unknown);
     }
     CHECK(State.HistoryTransfers.empty());
     CHECK(State.PendingParts.empty());
--- a/packages/relay/src/RelayProcess.cpp
+++ b/packages/relay/src/RelayProcess.cpp
@@ -38,8 +38,9 @@
 /// are read while they are sent.
 constexpr std::size_t HeldHistoryPartOfMemory = 8;
 constexpr std::size_t LongHistoryPartOfMemory = 16;
-/// What may be queued for one replica.
-constexpr std::size_t QueuePartOfMemory = 4;
+/// What may be queued for one replica. More than all closes that may be
+/// pending, which are queued at once when a replica connects.
+constexpr std::size_t QueuePartOfMemory = 2;
 
 /// The part of the memory that is for callers' connections themselves, and what
 /// one of them occupies besides its request: its own state, that of its call
